--- /dev/null
+++ b/crates/common/src/lib.rs
@@ -0,0 +1,13 @@
+//! Clock, collections, identifiers and random numbers that every package shares.
+
+mod clock;
+mod collections;
+mod ids;
+mod rendezvous;
+mod rng;
+
+pub use clock::{Clock, Millis};
+pub use collections::{Map, Set};
+pub use ids::{AttemptId, Incarnation, MapVersion, Revision, Term};
+pub use rendezvous::{rank_by_weight, top};
+pub use rng::{Rng, seeded};
--- /dev/null
+++ b/trials/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
