Freeze the platform trait, the balancer's events and the settings

Cause: admission, the platform client and the administration API are built side by side and meet at these types. Measured: formatter and linter pass. Conclusion: the packages can be filled side by side.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Admission, routing, limits, retries and quarantine as decisions without I/O.
+//!
+//! A [`Balancer`] takes [`Event`]s and the time and returns [`Effect`]s; the entry drives it.
+
+mod balancer;
+mod events;
+
+pub use balancer::{Balancer, Settings};
+pub use events::{Arrival, Effect, End, Event, Ticket, UpstreamId, UpstreamInfo};
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The load balancer: its settings and the roles of its one binary.
+
+pub mod options;
