--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -136,6 +136,8 @@
     HungUp => 499, Unknown, Never, "hung_up", "The caller hung up";
     /// The upstream broke off before its answer was whole.
     UpstreamBroke => 502, Unknown, Later, "upstream_broke", "The upstream broke off";
+    /// The upstream died while the request ran.
+    UpstreamCrashed => 502, Unknown, Later, "upstream_crashed", "The upstream died";
     /// The link to the agent was lost and the agent did not settle the attempt in time.
     LinkLost => 502, Unknown, Later, "link_lost", "The upstream's instance was lost";
     /// The deadline passed while the request ran.
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -154,6 +154,8 @@
         /// How many chunks have arrived in order.
         chunks: u64,
     },
+    /// Asks for a sign of life.
+    Ping,
     /// Asks another agent about a claim that it made.
     AskClaim {
         /// The number of this question on this link.
@@ -239,6 +241,8 @@
         /// The encoded message.
         payload: Bytes,
     },
+    /// The answer to [`ToAgent::Ping`].
+    Pong,
     /// The upstream takes no new work from now on.
     Leaving,
     /// A load report.
