--- a/crates/decisions/src/attempts.rs
+++ b/crates/decisions/src/attempts.rs
@@ -131,7 +131,7 @@
             self.forget_oldest();
         }
         // An attempt that never arrived is entered all the same: a late frame finds it withdrawn.
-        self.records.entry(id).or_insert_with(AttemptMachine::new);
+        self.records.entry(id).or_default();
         match self.handle(now, id, AttemptEvent::Withdraw) {
             Some(AttemptState::Refused { .. }) => Settled::NotRun,
             Some(AttemptState::Running {} | AttemptState::Finished {}) => Settled::Attached,
--- /dev/null
+++ b/crates/sardinepin/src/agent.rs
@@ -0,0 +1,56 @@
+//! The role `agent`: the only door to one upstream.
+
+mod answer;
+mod load;
+mod runner;
+mod session;
+mod state;
+mod upstream;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::Context;
+use sardinepin_common::{Clock, Millis};
+use sardinepin_protocol::Role;
+use tokio::net::TcpListener;
+
+use crate::link::Identity;
+use crate::options::Settings;
+use crate::stop::{self, Signals};
+use state::Agent;
+
+/// The time between two looks for what can be forgotten.
+const SWEEP: Millis = Millis(500);
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if the agent cannot listen.
+pub async fn run(settings: Settings) -> anyhow::Result<ExitCode> {
+    let mut signals = Signals::new()?;
+    let listener = TcpListener::bind(settings.agent.listen)
+        .await
+        .with_context(|| format!("agent.listen: cannot listen on {}", settings.agent.listen))?;
+    let address = listener.local_addr()?;
+    let identity = Identity::new(Role::Agent, &settings.name, &settings.zone);
+    let agent = Arc::new(Agent::new(settings, identity, Clock::start()));
+    log::info!(event = "listening", role = "agent", address:% = address; "listening");
+
+    tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
+    tokio::spawn(sweep(Arc::clone(&agent)));
+    signals.first().await;
+
+    log::info!(event = "leaving"; "no new work is taken");
+    agent.leave();
+    let finished = stop::until_done(&mut signals, || agent.is_idle()).await;
+    Ok(stop::exit_code(finished, agent.open()))
+}
+
+async fn sweep(agent: Arc<Agent>) {
+    loop {
+        tokio::time::sleep(SWEEP.duration()).await;
+        agent.sweep();
+    }
+}
--- /dev/null
+++ b/crates/sardinepin/src/agent/answer.rs
@@ -0,0 +1,164 @@
+//! The answer of one attempt, kept until its entry has it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sardinepin_common::{AttemptId, Millis};
+use sardinepin_protocol::{ErrorKind, Field, ToEntry};
+use tokio::sync::{Notify, mpsc};
+use tokio_util::sync::CancellationToken;
+
+/// How long an ended answer waits for an entry whose link is gone, when the agent stops.
+const ABANDONED: Millis = Millis(3_000);
+
+/// Where frames to one entry go.
+pub(crate) type ToLink = mpsc::UnboundedSender<ToEntry>;
+
+/// How an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerEnd {
+    /// It is whole.
+    Whole,
+    /// The attempt did not run.
+    Refused(ErrorKind),
+    /// No more of it will come.
+    Broken(ErrorKind),
+}
+
+/// The answer of one attempt.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    id: AttemptId,
+    link: ToLink,
+    head: Option<(u16, Vec<Field>)>,
+    /// The number of the first chunk that is still kept.
+    base: u64,
+    chunks: VecDeque<Bytes>,
+    end: Option<(Millis, AnswerEnd)>,
+    room: Arc<Notify>,
+    stop: CancellationToken,
+}
+
+impl Answer {
+    /// Starts an empty answer that goes to `link`.
+    pub(crate) fn new(id: AttemptId, link: ToLink) -> Self {
+        Self {
+            id,
+            link,
+            head: None,
+            base: 0,
+            chunks: VecDeque::new(),
+            end: None,
+            room: Arc::default(),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// Returns the signal that chunks were acknowledged.
+    pub(crate) fn room(&self) -> Arc<Notify> {
+        Arc::clone(&self.room)
+    }
+
+    /// Returns the token that stops the attempt.
+    pub(crate) fn stop(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
+    /// Returns how many chunks are kept unacknowledged.
+    pub(crate) fn unacknowledged(&self) -> u64 {
+        self.chunks.len() as u64
+    }
+
+    /// Returns when the answer ended.
+    pub(crate) fn ended_at(&self) -> Option<Millis> {
+        self.end.map(|(at, _)| at)
+    }
+
+    /// Returns whether the answer ended a while ago and no entry has come back for it.
+    pub(crate) fn is_abandoned(&self, now: Millis) -> bool {
+        let ended = self.ended_at().is_some_and(|at| now.since(at) >= ABANDONED);
+        ended && self.link.is_closed()
+    }
+
+    /// Takes in the head.
+    pub(crate) fn put_head(&mut self, status: u16, headers: Vec<Field>) {
+        self.head = Some((status, headers));
+        self.send_head();
+    }
+
+    /// Takes in the next chunk.
+    pub(crate) fn put_chunk(&mut self, data: Bytes) {
+        let seq = self.base + self.chunks.len() as u64;
+        self.chunks.push_back(data);
+        self.send_chunk(seq);
+    }
+
+    /// Ends the answer.
+    pub(crate) fn finish(&mut self, now: Millis, end: AnswerEnd) {
+        self.end = Some((now, end));
+        self.send_end();
+    }
+
+    /// Drops the chunks that the entry has.
+    pub(crate) fn received(&mut self, chunks: u64) {
+        while self.base < chunks && self.chunks.pop_front().is_some() {
+            self.base += 1;
+        }
+        self.room.notify_one();
+    }
+
+    /// Sends to another link what the entry lacks.
+    pub(crate) fn attach(&mut self, link: ToLink, chunks: u64) {
+        self.link = link;
+        self.received(chunks);
+        self.send_head();
+        for seq in self.base..self.base + self.chunks.len() as u64 {
+            self.send_chunk(seq);
+        }
+        self.send_end();
+    }
+
+    fn send_head(&self) {
+        if let Some((status, headers)) = &self.head {
+            self.send(ToEntry::Head {
+                id: self.id,
+                status: *status,
+                headers: headers.clone(),
+            });
+        }
+    }
+
+    fn send_chunk(&self, seq: u64) {
+        let at = usize::try_from(seq - self.base).unwrap_or(usize::MAX);
+        if let Some(data) = self.chunks.get(at) {
+            self.send(ToEntry::Chunk {
+                id: self.id,
+                seq,
+                data: data.clone(),
+            });
+        }
+    }
+
+    fn send_end(&self) {
+        let Some((_, end)) = self.end else { return };
+        let id = self.id;
+        self.send(match end {
+            AnswerEnd::Whole => ToEntry::End {
+                id,
+                chunks: self.base + self.chunks.len() as u64,
+            },
+            AnswerEnd::Refused(kind) => ToEntry::Refused {
+                id,
+                kind,
+                retry_ms: 0,
+            },
+            AnswerEnd::Broken(kind) => ToEntry::Broken { id, kind },
+        });
+    }
+
+    /// A link that is gone takes nothing; the entry asks again over its next one.
+    fn send(&self, frame: ToEntry) {
+        let _ = self.link.send(frame);
+    }
+}
--- /dev/null
+++ b/crates/sardinepin/src/agent/session.rs
@@ -0,0 +1,119 @@
+//! One link to an entry or another agent: a reader, a writer, and load reports.
+
+use std::sync::Arc;
+
+use sardinepin_common::Millis;
+use sardinepin_protocol::{FrameReader, FrameWriter, ToAgent, ToEntry};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use crate::agent::answer::ToLink;
+use crate::agent::runner;
+use crate::agent::state::{LinkId, SharedAgent};
+use crate::link;
+
+/// The wait after a failed accept, such as when no file descriptor is left.
+const ACCEPT_PAUSE: Millis = Millis(50);
+
+/// Accepts links for as long as the process lives.
+pub(crate) async fn accept_all(agent: SharedAgent, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(Arc::clone(&agent), stream));
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "cannot accept a link");
+                tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+            }
+        }
+    }
+}
+
+async fn serve(agent: SharedAgent, stream: TcpStream) {
+    let link = match link::accept(stream, &agent.identity).await {
+        Ok(link) => link,
+        Err(error) => {
+            log::warn!(event = "link_refused", error:% = error; "a link was refused");
+            return;
+        }
+    };
+    let (sender, frames) = mpsc::unbounded_channel();
+    let (id, replaced) = agent.open_link(link.peer.incarnation, sender.clone());
+    log::info!(event = "link_up", peer = link.peer.name.as_str(); "link up");
+    tokio::select! {
+        () = read(&agent, id, &sender, link.reader) => {}
+        () = write(link.writer, frames) => {}
+        () = report(&agent, &sender) => {}
+        () = replaced.cancelled() => {}
+    }
+    log::info!(event = "link_down", peer = link.peer.name.as_str(); "link down");
+}
+
+async fn read(agent: &SharedAgent, link: LinkId, sender: &ToLink, mut reader: FrameReader) {
+    loop {
+        match link::receive(&mut reader).await {
+            Ok(Some(frame)) => take(agent, link, sender, frame),
+            Ok(None) => return,
+            Err(error) => {
+                log::warn!(event = "link_broken", error:% = error; "a link broke");
+                return;
+            }
+        }
+    }
+}
+
+fn take(agent: &SharedAgent, link: LinkId, sender: &ToLink, frame: ToAgent) {
+    match frame {
+        ToAgent::Run(attempt) => {
+            if agent.take(link, &attempt) {
+                tokio::spawn(runner::run(Arc::clone(agent), attempt));
+            }
+        }
+        ToAgent::Received { id, chunks, ended } => agent.received(id, chunks, ended),
+        ToAgent::Cancel { id } => agent.cancel(id),
+        ToAgent::Settle {
+            id,
+            agent: addressed,
+            chunks,
+        } => agent.settle(link, id, addressed, chunks),
+        ToAgent::Ping => {
+            let _ = sender.send(ToEntry::Pong);
+        }
+        // TODO: answer questions about claims, and pass group messages to the map switch.
+        ToAgent::Hello(_) | ToAgent::AskClaim { .. } | ToAgent::Group { .. } => {}
+    }
+}
+
+/// Writes frames, and flushes whenever none is waiting.
+async fn write(mut writer: FrameWriter, mut frames: mpsc::UnboundedReceiver<ToEntry>) {
+    while let Some(frame) = frames.recv().await {
+        if write_waiting(&mut writer, &mut frames, frame)
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn write_waiting(
+    writer: &mut FrameWriter,
+    frames: &mut mpsc::UnboundedReceiver<ToEntry>,
+    first: ToEntry,
+) -> anyhow::Result<()> {
+    link::feed(writer, &first).await?;
+    while let Ok(frame) = frames.try_recv() {
+        link::feed(writer, &frame).await?;
+    }
+    link::flush(writer).await
+}
+
+async fn report(agent: &SharedAgent, sender: &ToLink) {
+    let period = Millis(agent.settings.agent.report_ms);
+    loop {
+        let load = agent.gauge.report(agent.settings.agent.slots);
+        let _ = sender.send(ToEntry::Load(load));
+        tokio::time::sleep(period.duration()).await;
+    }
+}
--- /dev/null
+++ b/crates/sardinepin/src/agent/state.rs
@@ -0,0 +1,276 @@
+//! What an agent knows: its attempts, their answers and its links.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use sardinepin_common::{AttemptId, Clock, Incarnation, Map, Millis};
+use sardinepin_decisions::{AttemptEvent, AttemptSettings, AttemptState, Attempts, Taken};
+use sardinepin_protocol::{Attempt, ErrorKind, Settled, ToEntry};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::agent::answer::{Answer, AnswerEnd, ToLink};
+use crate::agent::load::Gauge;
+use crate::agent::upstream::UpstreamClient;
+use crate::link::Identity;
+use crate::options::Settings;
+
+/// One agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) settings: Settings,
+    pub(crate) identity: Identity,
+    pub(crate) clock: Clock,
+    pub(crate) slots: Semaphore,
+    pub(crate) gauge: Gauge,
+    pub(crate) upstream: UpstreamClient,
+    table: Mutex<Table>,
+}
+
+#[derive(Debug)]
+struct Table {
+    attempts: Attempts,
+    answers: Map<AttemptId, Answer>,
+    links: Map<Incarnation, LinkEnd>,
+    last_serial: u64,
+    leaving: bool,
+}
+
+/// This agent's end of the newest link to one entry.
+#[derive(Debug)]
+struct LinkEnd {
+    serial: u64,
+    sender: ToLink,
+    replaced: CancellationToken,
+}
+
+/// Names a link: the peer's incarnation and a number that no other link has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LinkId {
+    pub(crate) peer: Incarnation,
+    pub(crate) serial: u64,
+}
+
+impl Agent {
+    /// Makes an agent without attempts.
+    pub(crate) fn new(settings: Settings, identity: Identity, clock: Clock) -> Self {
+        let attempts = Attempts::new(AttemptSettings {
+            keep_ms: settings.agent.keep_ms,
+            ..AttemptSettings::default()
+        });
+        Self {
+            slots: Semaphore::new(settings.agent.slots),
+            gauge: Gauge::default(),
+            upstream: UpstreamClient::new(settings.agent.upstream),
+            settings,
+            identity,
+            clock,
+            table: Mutex::new(Table {
+                attempts,
+                answers: Map::default(),
+                links: Map::default(),
+                last_serial: 0,
+                leaving: false,
+            }),
+        }
+    }
+
+    /// Makes this the newest link of its peer; the token ends the one before it.
+    ///
+    /// Frames of an older link are dropped from here on, so that an attempt that is settled over
+    /// the new link cannot arrive late over the old one.
+    pub(crate) fn open_link(
+        &self,
+        peer: Incarnation,
+        sender: ToLink,
+    ) -> (LinkId, CancellationToken) {
+        let mut table = self.table();
+        table.last_serial += 1;
+        let serial = table.last_serial;
+        let replaced = CancellationToken::new();
+        if table.leaving {
+            let _ = sender.send(ToEntry::Leaving);
+        }
+        let end = LinkEnd {
+            serial,
+            sender,
+            replaced: replaced.clone(),
+        };
+        if let Some(older) = table.links.insert(peer, end) {
+            older.replaced.cancel();
+        }
+        (LinkId { peer, serial }, replaced)
+    }
+
+    /// Takes in an attempt; returns whether it is to be brought to its beginning.
+    pub(crate) fn take(&self, link: LinkId, attempt: &Attempt) -> bool {
+        let mut table = self.table();
+        let Some(sender) = table.sender(link) else {
+            return false;
+        };
+        let id = attempt.id;
+        let leaving = table.leaving;
+        match table.attempts.take(id) {
+            Taken::New if leaving => {
+                let refuse = AttemptEvent::Refuse(ErrorKind::Leaving);
+                table.attempts.handle(self.clock.now(), id, refuse);
+                refused(&sender, id, ErrorKind::Leaving);
+                false
+            }
+            Taken::New => {
+                table.answers.insert(id, Answer::new(id, sender));
+                true
+            }
+            Taken::Known => false,
+            Taken::Refused(kind) => {
+                refused(&sender, id, kind);
+                false
+            }
+            Taken::Unknown => {
+                let state = Settled::Unknown;
+                let _ = sender.send(ToEntry::Settled { id, state });
+                false
+            }
+        }
+    }
+
+    /// Answers an entry that asks what became of an attempt.
+    pub(crate) fn settle(&self, link: LinkId, id: AttemptId, addressed: Incarnation, chunks: u64) {
+        let now = self.clock.now();
+        let mut table = self.table();
+        let Some(sender) = table.sender(link) else {
+            return;
+        };
+        let mut state = table
+            .attempts
+            .settle(now, id, addressed, self.identity.incarnation);
+        if state == Settled::Attached && !table.answers.contains_key(&id) {
+            state = Settled::Unknown;
+        }
+        let _ = sender.send(ToEntry::Settled { id, state });
+        match (state, table.answers.get_mut(&id)) {
+            (Settled::Attached, Some(answer)) => answer.attach(sender, chunks),
+            (Settled::NotRun, Some(answer)) => answer.stop().cancel(),
+            _ => {}
+        }
+    }
+
+    /// Takes in an acknowledgement.
+    pub(crate) fn received(&self, id: AttemptId, chunks: u64, ended: bool) {
+        let mut table = self.table();
+        if let Some(answer) = table.answers.get_mut(&id) {
+            answer.received(chunks);
+            if ended && answer.ended_at().is_some() {
+                table.answers.remove(&id);
+            }
+        }
+    }
+
+    /// Stops an attempt, whether it has begun or not.
+    pub(crate) fn cancel(&self, id: AttemptId) {
+        let now = self.clock.now();
+        let mut table = self.table();
+        table.attempts.handle(now, id, AttemptEvent::Withdraw);
+        if let Some(answer) = table.answers.get(&id) {
+            answer.stop().cancel();
+        }
+    }
+
+    /// Says that an attempt is about to reach the upstream; returns whether it may.
+    pub(crate) fn begin(&self, id: AttemptId) -> bool {
+        self.table().attempts.begin(id)
+    }
+
+    /// Refuses an attempt that has not begun; returns whether that was still possible.
+    pub(crate) fn refuse(&self, id: AttemptId, kind: ErrorKind) -> bool {
+        let now = self.clock.now();
+        let mut table = self.table();
+        let state = table.attempts.handle(now, id, AttemptEvent::Refuse(kind));
+        let Some(AttemptState::Refused { kind }) = state else {
+            return false;
+        };
+        if let Some(answer) = table.answers.get_mut(&id) {
+            answer.finish(now, AnswerEnd::Refused(kind));
+        }
+        true
+    }
+
+    /// Ends an attempt and its answer.
+    pub(crate) fn end(&self, id: AttemptId, event: AttemptEvent, end: AnswerEnd) {
+        let now = self.clock.now();
+        let mut table = self.table();
+        table.attempts.handle(now, id, event);
+        if let Some(answer) = table.answers.get_mut(&id) {
+            answer.finish(now, end);
+        }
+    }
+
+    /// Changes the answer of an attempt, if it is still kept.
+    pub(crate) fn with_answer<T>(
+        &self,
+        id: AttemptId,
+        change: impl FnOnce(&mut Answer) -> T,
+    ) -> Option<T> {
+        self.table().answers.get_mut(&id).map(change)
+    }
+
+    /// Takes no new work from now on, and says so on every link.
+    pub(crate) fn leave(&self) {
+        let mut table = self.table();
+        table.leaving = true;
+        for link in table.links.values() {
+            let _ = link.sender.send(ToEntry::Leaving);
+        }
+    }
+
+    /// Returns whether every attempt has ended and every answer has arrived.
+    pub(crate) fn is_idle(&self) -> bool {
+        let now = self.clock.now();
+        let table = self.table();
+        let wanted = |answer: &Answer| !answer.is_abandoned(now);
+        table.attempts.open() == 0 && !table.answers.values().any(wanted)
+    }
+
+    /// Returns how many attempts or answers are open.
+    pub(crate) fn open(&self) -> usize {
+        let table = self.table();
+        table.attempts.open().max(table.answers.len())
+    }
+
+    /// Forgets what nobody asks for any more.
+    pub(crate) fn sweep(&self) {
+        let now = self.clock.now();
+        let keep = Millis(self.settings.agent.keep_ms);
+        let mut table = self.table();
+        table.attempts.sweep(now);
+        table
+            .answers
+            .retain(|_, answer| answer.ended_at().is_none_or(|at| now.since(at) < keep));
+        table.links.retain(|_, link| !link.sender.is_closed());
+    }
+
+    /// A poisoned lock is taken over: no step leaves the table half changed.
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Table {
+    /// Returns where frames go, if `link` is still the newest of its peer.
+    fn sender(&self, link: LinkId) -> Option<ToLink> {
+        self.links
+            .get(&link.peer)
+            .filter(|newest| newest.serial == link.serial)
+            .map(|newest| newest.sender.clone())
+    }
+}
+
+fn refused(sender: &ToLink, id: AttemptId, kind: ErrorKind) {
+    let _ = sender.send(ToEntry::Refused {
+        id,
+        kind,
+        retry_ms: 0,
+    });
+}
+
+/// An agent that the tasks of its links and attempts share.
+pub(crate) type SharedAgent = Arc<Agent>;
--- /dev/null
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -0,0 +1,135 @@
+//! Calls to the one upstream over HTTP.
+
+use std::net::SocketAddr;
+
+use http::{HeaderName, HeaderValue, Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use sardinepin_protocol::{Attempt, CallBody, ErrorKind, Field};
+
+/// Header fields that concern one connection only and are not passed on.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Why a call gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No byte of the call left.
+    Unreached,
+    /// The call cannot be put into a request.
+    Malformed,
+    /// The call may have run.
+    Broke(ErrorKind),
+}
+
+/// The client of the upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamClient {
+    address: SocketAddr,
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    fresh: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl UpstreamClient {
+    /// Makes a client of the upstream at `address`.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            pooled: client(usize::MAX),
+            // A call that may not be repeated gets a connection of its own: a pooled one may close
+            // under it, and then nobody knows whether the call ran.
+            fresh: client(0),
+        }
+    }
+
+    /// Makes the call of an attempt and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says whether the call may have run.
+    pub(crate) async fn call(&self, attempt: &Attempt) -> Result<Response<Incoming>, CallError> {
+        let request = self.request(attempt).map_err(|_| CallError::Malformed)?;
+        let client = if attempt.idempotent {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
+        match client.request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => Err(CallError::Unreached),
+            Err(_) => Err(CallError::Broke(self.broke().await)),
+        }
+    }
+
+    /// Returns whether the upstream has died or only broke off.
+    pub(crate) async fn broke(&self) -> ErrorKind {
+        match tokio::net::TcpStream::connect(self.address).await {
+            Ok(_) => ErrorKind::UpstreamBroke,
+            Err(_) => ErrorKind::UpstreamCrashed,
+        }
+    }
+
+    fn request(&self, attempt: &Attempt) -> Result<Request<Full<Bytes>>, http::Error> {
+        let call = &attempt.call;
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(self.address.to_string())
+            .path_and_query(call.path.as_str())
+            .build()?;
+        let mut request = Request::builder().method(call.method.as_str()).uri(uri);
+        for (name, value) in passed_on(call) {
+            request = request.header(name, value);
+        }
+        request = request
+            .header("x-request-id", attempt.request.as_str())
+            .header("x-organisation", attempt.organisation.as_str())
+            .header("x-priority", u16::from(attempt.priority));
+        if attempt.resume > 0 {
+            request = request.header("x-resume-offset", attempt.resume);
+        }
+        request.body(Full::new(call.body.clone()))
+    }
+}
+
+/// Returns the header fields of an answer that go to the caller.
+pub(crate) fn answer_headers(response: &Response<Incoming>) -> Vec<Field> {
+    response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .map(|(name, value)| Field {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+fn passed_on(call: &CallBody) -> impl Iterator<Item = (HeaderName, HeaderValue)> {
+    call.headers
+        .iter()
+        .filter(|field| !HOP_HEADERS.contains(&field.name.as_str()))
+        .filter_map(|field| {
+            let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+            let value = HeaderValue::from_maybe_shared(field.value.clone()).ok()?;
+            Some((name, value))
+        })
+}
+
+fn client(idle_max: usize) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(idle_max)
+        .build(connector)
+}
--- /dev/null
+++ b/crates/sardinepin/src/entry/core.rs
@@ -0,0 +1,165 @@
+//! The one loop that owns the balancer: every decision of an entry passes through it.
+
+use sardinepin_common::{Clock, Map, Millis};
+use sardinepin_decisions::{Arrival, Balancer, Effect, Event, Settings as BalancerSettings, Ticket, UpstreamId};
+use sardinepin_protocol::ErrorKind;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::link::Identity;
+use crate::options::Settings;
+
+/// What the balancer orders for one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// Send it to an upstream.
+    Send(UpstreamId),
+    /// Give the caller its final answer.
+    GiveUp {
+        /// The reason.
+        kind: ErrorKind,
+        /// When coming back makes sense.
+        retry_after: Millis,
+    },
+}
+
+/// What the loop is told.
+#[derive(Debug)]
+enum Input {
+    /// A request came, with where its orders go.
+    Arrived(Arrival, mpsc::UnboundedSender<Order>),
+    /// Something else happened.
+    Event(Event),
+    /// Somebody asks for what the balancer knows.
+    Ask(oneshot::Sender<usize>),
+}
+
+/// The way to the loop.
+#[derive(Debug, Clone)]
+pub(crate) struct Core {
+    inputs: mpsc::UnboundedSender<Input>,
+}
+
+impl Core {
+    /// Starts the loop.
+    pub(crate) fn start(settings: &Settings, identity: &Identity, clock: Clock) -> Self {
+        let (inputs, receiver) = mpsc::unbounded_channel();
+        let balancer = Balancer::new(BalancerSettings {
+            zone: settings.zone.clone(),
+            seed: identity.incarnation.0,
+            attempts_max: settings.entry.attempts_max,
+            ..BalancerSettings::default()
+        });
+        let tick = Millis(BalancerSettings::default().tick_ms);
+        let state = CoreLoop {
+            balancer,
+            clock,
+            orders: Map::default(),
+            effects: Vec::new(),
+        };
+        tokio::spawn(state.run(receiver, tick));
+        Self { inputs }
+    }
+
+    /// Hands a request to the balancer; its orders go to `orders`.
+    pub(crate) fn arrive(&self, arrival: Arrival, orders: mpsc::UnboundedSender<Order>) {
+        let _ = self.inputs.send(Input::Arrived(arrival, orders));
+    }
+
+    /// Tells the balancer what happened.
+    pub(crate) fn tell(&self, event: Event) {
+        let _ = self.inputs.send(Input::Event(event));
+    }
+
+    /// Returns how many requests the loop holds.
+    pub(crate) async fn requests(&self) -> usize {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.inputs.send(Input::Ask(sender));
+        receiver.await.unwrap_or_default()
+    }
+}
+
+#[derive(Debug)]
+struct CoreLoop {
+    balancer: Balancer,
+    clock: Clock,
+    orders: Map<Ticket, mpsc::UnboundedSender<Order>>,
+    effects: Vec<Effect>,
+}
+
+impl CoreLoop {
+    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>, tick: Millis) {
+        let mut ticks = tokio::time::interval(tick.duration());
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                _ = ticks.tick() => self.decide(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived(arrival, orders) => {
+                self.orders.insert(arrival.ticket, orders);
+                self.decide(Event::Arrived(arrival));
+            }
+            Input::Event(event) => {
+                let gone = ends_request(&event);
+                self.decide(event);
+                if let Some(ticket) = gone {
+                    self.orders.remove(&ticket);
+                }
+            }
+            Input::Ask(answer) => {
+                let _ = answer.send(self.orders.len());
+            }
+        }
+    }
+
+    fn decide(&mut self, event: Event) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.balancer.handle(self.clock.now(), event, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(effect);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { ticket, upstream } => {
+                if let Some(orders) = self.orders.get(&ticket) {
+                    let _ = orders.send(Order::Send(upstream));
+                }
+            }
+            Effect::GiveUp {
+                ticket,
+                kind,
+                retry_after,
+            } => {
+                if let Some(orders) = self.orders.remove(&ticket) {
+                    let _ = orders.send(Order::GiveUp { kind, retry_after });
+                }
+            }
+            // TODO: share quarantined digests with the other entries.
+            Effect::Quarantine { .. } => {}
+        }
+    }
+}
+
+/// Returns the request that needs no more orders after this event.
+fn ends_request(event: &Event) -> Option<Ticket> {
+    match event {
+        Event::HungUp(ticket) => Some(*ticket),
+        Event::Ended {
+            ticket,
+            end: sardinepin_decisions::End::Whole,
+            ..
+        } => Some(*ticket),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/sardinepin/src/entry/directory.rs
@@ -0,0 +1,36 @@
+//! The numbers by which this entry knows its upstreams.
+
+use std::sync::Arc;
+
+use sardinepin_common::Map;
+use sardinepin_config::{Snapshot, Upstream};
+use sardinepin_decisions::{UpstreamId, UpstreamInfo};
+
+/// Numbers upstreams as they are met; a name keeps its number.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    ids: Map<String, UpstreamId>,
+}
+
+impl Directory {
+    /// Returns the upstreams of a configuration with their numbers.
+    pub(crate) fn infos(&mut self, snapshot: &Snapshot) -> Vec<UpstreamInfo> {
+        snapshot.upstreams().map(|upstream| self.info(upstream)).collect()
+    }
+
+    fn info(&mut self, upstream: &Upstream) -> UpstreamInfo {
+        let next = u32::try_from(self.ids.len()).unwrap_or(u32::MAX);
+        let id = *self
+            .ids
+            .entry(upstream.name.clone())
+            .or_insert(UpstreamId(next));
+        UpstreamInfo {
+            id,
+            name: Arc::from(upstream.name.as_str()),
+            service: Arc::from(upstream.service.as_str()),
+            zone: Arc::from(upstream.zone.as_str()),
+            group: upstream.group.as_deref().map(Arc::from),
+            state: upstream.state,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinepin/src/entry/uplink.rs
@@ -0,0 +1,283 @@
+//! The link to one agent: connected again whenever it is lost.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use sardinepin_common::{AttemptId, Clock, Incarnation, Millis};
+use sardinepin_decisions::{Event, UpstreamId};
+use sardinepin_protocol::{Attempt, FrameReader, FrameWriter, ToAgent, ToEntry};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::entry::core::Core;
+use crate::entry::flight::{Flights, FromLink};
+use crate::link::{self, Identity, Link};
+
+/// The wait before the first new try to connect.
+const RECONNECT_MIN: Millis = Millis(20);
+
+/// The longest wait between two tries to connect.
+const RECONNECT_MAX: Millis = Millis(1_000);
+
+/// How long a link with attempts under way may be silent before the agent is asked for a sign of
+/// life, and how long that may take.
+const SILENCE_MAX: Millis = Millis(1_000);
+
+/// The time between two looks at whether a link is silent.
+const SILENCE_POLL: Millis = Millis(250);
+
+/// The link to one agent.
+#[derive(Debug, Clone)]
+pub(crate) struct Uplink {
+    shared: Arc<Shared>,
+    commands: mpsc::UnboundedSender<ToAgent>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    upstream: UpstreamId,
+    address: SocketAddr,
+    identity: Identity,
+    core: Core,
+    clock: Clock,
+    flights: Flights,
+    agent: Mutex<Option<Incarnation>>,
+    closed: CancellationToken,
+}
+
+impl Uplink {
+    /// Starts connecting to the agent at `address`.
+    pub(crate) fn start(upstream: UpstreamId, address: SocketAddr, identity: Identity, core: Core) -> Self {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared {
+            upstream,
+            address,
+            identity,
+            core,
+            clock: Clock::start(),
+            flights: Flights::default(),
+            agent: Mutex::new(None),
+            closed: CancellationToken::new(),
+        });
+        tokio::spawn(keep_up(Arc::clone(&shared), receiver));
+        Self { shared, commands }
+    }
+
+    /// Returns the agent's address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Ends the link for good.
+    pub(crate) fn close(&self) {
+        self.shared.closed.cancel();
+    }
+
+    /// Queues an attempt; `None` if the link is down, so that no byte of it leaves.
+    pub(crate) fn run(&self, attempt: Attempt) -> Option<(Incarnation, mpsc::UnboundedReceiver<FromLink>)> {
+        let agent = *self.shared.agent.lock().unwrap_or_else(PoisonError::into_inner);
+        let agent = agent?;
+        let receiver = self.shared.flights.enter(attempt.id);
+        let _ = self.commands.send(ToAgent::Run(Box::new(attempt)));
+        Some((agent, receiver))
+    }
+
+    /// Queues a frame about an attempt.
+    pub(crate) fn tell(&self, frame: ToAgent) {
+        let _ = self.commands.send(frame);
+    }
+
+    /// Forgets an attempt that has ended.
+    pub(crate) fn forget(&self, id: AttemptId) {
+        self.shared.flights.leave(id);
+    }
+}
+
+async fn keep_up(shared: Arc<Shared>, mut commands: mpsc::UnboundedReceiver<ToAgent>) {
+    let mut pause = RECONNECT_MIN;
+    loop {
+        let attempt = tokio::select! {
+            attempt = link::connect(shared.address, &shared.identity) => attempt,
+            () = shared.closed.cancelled() => return,
+        };
+        match attempt {
+            Ok(link) => {
+                pause = RECONNECT_MIN;
+                serve(&shared, &mut commands, link).await;
+            }
+            Err(error) => {
+                log::debug!(event = "connect_failed", address:% = shared.address, error:% = error; "no link");
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(pause.duration()) => {}
+            () = shared.closed.cancelled() => return,
+        }
+        pause = (pause + pause).min(RECONNECT_MAX);
+    }
+}
+
+async fn serve(shared: &Shared, commands: &mut mpsc::UnboundedReceiver<ToAgent>, link: Link) {
+    let agent = link.peer.incarnation;
+    shared.set_agent(Some(agent));
+    shared.flights.up(agent);
+    shared.core.tell(Event::Link {
+        upstream: shared.upstream,
+        up: true,
+    });
+    log::info!(event = "link_up", peer = link.peer.name.as_str(); "link up");
+    let heard = Heard::new(shared.clock.now());
+    tokio::select! {
+        () = read(shared, &heard, link.reader) => {}
+        () = write(shared, commands, &heard, link.writer) => {}
+        () = shared.closed.cancelled() => {}
+    }
+    shared.set_agent(None);
+    shared.core.tell(Event::Link {
+        upstream: shared.upstream,
+        up: false,
+    });
+    shared.flights.lose();
+    log::info!(event = "link_down", peer = link.peer.name.as_str(); "link down");
+}
+
+/// When the agent was last heard.
+#[derive(Debug)]
+struct Heard {
+    at: Mutex<Millis>,
+}
+
+impl Heard {
+    fn new(now: Millis) -> Self {
+        Self { at: Mutex::new(now) }
+    }
+
+    fn set(&self, now: Millis) {
+        *self.at.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+
+    fn silent_for(&self, now: Millis) -> Millis {
+        now.since(*self.at.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+async fn read(shared: &Shared, heard: &Heard, mut reader: FrameReader) {
+    loop {
+        match link::receive(&mut reader).await {
+            Ok(Some(frame)) => {
+                heard.set(shared.clock.now());
+                shared.take(frame);
+            }
+            Ok(None) => return,
+            Err(error) => {
+                log::warn!(event = "link_broken", address:% = shared.address, error:% = error; "a link broke");
+                return;
+            }
+        }
+    }
+}
+
+/// Writes frames until the link breaks or stays silent.
+async fn write(
+    shared: &Shared,
+    commands: &mut mpsc::UnboundedReceiver<ToAgent>,
+    heard: &Heard,
+    mut writer: FrameWriter,
+) {
+    let mut looks = tokio::time::interval(SILENCE_POLL.duration());
+    let mut asked = false;
+    loop {
+        let frame = tokio::select! {
+            frame = commands.recv() => frame,
+            _ = looks.tick() => {
+                match shared.look(heard, asked) {
+                    Look::Fine => { asked = false; continue }
+                    Look::Ask => { asked = true; Some(ToAgent::Ping) }
+                    Look::Wait => continue,
+                    Look::Silent => return,
+                }
+            }
+        };
+        let Some(frame) = frame else {
+            return shared.closed.cancelled().await;
+        };
+        if write_waiting(shared, commands, &mut writer, frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_waiting(
+    shared: &Shared,
+    commands: &mut mpsc::UnboundedReceiver<ToAgent>,
+    writer: &mut FrameWriter,
+    first: ToAgent,
+) -> anyhow::Result<()> {
+    shared.feed(writer, &first).await?;
+    while let Ok(frame) = commands.try_recv() {
+        shared.feed(writer, &frame).await?;
+    }
+    link::flush(writer).await
+}
+
+/// What a look at a link says.
+enum Look {
+    /// It is alive, or nothing is under way on it.
+    Fine,
+    /// It has been silent; ask for a sign of life.
+    Ask,
+    /// It was asked and may still answer.
+    Wait,
+    /// It was asked and did not answer.
+    Silent,
+}
+
+impl Shared {
+    fn set_agent(&self, agent: Option<Incarnation>) {
+        *self.agent.lock().unwrap_or_else(PoisonError::into_inner) = agent;
+    }
+
+    fn look(&self, heard: &Heard, asked: bool) -> Look {
+        let silence = heard.silent_for(self.clock.now());
+        if silence < SILENCE_MAX || !self.flights.any_sent() {
+            return Look::Fine;
+        }
+        if !asked {
+            return Look::Ask;
+        }
+        if silence < SILENCE_MAX + SILENCE_MAX {
+            return Look::Wait;
+        }
+        log::warn!(event = "link_silent", address:% = self.address; "the agent gives no sign of life");
+        Look::Silent
+    }
+
+    async fn feed(&self, writer: &mut FrameWriter, frame: &ToAgent) -> anyhow::Result<()> {
+        if let ToAgent::Run(attempt) = frame
+            && !self.flights.mark_sent(attempt.id)
+        {
+            return Ok(());
+        }
+        link::feed(writer, frame).await
+    }
+
+    fn take(&self, frame: ToEntry) {
+        let upstream = self.upstream;
+        match frame {
+            ToEntry::Refused { id, kind, retry_ms } => {
+                let retry_after = Millis(u64::from(retry_ms));
+                self.flights.hand(id, FromLink::Refused { kind, retry_after });
+            }
+            ToEntry::Head { id, status, headers } => {
+                self.flights.hand(id, FromLink::Head { status, headers });
+            }
+            ToEntry::Chunk { id, seq, data } => self.flights.hand(id, FromLink::Chunk { seq, data }),
+            ToEntry::End { id, chunks } => self.flights.hand(id, FromLink::End { chunks }),
+            ToEntry::Broken { id, kind } => self.flights.hand(id, FromLink::Broken(kind)),
+            ToEntry::Settled { id, state } => self.flights.hand(id, FromLink::Settled(state)),
+            ToEntry::Leaving => self.core.tell(Event::Leaving(upstream)),
+            ToEntry::Load(load) => self.core.tell(Event::Load { upstream, load }),
+            ToEntry::Hello(_) | ToEntry::Pong | ToEntry::Claim { .. } | ToEntry::Group { .. } => {}
+        }
+    }
+}
