Read the command line and the settings, and list every fault with its line

Cause: the roles need their settings checked before they start, with file, line, field and what is allowed. Ruled out: reading straight into the structs, which stops at the first fault; a YAML walker of our own for the lines, since the library's errors bear positions and a walk that fails on purpose at a field gives its line. Change: subcommands entry, agent, check and ctl; a table of what each field allows behind messages, ranges and the page; contradictions such as two listeners on one address. The roles and check and ctl end with an error until they land. Conclusion: roles can be called as run(settings).

--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -1,3 +1,5 @@
 //! The load balancer: its settings and the roles of its one binary.
 
+pub mod agent;
+pub mod entry;
 pub mod options;
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -1,3 +1,63 @@
-//! Placeholder.
+//! The one binary: reads the command line and hands over to the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+use anyhow::Context;
+use sardinepin::options::{self, Invocation, RoleArguments, Settings};
+use sardinepin::{agent, entry};
+use sardinepin_protocol::Role;
+
+/// The exit code for a command line or a file that is not in order.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let invocation = match options::parse_arguments(std::env::args_os()) {
+        Ok(invocation) => invocation,
+        Err(error) => error.exit(),
+    };
+    match dispatch(invocation) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("sardinepin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn dispatch(invocation: Invocation) -> anyhow::Result<ExitCode> {
+    match invocation {
+        Invocation::Role(arguments) => run_role(&arguments),
+        Invocation::PrintDefault => {
+            print!("{}", options::default_yaml()?);
+            Ok(ExitCode::SUCCESS)
+        }
+        Invocation::Check(_) | Invocation::Ctl(_) => anyhow::bail!("not there yet"),
+    }
+}
+
+fn run_role(arguments: &RoleArguments) -> anyhow::Result<ExitCode> {
+    let mut settings = match options::load_settings(&arguments.config) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
+    };
+    if let Some(level) = &arguments.level {
+        settings.log.level.clone_from(level);
+    }
+    serve(arguments.role, settings)
+}
+
+fn serve(role: Role, settings: Settings) -> anyhow::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("the runtime cannot be started")?;
+    runtime.block_on(async {
+        match role {
+            Role::Entry => entry::run(settings).await,
+            Role::Agent => agent::run(settings).await,
+        }
+    })
+}
--- a/crates/sardinepin/src/options.rs
+++ b/crates/sardinepin/src/options.rs
@@ -1,8 +1,21 @@
 //! Arguments and settings, apart from what the roles do with them.
 
+mod arguments;
+mod document;
+mod faults;
+mod fields;
+mod load;
+mod locate;
 mod settings;
+mod validate;
 
+pub use arguments::{Invocation, RoleArguments, command, parse_arguments};
+pub use faults::{FileFault, FileFaults};
+pub use load::{default_yaml, load_settings, parse_settings};
 pub use settings::{
     AgentSettings, ClusterSettings, EntrySettings, KeySetting, LogSettings, PlatformSettings,
     Settings, StopSettings,
 };
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sardinepin/src/options/arguments.rs
@@ -0,0 +1,131 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use sardinepin_protocol::Role;
+
+use super::fields::LEVELS;
+
+/// What a command line asks for.
+#[derive(Debug)]
+pub enum Invocation {
+    /// Run a role.
+    Role(RoleArguments),
+    /// Print the default settings.
+    PrintDefault,
+    /// Check files offline.
+    Check(Vec<PathBuf>),
+    /// Call the administration API, with the arguments of `ctl`.
+    Ctl(ArgMatches),
+}
+
+/// The arguments of a role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoleArguments {
+    /// The role.
+    pub role: Role,
+    /// The settings file.
+    pub config: PathBuf,
+    /// The level of the log, in place of the file's.
+    pub level: Option<String>,
+}
+
+/// Reads a command line, the program's name first.
+///
+/// # Errors
+///
+/// Returns the library's error, which also stands for a request for help or the version.
+pub fn parse_arguments<I, T>(line: I) -> Result<Invocation, clap::Error>
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+{
+    let matches = command().try_get_matches_from(line)?;
+    Ok(match matches.subcommand() {
+        Some(("entry", given)) => role(Role::Entry, given),
+        Some(("agent", given)) => role(Role::Agent, given),
+        Some(("check", given)) => Invocation::Check(paths(given)),
+        Some(("ctl", given)) => Invocation::Ctl(given.clone()),
+        // The command requires one of the four.
+        _ => Invocation::Check(Vec::new()),
+    })
+}
+
+/// Returns the description of the command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("sardinepin")
+        .about("Load balancer for expert-parallel model groups")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(role_command("entry").about("Take requests from callers"))
+        .subcommand(role_command("agent").about("Stand before one upstream"))
+        .subcommand(check_command())
+        .subcommand(Command::new("ctl").about("Call the administration API of an entry"))
+}
+
+fn role_command(name: &'static str) -> Command {
+    Command::new(name)
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .env("SARDINEPIN_CONFIG")
+                .value_parser(value_parser!(PathBuf))
+                .required_unless_present("print-default")
+                .help("The settings, in YAML"),
+        )
+        .arg(
+            Arg::new("print-default")
+                .long("print-default")
+                .action(ArgAction::SetTrue)
+                .help("Print the default settings and end"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .value_name("LEVEL")
+                .env("SARDINEPIN_LOG_LEVEL")
+                .value_parser(PossibleValuesParser::new(LEVELS))
+                .help("The level of the log, in place of the one in the settings"),
+        )
+}
+
+fn check_command() -> Command {
+    Command::new("check")
+        .about("Check settings, rule lists and deployment files offline")
+        .after_help("Ends with 0 if all files are in order and with 2 if one is not.")
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .num_args(1..)
+                .required(true)
+                .help("The files; what each one is shows from its fields"),
+        )
+}
+
+fn role(role: Role, given: &ArgMatches) -> Invocation {
+    let config: Option<&PathBuf> = given.get_one("config");
+    match config {
+        Some(config) if !given.get_flag("print-default") => Invocation::Role(RoleArguments {
+            role,
+            config: config.clone(),
+            level: given.get_one("log-level").cloned(),
+        }),
+        _ => Invocation::PrintDefault,
+    }
+}
+
+fn paths(given: &ArgMatches) -> Vec<PathBuf> {
+    given
+        .get_many("files")
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect()
+}
