Write the log as JSON lines and count refusals and retries by reason

Cause: operators need one line a record that tools can read, and a counter for every refusal and retry reason. Ruled out: the exporter's own HTTP listener, since /metrics belongs to the administration API; counters that appear at their first count, since a rate then loses its start. Change: logs.rs over log and fern with the record's pairs as fields; telemetry.rs over the exporter's recorder; both started before a role runs. Conclusion: roles log with pairs and count with count_refusal and count_retry.

--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod agent;
 pub mod entry;
+pub mod logs;
 pub mod options;
+pub mod telemetry;
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -4,7 +4,8 @@
 
 use anyhow::Context;
 use sardinepin::options::{self, Invocation, RoleArguments, Settings};
-use sardinepin::{agent, entry};
+use sardinepin::telemetry::Telemetry;
+use sardinepin::{agent, entry, logs};
 use sardinepin_protocol::Role;
 
 /// The exit code for a command line or a file that is not in order.
@@ -50,6 +51,8 @@
 }
 
 fn serve(role: Role, settings: Settings) -> anyhow::Result<ExitCode> {
+    logs::start(&settings.log)?;
+    Telemetry::install()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- /dev/null
+++ b/crates/sardinepin/src/telemetry/tests.rs
@@ -0,0 +1,32 @@
+//! Tests of the metrics.
+
+use sardinepin_protocol::ErrorKind;
+
+use super::{REFUSALS, RETRIES, Telemetry, count_refusal, count_retry};
+
+fn value_of(text: &str, name: &str, kind: ErrorKind) -> Option<u64> {
+    let start = format!("{name}{{reason=\"{}\"}} ", kind.answer().label);
+    let line = text.lines().find(|line| line.starts_with(&start))?;
+    line.strip_prefix(&start)?.parse().ok()
+}
+
+#[test]
+fn every_reason_is_there_from_the_start_and_counts() {
+    let telemetry = Telemetry::install().unwrap();
+    let again = Telemetry::install().unwrap();
+    let before = telemetry.render();
+    for &kind in ErrorKind::ALL {
+        assert_ne!(value_of(&before, REFUSALS, kind), None, "{kind}");
+        assert_ne!(value_of(&before, RETRIES, kind), None, "{kind}");
+    }
+    count_refusal(ErrorKind::KeyReused);
+    count_refusal(ErrorKind::KeyReused);
+    count_retry(ErrorKind::Leaving);
+    let after = again.render();
+    let grown = |name, kind| value_of(&after, name, kind).zip(value_of(&before, name, kind));
+    // Other tests of this process may count too.
+    let (now, then) = grown(REFUSALS, ErrorKind::KeyReused).unwrap();
+    assert!(now >= then + 2);
+    let (now, then) = grown(RETRIES, ErrorKind::Leaving).unwrap();
+    assert!(now > then);
+}
