Choose the balancer's policy in the settings and keep two simple ones

Ruled out: a switch inside one implementation; the baselines would inherit queues and limits. Change: Settings.policy; two baselines with a bounded first-in, first-out queue and a fixed limit.

--- a/crates/decisions/src/events.rs
+++ b/crates/decisions/src/events.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
+use sardinepin_config::Limit;
 use sardinepin_protocol::{Digest, ErrorKind, Load, UpstreamState};
 
 /// Names a request at this entry.
@@ -30,6 +31,15 @@
     pub state: UpstreamState,
 }
 
+/// A service as the configuration in force describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceInfo {
+    /// The name.
+    pub name: Arc<str>,
+    /// The share of retries among sends, in thousandths.
+    pub retry_milli: u32,
+}
+
 /// A request that the rule list let through.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -45,6 +55,8 @@
     pub class: Arc<str>,
     /// The weight of the class.
     pub weight: u32,
+    /// The limit on the organisation, if the deciding rule sets one.
+    pub limit: Option<Limit>,
     /// When the deadline passes.
     pub deadline: Millis,
     /// The digest of organisation, service and body: the same for a repeat.
@@ -96,7 +108,8 @@
         /// The upstream.
         upstream: UpstreamId,
     },
-    /// An attempt ended.
+    /// An attempt ended. Each [`Effect::Send`] is followed by exactly one of these, also after
+    /// [`Event::HungUp`] and [`Effect::Withdraw`].
     Ended {
         /// The request.
         ticket: Ticket,
@@ -136,6 +149,8 @@
     Lifted(Digest),
     /// The upstreams of the configuration in force, all of them.
     Upstreams(Vec<UpstreamInfo>),
+    /// The services of the configuration in force, all of them.
+    Services(Vec<ServiceInfo>),
     /// Time has passed; sent every [`Settings::tick_ms`](crate::Settings::tick_ms).
     Tick,
 }
@@ -149,6 +164,16 @@
         ticket: Ticket,
         /// The upstream.
         upstream: UpstreamId,
+        /// Why the attempt before this one failed; `None` for the first.
+        retry: Option<ErrorKind>,
+    },
+    /// Stop an attempt of a repeatable request that waits on a stalled upstream. It goes elsewhere
+    /// once the attempt's [`Event::Ended`] has come.
+    Withdraw {
+        /// The request.
+        ticket: Ticket,
+        /// The upstream.
+        upstream: UpstreamId,
     },
     /// Give the caller its final answer now.
     GiveUp {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,7 +3,13 @@
 //! A [`Balancer`] takes [`Event`]s and the time and returns [`Effect`]s; the entry drives it.
 
 mod balancer;
+mod baseline;
 mod events;
+mod settings;
 
-pub use balancer::{Balancer, Settings};
-pub use events::{Arrival, Effect, End, Event, Ticket, UpstreamId, UpstreamInfo};
+pub use balancer::Balancer;
+pub use events::{Arrival, Effect, End, Event, ServiceInfo, Ticket, UpstreamId, UpstreamInfo};
+pub use settings::{
+    EjectionSettings, LimitSettings, Policy, QuarantineSettings, QueueSettings, RoutingSettings,
+    Settings, UnknownPolicy,
+};
--- /dev/null
+++ b/crates/decisions/tests/balancer/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the balancer, fed with events by a small driver.
+
+mod baselines;
+mod driver;
