Serve a request from the caller to the upstream and back

Cause: the thin whole path comes before all else. Ruled out: holding a lock over the balancer in each request; one loop owns it and every decision passes through. Change: the entry's server, call reading, the follower of each request, the caller's side with held answers, streams and problems.

--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -138,6 +138,8 @@
     UpstreamBroke => 502, Unknown, Later, "upstream_broke", "The upstream broke off";
     /// The upstream died while the request ran.
     UpstreamCrashed => 502, Unknown, Later, "upstream_crashed", "The upstream died";
+    /// The upstream stalled, and the attempt was taken away from it.
+    Stalled => 502, Unknown, Later, "stalled", "The upstream stalled";
     /// The link to the agent was lost and the agent did not settle the attempt in time.
     LinkLost => 502, Unknown, Later, "link_lost", "The upstream's instance was lost";
     /// The deadline passed while the request ran.
--- a/crates/sardinepin/src/agent/answer.rs
+++ b/crates/sardinepin/src/agent/answer.rs
@@ -36,6 +36,8 @@
     base: u64,
     chunks: VecDeque<Bytes>,
     end: Option<(Millis, AnswerEnd)>,
+    /// Whether the entry wants no more of it.
+    unwanted: bool,
     room: Arc<Notify>,
     stop: CancellationToken,
 }
@@ -50,6 +52,7 @@
             base: 0,
             chunks: VecDeque::new(),
             end: None,
+            unwanted: false,
             room: Arc::default(),
             stop: CancellationToken::new(),
         }
@@ -89,6 +92,9 @@
 
     /// Takes in the next chunk.
     pub(crate) fn put_chunk(&mut self, data: Bytes) {
+        if self.unwanted {
+            return;
+        }
         let seq = self.base + self.chunks.len() as u64;
         self.chunks.push_back(data);
         self.send_chunk(seq);
@@ -100,6 +106,18 @@
         self.send_end();
     }
 
+    /// Drops the answer: its entry wants no more of it.
+    pub(crate) fn abandon(&mut self) {
+        self.unwanted = true;
+        self.chunks.clear();
+        self.room.notify_one();
+    }
+
+    /// Returns whether the answer has ended and nobody wants it.
+    pub(crate) fn is_over(&self) -> bool {
+        self.unwanted && self.end.is_some()
+    }
+
     /// Drops the chunks that the entry has.
     pub(crate) fn received(&mut self, chunks: u64) {
         while self.base < chunks && self.chunks.pop_front().is_some() {
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -159,10 +159,11 @@
         let mut table = self.table();
         if let Some(answer) = table.answers.get_mut(&id) {
             answer.received(chunks);
-            if ended && answer.ended_at().is_some() {
-                table.answers.remove(&id);
+            if ended {
+                answer.abandon();
             }
         }
+        table.drop_if_over(id);
     }
 
     /// Stops an attempt, whether it has begun or not.
@@ -170,9 +171,11 @@
         let now = self.clock.now();
         let mut table = self.table();
         table.attempts.handle(now, id, AttemptEvent::Withdraw);
-        if let Some(answer) = table.answers.get(&id) {
+        if let Some(answer) = table.answers.get_mut(&id) {
+            answer.abandon();
             answer.stop().cancel();
         }
+        table.drop_if_over(id);
     }
 
     /// Says that an attempt is about to reach the upstream; returns whether it may.
@@ -191,6 +194,7 @@
         if let Some(answer) = table.answers.get_mut(&id) {
             answer.finish(now, AnswerEnd::Refused(kind));
         }
+        table.drop_if_over(id);
         true
     }
 
@@ -202,6 +206,7 @@
         if let Some(answer) = table.answers.get_mut(&id) {
             answer.finish(now, end);
         }
+        table.drop_if_over(id);
     }
 
     /// Changes the answer of an attempt, if it is still kept.
@@ -255,6 +260,12 @@
 }
 
 impl Table {
+    fn drop_if_over(&mut self, id: AttemptId) {
+        if self.answers.get(&id).is_some_and(Answer::is_over) {
+            self.answers.remove(&id);
+        }
+    }
+
     /// Returns where frames go, if `link` is still the newest of its peer.
     fn sender(&self, link: LinkId) -> Option<ToLink> {
         self.links
--- /dev/null
+++ b/crates/sardinepin/src/entry/server.rs
@@ -0,0 +1,259 @@
+//! The callers' HTTP server.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use sardinepin_common::{AttemptId, Clock, Millis};
+use sardinepin_config::Snapshot;
+use sardinepin_protocol::ErrorKind;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::entry::answers::{Body, Outbound, problem};
+use crate::entry::call::Call;
+use crate::entry::core::Core;
+use crate::entry::follow::Follow;
+use crate::entry::links::Links;
+use crate::link::Identity;
+use crate::options::Settings;
+use crate::telemetry::count_refusal;
+
+/// The wait after a failed accept, such as when no file descriptor is left.
+const ACCEPT_PAUSE: Millis = Millis(50);
+
+/// How long a caller may take over the head of a request.
+const HEAD_MAX: Millis = Millis(10_000);
+
+/// How long a caller may take over the body of a request.
+const BODY_MAX: Millis = Millis(30_000);
+
+/// When to come back to an instance that cannot serve yet or any more.
+const COME_BACK: Millis = Millis(1_000);
+
+/// The longest request identifier that is taken over from a caller, in bytes.
+const REQUEST_ID_MAX: usize = 64;
+
+/// One entry.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) core: Core,
+    pub(crate) links: Links,
+    identity: Identity,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    numbers: AtomicU64,
+    open: AtomicUsize,
+    leaving: AtomicBool,
+    closed: CancellationToken,
+}
+
+impl Entry {
+    /// Makes an entry that has served nothing.
+    pub(crate) fn new(
+        settings: Settings,
+        identity: Identity,
+        clock: Clock,
+        core: Core,
+        links: Links,
+        snapshot: watch::Receiver<Arc<Snapshot>>,
+    ) -> Self {
+        Self {
+            settings,
+            clock,
+            core,
+            links,
+            identity,
+            snapshot,
+            numbers: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            closed: CancellationToken::new(),
+        }
+    }
+
+    /// Returns a number that was not used before at this entry, from 1.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns the identifier of a new attempt.
+    pub(crate) fn next_attempt(&self) -> AttemptId {
+        AttemptId {
+            entry: self.identity.incarnation,
+            number: self.next_number(),
+        }
+    }
+
+    /// Says that this entry is not ready any more; requests are still taken.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Takes no new connections and ends those that are open after their requests.
+    pub(crate) fn close(&self) {
+        self.closed.cancel();
+    }
+
+    /// Returns how many requests are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Returns whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.leaving.load(Ordering::Acquire) && self.snapshot.borrow().revision().0 > 0
+    }
+
+    async fn answer(self: Arc<Self>, peer: IpAddr, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let id = self.request_id(&parts);
+        let _open = match Open::count(&self) {
+            Ok(open) => open,
+            Err(kind) => return refuse(kind, &id),
+        };
+        let call = match self.read(peer, &parts, body).await {
+            Ok(call) => call,
+            Err(kind) => return refuse(kind, &id),
+        };
+        let (reply, answer) = oneshot::channel();
+        let out = Outbound::new(&id, reply);
+        let follow = Follow::run(Arc::clone(&self), id.clone(), call, out);
+        // The request outlives its caller: what has begun is followed to its end.
+        tokio::spawn(follow);
+        match answer.await {
+            Ok(response) => response,
+            Err(_) => refuse(ErrorKind::Internal, &id),
+        }
+    }
+
+    async fn read(&self, peer: IpAddr, parts: &Parts, body: Incoming) -> Result<Call, ErrorKind> {
+        let organisation = self.organisation(peer, parts)?;
+        let snapshot = Arc::clone(&self.snapshot.borrow());
+        if snapshot.revision().0 == 0 {
+            return Err(ErrorKind::NotReady);
+        }
+        let body = read_body(body, self.settings.entry.body_max).await?;
+        Call::read(&snapshot, &organisation, parts, body)
+    }
+
+    fn organisation(&self, peer: IpAddr, parts: &Parts) -> Result<String, ErrorKind> {
+        let settings = &self.settings.entry;
+        if !settings.trusted_peers.contains(&peer) {
+            return Err(ErrorKind::NoOrganisation);
+        }
+        let value = parts.headers.get(settings.organisation_header.as_str());
+        let name = value.and_then(|value| value.to_str().ok());
+        name.filter(|name| !name.is_empty())
+            .map(str::to_owned)
+            .ok_or(ErrorKind::NoOrganisation)
+    }
+
+    /// Takes over the caller's request identifier if it is plain and short, or makes one.
+    fn request_id(&self, parts: &Parts) -> String {
+        let given = parts.headers.get("x-request-id");
+        let given = given.and_then(|value| value.to_str().ok());
+        let plain = |id: &&str| !id.is_empty() && id.len() <= REQUEST_ID_MAX;
+        match given.filter(plain) {
+            Some(id) => id.to_owned(),
+            None => format!("{}-{}", self.identity.incarnation, self.next_number()),
+        }
+    }
+}
+
+/// A request that is counted as open until this is dropped.
+struct Open<'a>(&'a Entry);
+
+impl<'a> Open<'a> {
+    fn count(entry: &'a Entry) -> Result<Self, ErrorKind> {
+        let open = Self(entry);
+        let before = entry.open.fetch_add(1, Ordering::AcqRel);
+        if before >= entry.settings.entry.open_max {
+            return Err(ErrorKind::QueueFull);
+        }
+        Ok(open)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn refuse(kind: ErrorKind, request: &str) -> Response<Body> {
+    count_refusal(kind);
+    problem(kind, COME_BACK, request)
+}
+
+async fn read_body(body: Incoming, max: usize) -> Result<Bytes, ErrorKind> {
+    let announced = body.size_hint().lower();
+    if announced > max as u64 {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    let whole = Limited::new(body, max).collect();
+    match tokio::time::timeout(BODY_MAX.duration(), whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(ErrorKind::BodyTooLarge)
+        }
+        _ => Err(ErrorKind::BadRequest),
+    }
+}
+
+/// Serves callers until the entry closes, then waits for the requests that are open.
+pub(crate) async fn serve(entry: Arc<Entry>, listener: TcpListener) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => connect(&entry, &graceful, stream, peer),
+                Err(error) => {
+                    log::warn!(event = "accept_failed", error:% = error; "cannot accept a caller");
+                    tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+                }
+            },
+            () = entry.closed.cancelled() => break,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn connect(entry: &Arc<Entry>, graceful: &GracefulShutdown, stream: TcpStream, peer: SocketAddr) {
+    let _ = stream.set_nodelay(true);
+    let mut builder = Builder::new(TokioExecutor::new());
+    let headers_max = entry.settings.entry.headers_max;
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_MAX.duration())
+        .max_buf_size(headers_max);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(headers_max).unwrap_or(u32::MAX));
+    let shared = Arc::clone(entry);
+    let service = service_fn(move |request| {
+        let answer = Arc::clone(&shared).answer(peer.ip(), request);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection.into_owned());
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+        }
+    });
+}
