Add the plain service stand-in

Cause: what ran, and how often, has to be told by a witness outside the product. Change: a small HTTP server and client, and a plain service that echoes, counts runs by key and request, and holds, crashes, delays and breaks on request. Conclusion: at most once and not run can be checked against it.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Stand-ins for the systems around sardinepin, a load client, and deployments on loopback.
+
+pub mod http;
+pub mod plain;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,3 +1,66 @@
-//! Placeholder.
+//! The command line of the stand-ins.
 
-fn main() {}
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use anyhow::{Context, Result, bail};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use sardinepin_standins::http::{Handler, serve};
+use sardinepin_standins::plain::Plain;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let (name, matches) = matches.subcommand().context("a subcommand is needed")?;
+    let handler = handler(name, matches)?;
+    let listen: SocketAddr = given(matches, "listen")?;
+    let listener = TcpListener::bind(listen).await?;
+    println!("{}", json!({"listening": listener.local_addr()?}));
+    serve(listener, handler).await;
+    Ok(())
+}
+
+fn handler(name: &str, matches: &ArgMatches) -> Result<Arc<dyn Handler>> {
+    match name {
+        "plain" => {
+            let journal = matches.get_one::<PathBuf>("journal");
+            Ok(Plain::start(journal.map(PathBuf::as_path))?)
+        }
+        other => bail!("no such stand-in: {other}"),
+    }
+}
+
+fn command() -> Command {
+    Command::new("sardinepin-standins")
+        .about("Stand-ins for the systems around sardinepin")
+        .subcommand_required(true)
+        .subcommand(
+            served("plain", "A plain service that counts its runs").arg(
+                Arg::new("journal")
+                    .long("journal")
+                    .help("A file that keeps the count of runs over a restart")
+                    .value_parser(value_parser!(PathBuf)),
+            ),
+        )
+}
+
+fn served(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(
+        Arg::new("listen")
+            .long("listen")
+            .help("The address to listen on")
+            .default_value("127.0.0.1:0")
+            .value_parser(value_parser!(SocketAddr)),
+    )
+}
+
+/// Returns the value of an argument that has a default.
+fn given<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Result<T> {
+    matches
+        .get_one::<T>(name)
+        .cloned()
+        .with_context(|| format!("--{name} is missing"))
+}
--- /dev/null
+++ b/standins/src/plain.rs
@@ -0,0 +1,206 @@
+//! A plain service whose own count is the witness of what has run.
+
+mod counts;
+mod faults;
+
+use std::io;
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
+use sardinepin_common::Millis;
+use sardinepin_platform::BoxFuture;
+use sardinepin_protocol::Digest;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+pub use counts::Counts;
+pub use faults::{CrashPoint, Faults};
+
+use crate::http::{Broken, Handler, Reply, cut_after, json, stream, text};
+use counts::Journal;
+
+/// The status with which the process ends when it is told to crash.
+const CRASH_STATUS: i32 = 70;
+
+/// What a call is answered with.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The method.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+    /// The value of `x-organisation`.
+    pub organisation: String,
+    /// The value of `x-request-id`.
+    pub request: String,
+    /// The value of `idempotency-key`.
+    pub key: String,
+    /// The digest of the body.
+    pub digest: String,
+    /// How often this key, or without a key this request, has run by now.
+    pub run: u64,
+}
+
+/// The plain service.
+#[derive(Debug)]
+pub struct Plain {
+    faults: watch::Sender<Faults>,
+    journal: Mutex<Journal>,
+}
+
+/// The parts of a call that outlive its connection.
+#[derive(Debug)]
+struct Call {
+    echo: Echo,
+    body: Bytes,
+}
+
+impl Plain {
+    /// Starts a service that has run nothing, or what the journal tells.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the journal cannot be read or written.
+    pub fn start(journal: Option<&Path>) -> io::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            faults: watch::Sender::new(Faults::default()),
+            journal: Mutex::new(Journal::open(journal)?),
+        }))
+    }
+
+    /// Returns what has run so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.with_counts(|counts| counts.clone())
+    }
+
+    fn with_counts<T>(&self, change: impl FnOnce(&mut Counts) -> T) -> T {
+        let mut journal = self.journal.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut journal.counts)
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Reply {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.faults.send_replace(faults);
+                json(StatusCode::OK, &*self.faults.borrow())
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn release(&self) -> Reply {
+        self.faults.send_modify(|faults| {
+            faults.hold_before = false;
+            faults.hold_after = false;
+        });
+        json(StatusCode::OK, &*self.faults.borrow())
+    }
+
+    /// Runs a call to its end, whether its connection lives or not.
+    async fn run(self: Arc<Self>, mut call: Call) -> Reply {
+        self.with_counts(|counts| counts.arrived += 1);
+        self.crash(&call, CrashPoint::BeforeRun);
+        self.hold(
+            &call,
+            |faults| faults.hold_before,
+            |counts| &mut counts.held_before,
+        )
+        .await;
+        if call.echo.method == Method::POST.as_str() {
+            call.echo.run = self
+                .journal
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .run(&call.echo.key, &call.echo.request)
+                .map_err(|_| Broken)?;
+        }
+        self.crash(&call, CrashPoint::AfterRun);
+        self.hold(
+            &call,
+            |faults| faults.hold_after,
+            |counts| &mut counts.held_after,
+        )
+        .await;
+        let faults = self.faults.borrow().clone();
+        answer(&faults, &call).await
+    }
+
+    fn crash(&self, call: &Call, point: CrashPoint) {
+        let faults = self.faults.borrow();
+        if faults.crash_point == point && faults.crashes(&call.body) {
+            std::process::exit(CRASH_STATUS);
+        }
+    }
+
+    /// Waits while a hold is set, and counts the calls that wait there.
+    async fn hold(
+        &self,
+        call: &Call,
+        held: impl Fn(&Faults) -> bool,
+        counter: impl Fn(&mut Counts) -> &mut u64,
+    ) {
+        let mut faults = self.faults.subscribe();
+        if !faults.borrow().concern(&call.body) || !held(&faults.borrow()) {
+            return;
+        }
+        self.with_counts(|counts| *counter(counts) += 1);
+        // The sender lives as long as the service, so waiting cannot fail.
+        let _ = faults.wait_for(|faults| !held(faults)).await;
+        self.with_counts(|counts| *counter(counts) -= 1);
+    }
+}
+
+impl Handler for Plain {
+    fn answer(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
+        Box::pin(async move {
+            match (request.method().as_str(), request.uri().path()) {
+                ("GET", "/counts") => json(StatusCode::OK, &self.counts()),
+                ("POST", "/faults") => self.set_faults(request.body()),
+                ("POST", "/release") => self.release(),
+                // A service does not notice that its caller has gone.
+                _ => tokio::spawn(self.run(call(request)))
+                    .await
+                    .unwrap_or(Err(Broken)),
+            }
+        })
+    }
+}
+
+async fn answer(faults: &Faults, call: &Call) -> Reply {
+    if !faults.concern(&call.body) {
+        return json(StatusCode::OK, &call.echo);
+    }
+    tokio::time::sleep(Millis(faults.delay_ms).duration()).await;
+    if faults.unanswered {
+        return Err(Broken);
+    }
+    let Some(bytes) = faults.break_after else {
+        return json(StatusCode::OK, &call.echo);
+    };
+    let whole = serde_json::to_vec(&call.echo).map_err(|_| Broken)?;
+    stream("application/json", cut_after(&whole.into(), bytes))
+}
+
+fn call(request: Request<Bytes>) -> Call {
+    let (head, body) = request.into_parts();
+    let field = |name: &str| {
+        head.headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let echo = Echo {
+        method: head.method.to_string(),
+        path: head.uri.to_string(),
+        organisation: field("x-organisation"),
+        request: field("x-request-id"),
+        key: field("idempotency-key"),
+        digest: Digest::of(&[&body]).to_string(),
+        run: 0,
+    };
+    Call { echo, body }
+}
