Add the platform stand-in

Cause: claims, configuration and membership rest on an object API whose answers can be lost, late or stale. Ruled out: keeping only the last state; stale reads need the writes in order. Change: objects with revisions, conditional writes, watches that count as one call, a lagging instance list, rates and faults over HTTP. A write that was taken goes on when its caller has gone. Conclusion: the platform's client can be tried against it as a process.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod plain;
+pub mod platform;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -8,6 +8,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use sardinepin_standins::http::{Handler, serve};
 use sardinepin_standins::plain::Plain;
+use sardinepin_standins::platform::Platform;
 use serde_json::json;
 use tokio::net::TcpListener;
 
@@ -29,6 +30,7 @@
             let journal = matches.get_one::<PathBuf>("journal");
             Ok(Plain::start(journal.map(PathBuf::as_path))?)
         }
+        "platform" => Ok(Platform::start()),
         other => bail!("no such stand-in: {other}"),
     }
 }
@@ -45,6 +47,10 @@
                     .value_parser(value_parser!(PathBuf)),
             ),
         )
+        .subcommand(served(
+            "platform",
+            "The platform's object API and instance list",
+        ))
 }
 
 fn served(name: &'static str, about: &'static str) -> Command {
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,277 @@
+//! The platform: objects with revisions, watches and an instance list.
+
+mod counts;
+mod faults;
+mod instances;
+mod keys;
+mod objects;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use hyper::header::{IF_MATCH, IF_NONE_MATCH};
+use hyper::{Method, Request, StatusCode};
+use sardinepin_common::{Clock, Millis, Revision};
+use sardinepin_platform::{BoxFuture, Expect, Instance, Listing};
+use serde::Deserialize;
+use tokio::sync::watch;
+
+pub use counts::Counts;
+pub use faults::Faults;
+
+use crate::http::{Broken, Handler, Reply, json, text};
+use counts::Kind;
+use faults::{Gate, LoseMode};
+use instances::Instances;
+use keys::{parameter, unescaped};
+use objects::{Objects, Write, Written};
+
+/// The platform.
+#[derive(Debug)]
+pub struct Platform {
+    clock: Clock,
+    state: Mutex<State>,
+    revision: watch::Sender<Revision>,
+    outage: watch::Sender<bool>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: Objects,
+    instances: Instances,
+    gate: Gate,
+    counts: Counts,
+}
+
+/// The body of a write.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct WriteBody {
+    write_id: String,
+    value: Option<String>,
+}
+
+impl Platform {
+    /// Starts an empty platform.
+    #[must_use]
+    pub fn start() -> Arc<Self> {
+        Arc::new(Self {
+            clock: Clock::start(),
+            state: Mutex::default(),
+            revision: watch::Sender::new(Revision::default()),
+            outage: watch::Sender::new(false),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers a call that is not counted, from tests and operators of the stand-in.
+    fn control(&self, request: &Request<Bytes>) -> Option<Reply> {
+        let path = request.uri().path();
+        let name = path.strip_prefix("/instances/").map(unescaped);
+        match (request.method(), path, name) {
+            (&Method::GET, "/counts", _) => Some(json(StatusCode::OK, &self.state().counts)),
+            (&Method::POST, "/faults", _) => Some(self.set_faults(request.body())),
+            (&Method::PUT, _, Some(name)) => Some(self.put_instance(&name, request.body())),
+            (&Method::DELETE, _, Some(name)) => {
+                self.state().instances.remove(self.clock.now(), &name);
+                Some(json(StatusCode::OK, &name))
+            }
+            _ => None,
+        }
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Reply {
+        match serde_json::from_slice::<Faults>(body) {
+            Ok(faults) => {
+                self.outage.send_replace(faults.down);
+                self.state().gate.set(self.clock.now(), faults.clone());
+                json(StatusCode::OK, &faults)
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn put_instance(&self, name: &str, body: &[u8]) -> Reply {
+        match serde_json::from_slice::<Instance>(body) {
+            Ok(instance) if instance.name == name => {
+                self.state().instances.put(self.clock.now(), instance);
+                json(StatusCode::OK, &name)
+            }
+            Ok(_) => text(StatusCode::BAD_REQUEST, "the names differ"),
+            Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    /// Answers a call of the object API.
+    async fn serve(self: Arc<Self>, request: Request<Bytes>) -> Reply {
+        let Some(kind) = Kind::of(&request) else {
+            return text(StatusCode::NOT_FOUND, "no such path");
+        };
+        let (allowed, slow) = {
+            let mut state = self.state();
+            state.counts.count(kind);
+            let now = self.clock.now();
+            (state.gate.allows(now, kind), state.gate.faults().slow_ms)
+        };
+        if !allowed {
+            self.state().counts.refused += 1;
+            return text(StatusCode::TOO_MANY_REQUESTS, "over the rate");
+        }
+        tokio::time::sleep(Millis(slow).duration()).await;
+        match kind {
+            Kind::Write => self.write(request).await,
+            Kind::Watch => self.watch(&request).await,
+            Kind::Read => self.read(&request),
+        }
+    }
+
+    fn read(&self, request: &Request<Bytes>) -> Reply {
+        let mut state = self.state();
+        let lag = state.gate.faults().instance_lag_ms;
+        if request.uri().path() == "/v1/instances" {
+            let listed = state.instances.listed(self.clock.now(), Millis(lag));
+            return json(StatusCode::OK, &listed);
+        }
+        let at = state.visible();
+        if let Some(key) = object_key(request) {
+            return match state.objects.get(&key, at) {
+                Some(object) => json(StatusCode::OK, &object),
+                None => text(StatusCode::NOT_FOUND, "no such key"),
+            };
+        }
+        let prefix = parameter(request.uri(), "prefix").unwrap_or_default();
+        json(StatusCode::OK, &state.objects.list(&prefix, at))
+    }
+
+    async fn watch(&self, request: &Request<Bytes>) -> Reply {
+        let number = |name| parameter(request.uri(), name).and_then(|text| text.parse().ok());
+        let prefix = parameter(request.uri(), "prefix").unwrap_or_default();
+        let after = Revision(number("after").unwrap_or(0));
+        let wait = Millis(number("wait_ms").unwrap_or(0));
+        let mut revisions = self.revision.subscribe();
+        let changed = async {
+            loop {
+                revisions.borrow_and_update();
+                let listing = self.changes(&prefix, after);
+                if !listing.objects.is_empty() || revisions.changed().await.is_err() {
+                    return listing;
+                }
+            }
+        };
+        let listing = tokio::time::timeout(wait.duration(), changed)
+            .await
+            .unwrap_or_else(|_| self.changes(&prefix, after));
+        json(StatusCode::OK, &listing)
+    }
+
+    fn changes(&self, prefix: &str, after: Revision) -> Listing {
+        let mut state = self.state();
+        let at = state.visible();
+        state.objects.changes(prefix, after, at)
+    }
+
+    async fn write(self: Arc<Self>, request: Request<Bytes>) -> Reply {
+        let Some(write) = parse_write(&request) else {
+            return text(StatusCode::BAD_REQUEST, "not a conditional write");
+        };
+        let lose = self.state().gate.lose();
+        match lose {
+            LoseMode::Answer => self.apply(write),
+            LoseMode::AnswerLost => self.apply(write).and(Err(Broken)),
+            LoseMode::Late(delay) => {
+                // The connection is closed first; the write takes effect on its own later.
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay.duration()).await;
+                    self.apply(write)
+                });
+                Err(Broken)
+            }
+        }
+    }
+
+    fn apply(&self, write: Write) -> Reply {
+        let written = self.state().objects.write(write);
+        match written {
+            Written::Done(object) => {
+                self.revision.send_replace(object.revision);
+                json(StatusCode::OK, &object)
+            }
+            Written::Conflict(found) => json(StatusCode::PRECONDITION_FAILED, &found),
+            Written::Missing => text(StatusCode::NOT_FOUND, "no such key"),
+            Written::TooLarge => text(StatusCode::PAYLOAD_TOO_LARGE, "over a megabyte"),
+        }
+    }
+}
+
+impl State {
+    /// Returns the revision that the next read sees.
+    fn visible(&mut self) -> Revision {
+        let back = self.gate.stale();
+        Revision(self.objects.revision().0.saturating_sub(back))
+    }
+}
+
+impl Handler for Platform {
+    fn answer(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
+        Box::pin(async move {
+            if let Some(reply) = self.control(&request) {
+                return reply;
+            }
+            let mut outage = self.outage.subscribe();
+            // An outage also breaks the calls that are under way, waiting watches among them; a
+            // write that was taken goes on, with or without its caller.
+            tokio::select! {
+                biased;
+                _ = outage.wait_for(|down| *down) => Err(Broken),
+                reply = taken(Arc::clone(&self), request) => reply,
+            }
+        })
+    }
+}
+
+async fn taken(platform: Arc<Platform>, request: Request<Bytes>) -> Reply {
+    match Kind::of(&request) {
+        Some(Kind::Write) => tokio::spawn(platform.serve(request))
+            .await
+            .unwrap_or(Err(Broken)),
+        _ => platform.serve(request).await,
+    }
+}
+
+fn object_key(request: &Request<Bytes>) -> Option<String> {
+    request
+        .uri()
+        .path()
+        .strip_prefix("/v1/objects/")
+        .map(unescaped)
+}
+
+fn parse_write(request: &Request<Bytes>) -> Option<Write> {
+    let headers = request.headers();
+    let revision = headers
+        .get(IF_MATCH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim_matches('"').parse().ok());
+    let expect = match (revision, headers.get(IF_NONE_MATCH)) {
+        (Some(revision), None) => Expect::Revision(Revision(revision)),
+        (None, Some(value)) if value == "*" => Expect::Absent,
+        _ => return None,
+    };
+    let deletes = request.method() == Method::DELETE;
+    let body = match request.body().as_ref() {
+        [] if deletes => WriteBody::default(),
+        body => serde_json::from_slice(body).ok()?,
+    };
+    if body.value.is_some() == deletes {
+        return None;
+    }
+    Some(Write {
+        key: object_key(request)?,
+        expect,
+        write_id: body.write_id,
+        value: body.value,
+    })
+}
--- /dev/null
+++ b/standins/src/platform/keys.rs
@@ -0,0 +1,32 @@
+//! Keys and prefixes in URIs.
+
+use hyper::Uri;
+
+/// Returns `text` with percent-encoding undone; what is not valid stays as it is.
+pub(super) fn unescaped(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let decoded = after
+            .get(..2)
+            .filter(|_| *first == b'%')
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        bytes.push(decoded.unwrap_or(*first));
+        rest = if decoded.is_some() {
+            &after[2..]
+        } else {
+            after
+        };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Returns the value of a parameter of the query.
+pub(super) fn parameter(uri: &Uri, name: &str) -> Option<String> {
+    uri.query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(given, _)| *given == name)
+        .map(|(_, value)| unescaped(value))
+}
--- /dev/null
+++ b/standins/src/platform/objects.rs
@@ -0,0 +1,120 @@
+//! Objects with revisions, and every write in order, so that older states can be shown.
+
+use std::collections::BTreeMap;
+
+use sardinepin_common::Revision;
+use sardinepin_platform::{Expect, Listing, Object};
+
+/// The largest value, in bytes.
+const VALUE_MAX: usize = 1024 * 1024;
+
+/// A conditional write.
+#[derive(Debug)]
+pub(super) struct Write {
+    pub(super) key: String,
+    pub(super) expect: Expect,
+    pub(super) write_id: String,
+    pub(super) value: Option<String>,
+}
+
+/// What became of a write.
+#[derive(Debug)]
+pub(super) enum Written {
+    /// It took effect; the object as it now stands.
+    Done(Object),
+    /// The condition did not hold; the object as it stands.
+    Conflict(Object),
+    /// The key is not there.
+    Missing,
+    /// The value is too large.
+    TooLarge,
+}
+
+/// All objects.
+#[derive(Debug, Default)]
+pub(super) struct Objects {
+    /// The write of revision `r` is at `r - 1`.
+    history: Vec<Object>,
+    /// The last write of each key, deletions included.
+    last: BTreeMap<String, usize>,
+}
+
+impl Objects {
+    /// Returns the revision of the last write.
+    pub(super) fn revision(&self) -> Revision {
+        Revision(self.history.len() as u64)
+    }
+
+    /// Applies a write if its condition holds.
+    pub(super) fn write(&mut self, write: Write) -> Written {
+        if write
+            .value
+            .as_ref()
+            .is_some_and(|value| value.len() > VALUE_MAX)
+        {
+            return Written::TooLarge;
+        }
+        let standing = self.get(&write.key, self.revision());
+        match (write.expect, standing) {
+            (Expect::Absent, Some(found)) => return Written::Conflict(found),
+            (Expect::Revision(_), None) => return Written::Missing,
+            (Expect::Revision(wanted), Some(found)) if found.revision != wanted => {
+                return Written::Conflict(found);
+            }
+            _ => {}
+        }
+        let object = Object {
+            key: write.key.clone(),
+            revision: Revision(self.revision().0 + 1),
+            write_id: write.write_id,
+            value: write.value,
+        };
+        self.last.insert(write.key, self.history.len());
+        self.history.push(object.clone());
+        Written::Done(object)
+    }
+
+    /// Returns the object under `key` as of revision `at`.
+    pub(super) fn get(&self, key: &str, at: Revision) -> Option<Object> {
+        self.as_of(key, at)
+            .filter(|object| object.value.is_some())
+            .cloned()
+    }
+
+    /// Returns the objects under `prefix` as of revision `at`.
+    pub(super) fn list(&self, prefix: &str, at: Revision) -> Listing {
+        let mut listing = self.changes(prefix, Revision(0), at);
+        listing.objects.retain(|object| object.value.is_some());
+        listing
+    }
+
+    /// Returns the last write of each key under `prefix`, after `after` and up to `at`.
+    pub(super) fn changes(&self, prefix: &str, after: Revision, at: Revision) -> Listing {
+        let objects = self
+            .last
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter_map(|(key, _)| self.as_of(key, at))
+            .filter(|object| object.revision > after)
+            .cloned()
+            .collect();
+        Listing {
+            revision: at,
+            objects,
+        }
+    }
+
+    /// Returns the last write of `key` up to `at`.
+    fn as_of(&self, key: &str, at: Revision) -> Option<&Object> {
+        let last = self.history.get(*self.last.get(key)?)?;
+        if last.revision <= at {
+            return Some(last);
+        }
+        let visible = usize::try_from(at.0).ok()?;
+        self.history
+            .get(..visible)?
+            .iter()
+            .rev()
+            .find(|object| object.key == key)
+    }
+}
