Add the model engine stand-in

Cause: whole answers, resumption and batching need an engine whose every token can be checked. Ruled out: random tokens kept in the load client; tokens computed from the prompt need no state on either side. Change: chat completions in whole and as server-sent events, continuous batching by priority, resumption from an offset, cancel, a prefix cache with late events and gaps, lagged load reports, crash, stall, delay and broken streams.

--- /dev/null
+++ b/standins/src/engine/chat.rs
@@ -0,0 +1,140 @@
+//! Chat completions: the request, and its answer in whole or as server-sent events.
+
+use std::io;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use futures_util::stream;
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode};
+use sardinepin_protocol::Digest;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::http::{Broken, Reply, json as json_reply, stream as stream_reply};
+use crate::tokens::{answer, prompt_digest, token};
+
+/// The number of tokens of an answer whose request names none.
+const TOKENS_DEFAULT: u64 = 16;
+
+/// The priority of a request that names none.
+const PRIORITY_DEFAULT: u8 = 100;
+
+/// Gives the indices of an answer's tokens as they are computed.
+pub(super) type TokenReceiver = UnboundedReceiver<io::Result<u64>>;
+
+/// A request, read.
+#[derive(Debug, Clone)]
+pub(super) struct Chat {
+    pub(super) id: String,
+    pub(super) model: String,
+    pub(super) prompt: Digest,
+    /// The digest of the first message, which the cache holds.
+    pub(super) prefix: Digest,
+    pub(super) priority: u8,
+    /// The index of the first token that is sent.
+    pub(super) offset: u64,
+    /// How many tokens the whole answer has.
+    pub(super) tokens: u64,
+    pub(super) stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatBody {
+    #[serde(default)]
+    model: String,
+    messages: Value,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+impl Chat {
+    /// Reads a request.
+    pub(super) fn parse(request: &Request<Bytes>) -> Result<Self> {
+        let body: ChatBody = serde_json::from_slice(request.body()).context("the body")?;
+        let first = body.messages.get(0).context("there is no message")?;
+        let headers = request.headers();
+        Ok(Self {
+            id: text(headers, "x-request-id").unwrap_or_default().to_owned(),
+            prompt: prompt_digest(&body.messages),
+            prefix: prompt_digest(first),
+            model: body.model,
+            priority: number(headers, "x-priority").unwrap_or(PRIORITY_DEFAULT),
+            offset: number(headers, "x-resume-offset").unwrap_or(0),
+            tokens: body.max_tokens.unwrap_or(TOKENS_DEFAULT),
+            stream: body.stream,
+        })
+    }
+
+    fn event(&self, index: u64) -> Bytes {
+        let mut delta = json!({"content": token(self.prompt, index)});
+        if index == 0 {
+            delta["role"] = "assistant".into();
+        }
+        let last = index + 1 == self.tokens;
+        let chunk = json!({
+            "id": format!("chatcmpl-{}", self.id),
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.model,
+            "choices": [{
+                "index": 0,
+                "delta": delta,
+                "finish_reason": last.then_some("length"),
+            }],
+        });
+        format!("data: {chunk}\n\n").into()
+    }
+
+    fn completion(&self) -> Value {
+        let content = answer(self.prompt, self.tokens);
+        json!({
+            "id": format!("chatcmpl-{}", self.id),
+            "object": "chat.completion",
+            "created": 0,
+            "model": self.model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": content},
+                "finish_reason": "length",
+            }],
+            "usage": {"completion_tokens": self.tokens},
+        })
+    }
+}
+
+/// Answers with one event a token and the mark that the answer is whole.
+pub(super) fn streamed(chat: Chat, tokens: TokenReceiver) -> Reply {
+    let state = (chat.offset, chat, tokens, false);
+    let events = stream::unfold(state, |(next, chat, mut tokens, done)| async move {
+        if done {
+            return None;
+        }
+        if next >= chat.tokens {
+            let mark = Ok(Bytes::from_static(b"data: [DONE]\n\n"));
+            return Some((mark, (next, chat, tokens, true)));
+        }
+        // A request that was cancelled ends without the mark.
+        let event = tokens.recv().await?.map(|index| chat.event(index));
+        Some((event, (next + 1, chat, tokens, false)))
+    });
+    stream_reply("text/event-stream", events)
+}
+
+/// Answers once all tokens are there.
+pub(super) async fn whole(chat: Chat, mut tokens: TokenReceiver) -> Reply {
+    for _ in chat.offset..chat.tokens {
+        tokens.recv().await.and_then(Result::ok).ok_or(Broken)?;
+    }
+    json_reply(StatusCode::OK, &chat.completion())
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    text(headers, name)?.parse().ok()
+}
--- /dev/null
+++ b/standins/src/engine/reports.rs
@@ -0,0 +1,38 @@
+//! Load reports, which can be asked for as they were a while ago.
+
+use std::collections::VecDeque;
+
+use sardinepin_common::Millis;
+use sardinepin_protocol::Load;
+
+/// How many reports are kept.
+const REPORTS_KEPT: usize = 10_000;
+
+/// The load after each step.
+#[derive(Debug, Default)]
+pub(super) struct Reports {
+    reports: VecDeque<(Millis, Load)>,
+}
+
+impl Reports {
+    /// Takes in the load as of `now`.
+    pub(super) fn record(&mut self, now: Millis, load: Load) {
+        self.reports.push_back((now, load));
+        if self.reports.len() > REPORTS_KEPT {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Returns the last report that was `lag` old at `now`, with its age.
+    pub(super) fn at(&self, now: Millis, lag: Millis) -> Load {
+        let until = now.since(lag);
+        let known = self.reports.partition_point(|(at, _)| *at <= until);
+        let Some((at, load)) = known.checked_sub(1).and_then(|last| self.reports.get(last)) else {
+            return Load::default();
+        };
+        Load {
+            age_ms: u32::try_from(now.since(*at).0).unwrap_or(u32::MAX),
+            ..*load
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/engine/stepper.rs
@@ -0,0 +1,80 @@
+//! The loop that advances the engine step by step.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardinepin_protocol::Load;
+
+use super::{Core, Engine};
+
+/// The status with which the process ends when a request crashes it.
+const CRASH_STATUS: i32 = 70;
+
+/// Steps for ever.
+pub(super) async fn run(engine: Arc<Engine>) {
+    let mut faults = engine.faults.subscribe();
+    let mut due = 0;
+    loop {
+        // The sender lives as long as the engine, so waiting cannot fail.
+        let _ = faults.wait_for(|faults| !faults.stall).await;
+        let Some(micros) = engine.begin_step() else {
+            engine.arrivals.notified().await;
+            continue;
+        };
+        // Steps are due at fixed times, so that a timer's rounding does not add up.
+        let now = engine.clock.micros();
+        due = if due + micros < now { now } else { due } + micros;
+        tokio::time::sleep(Duration::from_micros(due.saturating_sub(now))).await;
+        engine.end_step(micros);
+    }
+}
+
+impl Engine {
+    /// Fills the batch and returns the time of the step in microseconds, or `None` without work.
+    fn begin_step(&self) -> Option<u64> {
+        let faults = self.faults.borrow().clone();
+        let mut core = self.core();
+        let Core { batch, counts, .. } = &mut *core;
+        counts.cancelled += batch.drop_closed();
+        let mut micros = self.settings.step_micros + faults.slow_micros;
+        for job in batch.admit(self.settings.slots) {
+            micros += job.prefill;
+            *counts.runs.entry(job.id.clone()).or_default() += 1;
+        }
+        let running = batch.running();
+        if running
+            .iter()
+            .any(|job| faults.crashes(&job.body, job.sent))
+        {
+            std::process::exit(CRASH_STATUS);
+        }
+        if running.is_empty() {
+            self.report(&mut core, 0);
+            return None;
+        }
+        counts.steps += 1;
+        Some(micros + self.settings.batch_micros * running.len() as u64)
+    }
+
+    fn end_step(&self, micros: u64) {
+        let break_after = self.faults.borrow().break_after;
+        let mut core = self.core();
+        let advanced = core.batch.advance(break_after);
+        core.counts.tokens += advanced.tokens;
+        core.counts.finished += advanced.finished;
+        core.counts.cancelled += advanced.cancelled;
+        self.report(&mut core, micros);
+    }
+
+    fn report(&self, core: &mut Core, micros: u64) {
+        let number = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+        let load = Load {
+            running: number(core.batch.running().len() as u64),
+            waiting: number(core.batch.waiting() as u64),
+            slots: number(self.settings.slots as u64),
+            step_micros: number(micros),
+            ..Load::default()
+        };
+        core.reports.record(self.clock.now(), load);
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,9 @@
 //! Stand-ins for the systems around sardinepin, a load client, and deployments on loopback.
 
+pub mod engine;
 pub mod http;
 pub mod plain;
 pub mod platform;
+pub mod tokens;
+
+mod query;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgMatches, Command, value_parser};
+use sardinepin_standins::engine::{Engine, Settings};
 use sardinepin_standins::http::{Handler, serve};
 use sardinepin_standins::plain::Plain;
 use sardinepin_standins::platform::Platform;
@@ -31,10 +32,24 @@
             Ok(Plain::start(journal.map(PathBuf::as_path))?)
         }
         "platform" => Ok(Platform::start()),
+        "engine" => Ok(Engine::start(engine_settings(matches)?)),
         other => bail!("no such stand-in: {other}"),
     }
 }
 
+fn engine_settings(matches: &ArgMatches) -> Result<Settings> {
+    let number = |name: &str, default: u64| matches.get_one(name).copied().unwrap_or(default);
+    let size = |name, default: usize| usize::try_from(number(name, default as u64));
+    let default = Settings::default();
+    Ok(Settings {
+        slots: size("slots", default.slots)?,
+        step_micros: number("step-us", default.step_micros),
+        batch_micros: number("batch-us", default.batch_micros),
+        prefill_micros: number("prefill-us", default.prefill_micros),
+        cache_entries: size("cache-entries", default.cache_entries)?,
+    })
+}
+
 fn command() -> Command {
     Command::new("sardinepin-standins")
         .about("Stand-ins for the systems around sardinepin")
@@ -51,6 +66,30 @@
             "platform",
             "The platform's object API and instance list",
         ))
+        .subcommand(engine_command())
+}
+
+fn engine_command() -> Command {
+    let arguments = [
+        ("slots", "The most requests in one step"),
+        ("step-us", "The time of a step, in microseconds"),
+        (
+            "batch-us",
+            "The time that each request adds to a step, in microseconds",
+        ),
+        (
+            "prefill-us",
+            "The time that a kibibyte of a new prompt adds, in microseconds",
+        ),
+        ("cache-entries", "How many prefixes the cache holds"),
+    ];
+    let command = served("engine", "A model engine that advances in steps");
+    arguments
+        .into_iter()
+        .fold(command, |command, (name, help)| {
+            let parser = value_parser!(u64);
+            command.arg(Arg::new(name).long(name).help(help).value_parser(parser))
+        })
 }
 
 fn served(name: &'static str, about: &'static str) -> Command {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -3,7 +3,6 @@
 mod counts;
 mod faults;
 mod instances;
-mod keys;
 mod objects;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,10 +19,10 @@
 pub use faults::Faults;
 
 use crate::http::{Broken, Handler, Reply, json, text};
+use crate::query::{parameter, unescaped};
 use counts::Kind;
 use faults::{Gate, LoseMode};
 use instances::Instances;
-use keys::{parameter, unescaped};
 use objects::{Objects, Write, Written};
 
 /// The platform.
--- a/standins/src/platform/keys.rs
+++ b/standins/src/query.rs
@@ -1,9 +1,9 @@
-//! Keys and prefixes in URIs.
+//! Percent-encoded paths and the parameters of a query.
 
 use hyper::Uri;
 
 /// Returns `text` with percent-encoding undone; what is not valid stays as it is.
-pub(super) fn unescaped(text: &str) -> String {
+pub(crate) fn unescaped(text: &str) -> String {
     let mut bytes = Vec::with_capacity(text.len());
     let mut rest = text.as_bytes();
     while let [first, after @ ..] = rest {
@@ -23,7 +23,7 @@
 }
 
 /// Returns the value of a parameter of the query.
-pub(super) fn parameter(uri: &Uri, name: &str) -> Option<String> {
+pub(crate) fn parameter(uri: &Uri, name: &str) -> Option<String> {
     uri.query()?
         .split('&')
         .filter_map(|pair| pair.split_once('='))
