--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -34,7 +34,7 @@
 }
 
 /// One header field of a call or an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Field {
     /// The name, in lower case.
     pub name: String,
