Add the membership state machine

Cause: nodes must learn of each other, of newer configuration and of broken links without a coordination service. Ruled out: ordering lives by the random incarnation (it has no order); spreading each node's revision as news (2,600 statements for each change); taking a node's direct word against a suspicion (others would not hear of it). Change: Members takes ticks, messages, lists and tables and says what to send, fetch and watch. Versions start at the wall clock and only their node raises them; suspicion after a direct and a relayed attempt; a counter window per incarnation; whole tables are fetched when digests differ for long; peers uniformly or by the long links of Symphony (Manku, Bawa, Raghavan).

--- /dev/null
+++ b/crates/membership/src/members/inputs.rs
@@ -0,0 +1,174 @@
+//! What a node does with what it hears.
+
+use sardinepin_common::{Millis, Revision};
+
+use super::{Dropped, Listed, Members, Output};
+use crate::message::{Kind, Message, State, Update};
+use crate::table::Merged;
+
+impl Members {
+    pub(super) fn heard(&mut self, now: Millis, message: Message, out: &mut Vec<Output>) {
+        if let Some(why) = self.refuse(now, &message, out) {
+            out.push(Output::Dropped(why));
+            return;
+        }
+        for update in &message.news {
+            self.merge(now, update, out);
+        }
+        self.refresh(out);
+        self.answer(now, &message, out);
+        self.compare(&message, out);
+    }
+
+    /// Takes the sender's statement about itself, or says why the message is to be dropped.
+    fn refuse(&mut self, now: Millis, message: &Message, out: &mut Vec<Output>) -> Option<Dropped> {
+        let me = &message.me;
+        if me.name == self.table.me.name {
+            if me.incarnation == self.table.me.incarnation {
+                return Some(Dropped::Own);
+            }
+            self.merge(now, me, out);
+            return Some(Dropped::SameName);
+        }
+        if self.merge(now, me, out) == Merged::Full {
+            return Some(Dropped::Full);
+        }
+        let record = self.table.others.get_mut(&me.name)?;
+        if record.update.incarnation != me.incarnation {
+            return Some(Dropped::OldProcess);
+        }
+        if !record.take_counter(message.counter) {
+            return Some(Dropped::Replay);
+        }
+        record.heard = Some(now);
+        // Datagrams may overtake each other; the revision of one process never goes down.
+        let held = record.held.map_or(Revision::default(), |(held, _)| held);
+        record.held = Some((held.max(message.revision), now));
+        None
+    }
+
+    fn answer(&mut self, now: Millis, message: &Message, out: &mut Vec<Output>) {
+        let sender = message.me.name.as_str();
+        match &message.kind {
+            Kind::Ping => {
+                let of = message.counter;
+                self.send(sender, Kind::Ack { of }, out);
+            }
+            Kind::Ack { of } => self.acked(now, &message.me, *of, out),
+            Kind::Relay { target } => {
+                if let Some(counter) = self.send(target, Kind::Ping, out) {
+                    self.probes.add_errand(counter, message.me.address, now);
+                }
+            }
+            Kind::Vouch {
+                target,
+                incarnation,
+            } => {
+                let same = self
+                    .table
+                    .update(target)
+                    .is_some_and(|held| held.incarnation == *incarnation);
+                if same {
+                    self.probes.vouched(target);
+                }
+            }
+        }
+    }
+
+    fn acked(&mut self, now: Millis, sender: &Update, of: u64, out: &mut Vec<Output>) {
+        if let Some(to) = self.probes.errand(of) {
+            let kind = Kind::Vouch {
+                target: sender.name.clone(),
+                incarnation: sender.incarnation,
+            };
+            let message = self.message(kind, None);
+            out.push(Output::Send { to, message });
+        }
+        if self.probes.answered(&sender.name, of)
+            && let Some(record) = self.table.others.get_mut(&sender.name)
+        {
+            record.note_ack(now);
+        }
+    }
+
+    /// Fetches from a sender that holds more than this node.
+    fn compare(&mut self, message: &Message, out: &mut Vec<Output>) {
+        let table = message.seen != self.table.seen && self.is_settled();
+        if self.fetching || !(table || message.revision > self.revision) {
+            return;
+        }
+        self.fetching = true;
+        if table {
+            self.settled = Some(self.round);
+        }
+        out.push(Output::Fetch {
+            from: message.me.address,
+            table,
+        });
+    }
+
+    /// Returns whether news should have come by now; a new node asks at once.
+    fn is_settled(&self) -> bool {
+        self.settled
+            .is_none_or(|settled| self.round >= settled + self.settings.settle_rounds)
+    }
+
+    pub(super) fn fetched(&mut self, whole: bool) {
+        self.fetching = false;
+        if !whole {
+            self.settled = None;
+        }
+    }
+
+    pub(super) fn take_table(&mut self, now: Millis, updates: &[Update], out: &mut Vec<Output>) {
+        for update in updates {
+            self.merge(now, update, out);
+        }
+    }
+
+    pub(super) fn take_list(&mut self, listed: Vec<Listed>) {
+        self.listed = listed
+            .into_iter()
+            .filter(|listed| listed.name != self.table.me.name)
+            .map(|listed| (listed.name.clone(), listed))
+            .collect();
+    }
+
+    /// Takes a higher revision, and tells peers at once.
+    pub(super) fn holds(&mut self, now: Millis, revision: Revision, out: &mut Vec<Output>) {
+        if revision <= self.revision {
+            return;
+        }
+        self.revision = revision;
+        self.ping_peers(now, self.settings.peers, out);
+    }
+
+    fn merge(&mut self, now: Millis, update: &Update, out: &mut Vec<Output>) -> Merged {
+        let merged = self.table.merge(now, update);
+        match merged {
+            Merged::Newer { before } => {
+                self.spread(&update.name);
+                self.report(update, before, out);
+            }
+            // Every message bears this node's own statement, so nothing more is needed.
+            Merged::Refuted | Merged::Nothing | Merged::Full => {}
+        }
+        merged
+    }
+
+    fn report(&self, update: &Update, before: Option<State>, out: &mut Vec<Output>) {
+        if before == Some(update.state) {
+            return;
+        }
+        let doubted = matches!(before, Some(State::Suspected | State::Gone));
+        if doubted && update.state == State::Alive {
+            out.push(Output::Refuted {
+                name: update.name.clone(),
+            });
+        }
+        out.push(Output::Changed {
+            name: update.name.clone(),
+            state: update.state,
+        });
+    }
+}
--- /dev/null
+++ b/crates/membership/src/members/rounds.rs
@@ -0,0 +1,210 @@
+//! What a round does: judge old pings, send new ones.
+
+use std::net::SocketAddr;
+
+use rand::Rng as _;
+use rand::seq::IteratorRandom as _;
+use sardinepin_common::Millis;
+
+use super::{Members, Output};
+use crate::message::{Kind, State};
+use crate::probes::{Probe, Stage};
+
+/// A node that did nothing for so many rounds was frozen, and judges nobody by that time.
+const FREEZE_ROUNDS: u64 = 4;
+
+/// How many times a node that begins to leave says so, beyond the peers of a round.
+const FAREWELLS: usize = 4;
+
+impl Members {
+    pub(super) fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.round += 1;
+        if self.was_frozen(now) {
+            self.forgive(now);
+        }
+        self.ticked = Some(now);
+        self.judge_probes(now, out);
+        self.judge_suspects(now, out);
+        self.table.forget(now - self.settings.forget);
+        self.ping_peers(now, self.settings.peers, out);
+        self.try_strangers(out);
+    }
+
+    fn was_frozen(&self, now: Millis) -> bool {
+        let limit = Millis(self.settings.round.0 * FREEZE_ROUNDS).max(self.settings.answer);
+        self.ticked.is_some_and(|last| now.since(last) > limit)
+    }
+
+    /// Answers may have come and gone while this node was frozen.
+    fn forgive(&mut self, now: Millis) {
+        self.probes.clear();
+        for record in self.table.others.values_mut() {
+            if record.update.state == State::Suspected {
+                record.since = now;
+            }
+        }
+    }
+
+    fn judge_probes(&mut self, now: Millis, out: &mut Vec<Output>) {
+        for probe in self.probes.expired(now - self.settings.answer) {
+            if let Some(record) = self.table.others.get_mut(&probe.name) {
+                record.note_miss(probe.sent);
+            }
+            match probe.stage {
+                Stage::Direct => self.ask_others(now, &probe.name, out),
+                Stage::Relayed => self.lose(now, &probe.name, out),
+            }
+        }
+    }
+
+    /// Asks a node again, and others to reach it.
+    fn ask_others(&mut self, now: Millis, name: &str, out: &mut Vec<Output>) {
+        self.ping(now, name, Stage::Relayed, out);
+        let relays: Vec<String> = self
+            .table
+            .others
+            .values()
+            .filter(|record| record.update.state == State::Alive && record.update.name != name)
+            .map(|record| record.update.name.clone())
+            .choose_multiple(&mut self.rng, self.settings.relays);
+        for relay in relays {
+            let target = name.to_owned();
+            self.send(&relay, Kind::Relay { target }, out);
+        }
+    }
+
+    /// Takes a node for suspected that nobody reached, or for gone if it was leaving.
+    fn lose(&mut self, now: Millis, name: &str, out: &mut Vec<Output>) {
+        let state = match self.table.update(name).map(|update| update.state) {
+            Some(State::Alive) => State::Suspected,
+            Some(State::Leaving) => State::Gone,
+            _ => return,
+        };
+        self.set_state(now, name, state, out);
+    }
+
+    fn judge_suspects(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let rounds = u64::from(self.settings.suspicion * self.logarithm());
+        let limit = Millis(self.settings.round.0 * rounds);
+        let lost: Vec<String> = self
+            .table
+            .others
+            .values()
+            .filter(|record| record.update.state == State::Suspected)
+            .filter(|record| now.since(record.since) > limit)
+            .map(|record| record.update.name.clone())
+            .collect();
+        for name in lost {
+            self.set_state(now, &name, State::Gone, out);
+        }
+    }
+
+    fn set_state(&mut self, now: Millis, name: &str, state: State, out: &mut Vec<Output>) {
+        if self.table.judge(now, name, state) {
+            self.spread(name);
+            out.push(Output::Changed {
+                name: name.to_owned(),
+                state,
+            });
+        }
+    }
+
+    /// Pings peers, most of them in the own zone.
+    pub(super) fn ping_peers(&mut self, now: Millis, count: usize, out: &mut Vec<Output>) {
+        self.refresh(out);
+        let across = (0..count)
+            .filter(|_| self.rng.random_range(0..1_000) < self.settings.across_milli)
+            .count();
+        let near = (count - across).min(self.table.near.len());
+        let far = count - near;
+        let mut names = self.chooser.choose(&self.table.far, far, &mut self.rng);
+        let near = count - names.len();
+        names.extend(self.chooser.choose(&self.table.near, near, &mut self.rng));
+        for name in names {
+            self.ping(now, &name, Stage::Direct, out);
+        }
+    }
+
+    /// Pings a node; an answer that is waited for already stays the one that counts.
+    pub(super) fn ping(&mut self, now: Millis, name: &str, stage: Stage, out: &mut Vec<Output>) {
+        let waited = self.probes.waits_for(name);
+        if let Some(counter) = self.send(name, Kind::Ping, out)
+            && !waited
+        {
+            self.probes.add(Probe {
+                name: name.to_owned(),
+                counter,
+                sent: now,
+                stage,
+            });
+        }
+    }
+
+    /// Tries an address now and then from which nothing is heard: a seed, a listed node, one gone.
+    fn try_strangers(&mut self, out: &mut Vec<Output>) {
+        let alone = self.table.size() == 1;
+        if !alone && !self.round.is_multiple_of(self.settings.strangers_every) {
+            return;
+        }
+        let mut strangers: Vec<(SocketAddr, Option<String>)> = self
+            .table
+            .others
+            .values()
+            .filter(|record| !record.is_present())
+            .map(|record| (record.update.address, Some(record.update.name.clone())))
+            .collect();
+        strangers.extend(self.unheard().map(|listed| (listed.address, None)));
+        strangers.extend(self.unknown_seeds().map(|seed| (seed, None)));
+        strangers.sort_unstable();
+        strangers.dedup_by_key(|stranger| stranger.0);
+        let count = if alone { self.settings.peers } else { 1 };
+        let chosen = strangers.into_iter().choose_multiple(&mut self.rng, count);
+        for (to, name) in chosen {
+            let message = self.message(Kind::Ping, name.as_deref());
+            out.push(Output::Send { to, message });
+        }
+    }
+
+    fn unknown_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.iter().copied().filter(|seed| {
+            *seed != self.table.me.address
+                && !self
+                    .table
+                    .others
+                    .values()
+                    .any(|record| record.update.address == *seed)
+        })
+    }
+
+    /// Asks every node that may be there what it holds.
+    pub(super) fn poll(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let names: Vec<String> = self.table.others.keys().cloned().collect();
+        for name in names {
+            let present = self
+                .table
+                .others
+                .get(&name)
+                .is_some_and(|record| record.is_present());
+            if present {
+                self.ping(now, &name, Stage::Direct, out);
+            } else {
+                self.send(&name, Kind::Ping, out);
+            }
+        }
+        let mut addresses: Vec<SocketAddr> = self.unheard().map(|listed| listed.address).collect();
+        addresses.extend(self.unknown_seeds());
+        for to in addresses {
+            let message = self.message(Kind::Ping, None);
+            out.push(Output::Send { to, message });
+        }
+    }
+
+    /// Says that this node is leaving.
+    pub(super) fn leave(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if self.table.me.state == State::Leaving {
+            return;
+        }
+        self.table.change_own(State::Leaving);
+        self.ping_peers(now, self.settings.peers * FAREWELLS, out);
+    }
+}
