--- /dev/null
+++ b/crates/sardinepin/src/entry/call.rs
@@ -0,0 +1,217 @@
+//! What a caller asks for, read from its HTTP request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use sardinepin_config::{Decision, Facts, Service, ServiceKind, Snapshot, decide, tags_of};
+use sardinepin_protocol::{CallBody, ClaimKey, Digest, ErrorKind, Field};
+use serde::Deserialize;
+
+/// The header field that bears an idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The longest idempotency key, in bytes.
+const KEY_MAX: usize = 255;
+
+/// How much of the prompt decides which upstream has its prefix cached, in bytes.
+const PREFIX_LEN: usize = 1_024;
+
+/// A caller's request, checked and classified.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub(crate) service: Arc<Service>,
+    pub(crate) organisation: Arc<str>,
+    pub(crate) share: u32,
+    pub(crate) decision: Decision,
+    pub(crate) digest: Digest,
+    pub(crate) prefix: Option<Digest>,
+    pub(crate) key: Option<ClaimKey>,
+    pub(crate) idempotent: bool,
+    pub(crate) cost: u32,
+    pub(crate) body: CallBody,
+}
+
+/// The fields of a chat completion that routing looks at.
+#[derive(Debug, Default, Deserialize)]
+struct Chat {
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    max_tokens: Option<u32>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+impl Call {
+    /// Reads a request of `organisation`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which the request is turned down.
+    pub(crate) fn read(
+        snapshot: &Snapshot,
+        organisation: &str,
+        parts: &Parts,
+        body: Bytes,
+    ) -> Result<Self, ErrorKind> {
+        let path = parts.uri.path();
+        let chat = Chat::read(&body);
+        let service = find_service(snapshot, path, chat.as_ref()).ok_or(ErrorKind::NoService)?;
+        let headers = text_headers(parts);
+        let known = snapshot.organisation(organisation);
+        let facts = Facts {
+            organisation,
+            tags: tags_of(known.map(Arc::as_ref)),
+            service: &service.name,
+            method: parts.method.as_str(),
+            path,
+            headers: &headers,
+        };
+        let decision = decide(&snapshot.rules(), &facts);
+        if decision.refuse {
+            return Err(ErrorKind::RefusedByRule);
+        }
+        let keyed = is_keyed(service, parts);
+        let key = read_key(parts, organisation, service)?;
+        if keyed && key.is_none() {
+            return Err(ErrorKind::KeyRequired);
+        }
+        let model = service.kind == ServiceKind::Model;
+        Ok(Self {
+            organisation: Arc::from(organisation),
+            share: known.map_or(1, |found| found.weight),
+            decision,
+            digest: digest(service, organisation, parts, &body),
+            prefix: chat.as_ref().filter(|_| model).map(Chat::prefix),
+            key: key.filter(|_| keyed),
+            idempotent: model || (!keyed && parts.method.is_idempotent()),
+            cost: chat
+                .filter(|_| model)
+                .and_then(|chat| chat.max_tokens)
+                .unwrap_or(1),
+            body: CallBody {
+                method: parts.method.as_str().to_owned(),
+                path: parts
+                    .uri
+                    .path_and_query()
+                    .map_or(path, |whole| whole.as_str())
+                    .to_owned(),
+                headers: fields(parts),
+                body,
+            },
+            service: Arc::clone(service),
+        })
+    }
+
+    /// Returns the deadline, in milliseconds after the request came.
+    pub(crate) fn deadline_ms(&self) -> u64 {
+        self.decision
+            .deadline_ms
+            .unwrap_or(self.service.deadline_ms)
+    }
+}
+
+impl Chat {
+    fn read(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+
+    fn prefix(&self) -> Digest {
+        let first = self
+            .messages
+            .first()
+            .map(|message| message.content.to_string());
+        let first = first.unwrap_or_default();
+        let bytes = first.as_bytes();
+        Digest::of(&[self.model.as_bytes(), &bytes[..bytes.len().min(PREFIX_LEN)]])
+    }
+}
+
+/// Returns the service with the longest matching path; a named model must be one of its own.
+fn find_service<'a>(
+    snapshot: &'a Snapshot,
+    path: &str,
+    chat: Option<&Chat>,
+) -> Option<&'a Arc<Service>> {
+    let model = chat.map_or("", |chat| chat.model.as_str());
+    snapshot
+        .services()
+        .filter(|service| {
+            service.models.is_empty() || service.models.iter().any(|name| name == model)
+        })
+        .filter_map(|service| Some((longest_prefix(&service.paths, path)?, service)))
+        .max_by(|a, b| a.0.cmp(&b.0).then_with(|| b.1.name.cmp(&a.1.name)))
+        .map(|(_, service)| service)
+}
+
+fn longest_prefix(prefixes: &[String], path: &str) -> Option<usize> {
+    prefixes
+        .iter()
+        .filter(|prefix| path.starts_with(prefix.as_str()))
+        .map(String::len)
+        .max()
+}
+
+fn is_keyed(service: &Service, parts: &Parts) -> bool {
+    !parts.method.is_safe() && longest_prefix(&service.keyed_paths, parts.uri.path()).is_some()
+}
+
+fn read_key(
+    parts: &Parts,
+    organisation: &str,
+    service: &Service,
+) -> Result<Option<ClaimKey>, ErrorKind> {
+    let Some(value) = parts.headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().map_err(|_| ErrorKind::BadRequest)?;
+    if key.is_empty() || key.len() > KEY_MAX {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(Some(ClaimKey {
+        organisation: organisation.to_owned(),
+        service: service.name.clone(),
+        key: key.to_owned(),
+    }))
+}
+
+fn digest(service: &Service, organisation: &str, parts: &Parts, body: &[u8]) -> Digest {
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("", |whole| whole.as_str());
+    Digest::of(&[
+        organisation.as_bytes(),
+        service.name.as_bytes(),
+        parts.method.as_str().as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
+
+fn text_headers(parts: &Parts) -> Vec<(String, String)> {
+    parts
+        .headers
+        .iter()
+        .filter_map(|(name, value)| {
+            Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+        })
+        .collect()
+}
+
+fn fields(parts: &Parts) -> Vec<Field> {
+    parts
+        .headers
+        .iter()
+        .map(|(name, value)| Field {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
