Keep the last good configuration and offer deletions whole

Cause: a rule list that cannot be read replaced the one in force by an empty one, every object was parsed again at every change, and a deletion from before a node's first listing could never reach a node that fetched from it. Ruled out: taking the highest object revision for the listing's (a deletion as the last write would then stay unseen). Change: the index parses what changed and keeps what it cannot replace;

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,4 +11,4 @@
 pub use kinds::{Group, Organisation, Service, ServiceKind, Upstream, object_key};
 pub use matching::{Decision, Explained, Facts, decide, explain, tags_of};
 pub use rules::{Action, Condition, HeaderMatch, Limit, Rule, RuleList};
-pub use snapshot::{Entry, Merge, Snapshot, as_json};
+pub use snapshot::{Entry, Merge, Offer, Snapshot, as_json};
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -1,14 +1,17 @@
 //! The configuration that a node has in force: objects of the platform's store at one revision.
 
+mod index;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sardinepin_common::{Map, Revision};
+use sardinepin_common::{Revision, Set};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::kinds::{Group, Organisation, Service, Upstream};
 use crate::rules::RuleList;
+use index::Index;
 
 /// One object of the configuration, or the mark that it was deleted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -32,18 +35,28 @@
     Stale,
 }
 
+/// Entries that bring another snapshot up to a revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// The revision up to which they are complete.
+    pub revision: Revision,
+    /// Whether these are all entries; what is not among them is deleted.
+    pub whole: bool,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
 /// The objects in force and the revision up to which they are complete.
 ///
-/// Neither the revision nor any object's own ever goes down.
+/// Neither the revision nor any object's own ever goes down. An object whose new value cannot be
+/// read keeps the last value that could, because it was written past the checks.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
     revision: Revision,
-    entries: BTreeMap<String, Entry>,
-    rules: Arc<RuleList>,
-    services: Map<String, Arc<Service>>,
-    upstreams: BTreeMap<String, Arc<Upstream>>,
-    organisations: Map<String, Arc<Organisation>>,
-    groups: BTreeMap<String, Arc<Group>>,
+    /// Deletions up to this revision are not among the entries.
+    floor: Revision,
+    entries: BTreeMap<String, Arc<Entry>>,
+    index: Index,
 }
 
 impl Snapshot {
@@ -56,7 +69,7 @@
     /// Takes in entries that bring the configuration up to `revision`.
     ///
     /// `entries` must hold every object that changed between this snapshot's revision and
-    /// `revision`; it may hold older ones.
+    /// `revision`, deletions included; it may hold older ones.
     pub fn merge(&mut self, revision: Revision, entries: &[Entry]) -> Merge {
         if revision < self.revision {
             return Merge::Stale;
@@ -68,63 +81,109 @@
         for entry in entries {
             self.put(entry);
         }
-        self.rebuild();
         Merge::Newer
     }
 
-    /// Returns every entry that was written after `after`, deletions included.
+    /// Takes in a listing of all objects that stand at `revision`: what it lacks was deleted.
+    pub fn replace(&mut self, revision: Revision, entries: &[Entry]) -> Merge {
+        let merged = self.merge(revision, entries);
+        if merged != Merge::Newer {
+            return merged;
+        }
+        let listed: Set<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let deleted: Vec<String> = self
+            .entries
+            .keys()
+            .filter(|key| !listed.contains(key.as_str()))
+            .cloned()
+            .collect();
+        for key in deleted {
+            self.entries.remove(&key);
+            self.index.remove(&key);
+        }
+        self.floor = revision;
+        merged
+    }
+
+    /// Takes in what another snapshot offers.
+    pub fn take(&mut self, offer: &Offer) -> Merge {
+        if offer.whole {
+            self.replace(offer.revision, &offer.entries)
+        } else {
+            self.merge(offer.revision, &offer.entries)
+        }
+    }
+
+    /// Returns what a snapshot at revision `after` lacks.
+    #[must_use]
+    pub fn offer(&self, after: Revision) -> Offer {
+        let whole = after < self.floor;
+        let after = if whole { Revision::default() } else { after };
+        Offer {
+            revision: self.revision,
+            whole,
+            entries: self.entries_after(after),
+        }
+    }
+
+    /// Returns every entry that was written after `after`, with the deletions that are known.
+    ///
+    /// Deletions from before this snapshot's first listing are not; [`Snapshot::offer`] heeds that.
     #[must_use]
     pub fn entries_after(&self, after: Revision) -> Vec<Entry> {
         self.entries
             .values()
             .filter(|entry| entry.revision > after)
-            .cloned()
+            .map(|entry| Entry::clone(entry))
             .collect()
     }
 
     /// Returns the entry under `key`, if it stands.
     #[must_use]
     pub fn entry(&self, key: &str) -> Option<&Entry> {
-        self.entries.get(key).filter(|entry| entry.value.is_some())
+        self.entries
+            .get(key)
+            .map(Arc::as_ref)
+            .filter(|entry| entry.value.is_some())
     }
 
     /// Returns the rule list in force.
     #[must_use]
     pub fn rules(&self) -> Arc<RuleList> {
-        Arc::clone(&self.rules)
+        Arc::clone(&self.index.rules)
     }
 
     /// Returns the service of that name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
-        self.services.get(name)
+        self.index.services.get(name)
     }
 
-    /// Returns all services.
+    /// Returns all services, by name.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
-        self.services.values()
+        self.index.services.values()
     }
 
     /// Returns the upstream of that name.
     #[must_use]
     pub fn upstream(&self, name: &str) -> Option<&Arc<Upstream>> {
-        self.upstreams.get(name)
+        self.index.upstreams.get(name)
     }
 
     /// Returns all upstreams, by name.
     pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.upstreams.values()
+        self.index.upstreams.values()
     }
 
     /// Returns the organisation of that name.
     #[must_use]
     pub fn organisation(&self, name: &str) -> Option<&Arc<Organisation>> {
-        self.organisations.get(name)
+        self.index.organisations.get(name)
     }
 
     /// Returns all groups, by name.
     pub fn groups(&self) -> impl Iterator<Item = &Arc<Group>> {
-        self.groups.values()
+        self.index.groups.values()
     }
 
     fn put(&mut self, entry: &Entry) {
@@ -132,57 +191,20 @@
             .entries
             .get(&entry.key)
             .is_none_or(|held| held.revision < entry.revision);
-        if newer {
-            self.entries.insert(entry.key.clone(), entry.clone());
+        if !newer {
+            return;
         }
-    }
-
-    fn rebuild(&mut self) {
-        self.rules = Arc::default();
-        self.services.clear();
-        self.upstreams.clear();
-        self.organisations.clear();
-        self.groups.clear();
-        for entry in self.entries.values() {
-            let Some(value) = &entry.value else { continue };
-            let Some((kind, _)) = entry.key.split_once('/') else {
-                continue;
-            };
-            // An object that cannot be read was written past the checks; the rest stays in force.
-            match kind {
-                "rules" => self.rules = parse(value).unwrap_or_default(),
-                "services" => insert_parsed(value, |found: Service| {
-                    self.services.insert(found.name.clone(), Arc::new(found));
-                }),
-                "upstreams" => insert_parsed(value, |found: Upstream| {
-                    self.upstreams.insert(found.name.clone(), Arc::new(found));
-                }),
-                "organisations" => insert_parsed(value, |found: Vec<Organisation>| {
-                    for one in found {
-                        self.organisations.insert(one.name.clone(), Arc::new(one));
-                    }
-                }),
-                "groups" => insert_parsed(value, |found: Group| {
-                    self.groups.insert(found.name.clone(), Arc::new(found));
-                }),
-                _ => {}
-            }
+        match &entry.value {
+            Some(value) => self.index.put(&entry.key, value),
+            None => self.index.remove(&entry.key),
         }
-    }
-}
-
-fn parse<T: for<'de> Deserialize<'de>>(value: &str) -> Option<T> {
-    serde_json::from_str(value).ok()
-}
-
-fn insert_parsed<T: for<'de> Deserialize<'de>>(value: &str, insert: impl FnOnce(T)) {
-    if let Some(found) = parse(value) {
-        insert(found);
+        self.entries
+            .insert(entry.key.clone(), Arc::new(entry.clone()));
     }
 }
 
 /// Reads an object's value as JSON.
 #[must_use]
 pub fn as_json(entry: &Entry) -> Option<Value> {
-    entry.value.as_deref().and_then(parse)
+    serde_json::from_str(entry.value.as_deref()?).ok()
 }
