Start deployments of real processes on loopback

Cause: tests, trials and the demo need the whole path as separate processes. Ruled out: paths of binaries from the build's environment; they are there for tests of the binary's own package only. Conclusion: to be tried as soon as the roles serve.

--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,304 @@
+//! Deployments on loopback, of real processes, for tests, trials and the demo.
+
+mod binaries;
+mod child;
+mod deployment;
+mod directory;
+mod node;
+mod store;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitStatus;
+
+use anyhow::{Context, Result, bail, ensure};
+use sardinepin_common::Millis;
+use sardinepin_config::{ServiceKind, Upstream, object_key};
+use sardinepin_protocol::Role;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+pub use binaries::binary;
+pub use child::Child;
+pub use deployment::Deployment;
+pub use node::Node;
+
+use crate::http::Caller;
+use directory::Directory;
+
+/// The name of the product's binary.
+const PRODUCT: &str = "sardinepin";
+
+/// The name of the stand-ins' binary.
+const STANDINS: &str = "sardinepin-standins";
+
+/// How long the entries may take to be ready.
+const READY_WITHIN: Millis = Millis(30_000);
+
+/// The time between two looks at whether an entry is ready.
+const READY_POLL: Millis = Millis(20);
+
+/// What is to be started.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    /// The configuration; the addresses of its upstreams are filled in.
+    pub deployment: Deployment,
+    /// How many entries there are.
+    pub entries: usize,
+    /// More arguments of the engines.
+    pub engine_arguments: Vec<String>,
+    /// Whether plain services keep their count of runs over a restart.
+    pub journals: bool,
+    /// Settings of the entries and agents that differ from the default, in the shape of the file.
+    pub settings: Value,
+}
+
+/// A deployment that runs; what is dropped is killed.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Child,
+    /// The engines and plain services, in the order of the deployment's upstreams.
+    pub upstreams: Vec<Child>,
+    /// Their agents, in the same order.
+    pub agents: Vec<Node>,
+    /// The entries.
+    pub entries: Vec<Node>,
+    /// The configuration as it was put into the platform at the start.
+    pub deployment: Deployment,
+    /// Sends control calls.
+    pub caller: Caller,
+    settings: Value,
+    directory: Directory,
+}
+
+impl Fleet {
+    /// Starts everything and waits until the entries are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be built or started, or an entry does not get ready.
+    pub async fn start(plan: Plan) -> Result<Self> {
+        let directory = Directory::create()?;
+        let platform = Child::start(&binary(STANDINS)?, &words(&["platform"])).await?;
+        let mut fleet = Self {
+            platform,
+            upstreams: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            deployment: plan.deployment.clone(),
+            caller: Caller::default(),
+            settings: plan.settings.clone(),
+            directory,
+        };
+        for at in 0..plan.deployment.upstreams.len() {
+            fleet.start_upstream(&plan, at).await?;
+        }
+        fleet.put_deployment().await?;
+        for number in 0..plan.entries {
+            fleet.add_entry(number).await?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Returns the addresses where callers connect.
+    #[must_use]
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Node::address).collect()
+    }
+
+    /// Starts an agent beside those of the deployment, before the upstream at `upstream`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent does not start.
+    pub async fn agent(&self, name: &str, zone: &str, upstream: SocketAddr) -> Result<Node> {
+        let settings = json!({
+            "agent": {"listen": "127.0.0.1:0", "upstream": upstream.to_string()},
+        });
+        self.node(Role::Agent, name, zone, settings).await
+    }
+
+    /// Starts another entry and puts it into the instance list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry does not start.
+    pub async fn add_entry(&mut self, number: usize) -> Result<()> {
+        let zones = self.deployment.zones();
+        let zone = match zones.len() {
+            0 => "zone-a",
+            count => &zones[number % count],
+        };
+        let name = format!("entry-{}", number + 1);
+        let settings = json!({"entry": {"listen": "127.0.0.1:0"}});
+        let node = self.node(Role::Entry, &name, zone, settings).await?;
+        store::put_instance(&self.caller, self.platform.address(), &node).await?;
+        self.entries.push(node);
+        Ok(())
+    }
+
+    /// Kills an agent if it runs, and starts it again at its address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent does not start.
+    pub async fn restart_agent(&mut self, at: usize) -> Result<()> {
+        self.agents
+            .get_mut(at)
+            .context("no such agent")?
+            .restart()
+            .await
+    }
+
+    /// Kills an entry if it runs, and starts it again at its address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry does not start.
+    pub async fn restart_entry(&mut self, at: usize) -> Result<()> {
+        self.entries
+            .get_mut(at)
+            .context("no such entry")?
+            .restart()
+            .await
+    }
+
+    /// Kills an upstream if it runs, and starts it again at its address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream does not start.
+    pub async fn restart_upstream(&mut self, at: usize) -> Result<()> {
+        self.upstreams
+            .get_mut(at)
+            .context("no such upstream")?
+            .restart()
+            .await
+    }
+
+    /// Writes an object of the configuration over whatever stands.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not take it.
+    pub async fn put_config<T: Serialize>(&self, kind: &str, name: &str, value: &T) -> Result<()> {
+        let key = format!("config/{}", object_key(kind, name));
+        store::put(&self.caller, self.platform.address(), &key, value).await
+    }
+
+    /// Sets the faults of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not take them.
+    pub async fn faults<T: Serialize>(&self, of: &Child, faults: &T) -> Result<()> {
+        self.caller.post(of.address(), "/faults", faults).await
+    }
+
+    /// Waits until each entry that has an administration address says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one is not ready within half a minute.
+    pub async fn wait_ready(&self) -> Result<()> {
+        for entry in &self.entries {
+            let ready = entry.wait_ready(&self.caller, READY_POLL);
+            if tokio::time::timeout(READY_WITHIN.duration(), ready)
+                .await
+                .is_err()
+            {
+                bail!("{} is not ready\n{}", entry.name(), entry.child.output());
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops entries, then agents, by SIGTERM, kills the stand-ins, and returns how the nodes ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be signalled or does not end.
+    pub async fn stop(mut self) -> Result<Vec<(String, ExitStatus)>> {
+        let mut ended = Vec::new();
+        for nodes in [&mut self.entries, &mut self.agents] {
+            for node in nodes.iter() {
+                node.child.terminate()?;
+            }
+            for node in nodes.iter_mut() {
+                ended.push((node.name().to_owned(), node.child.wait_exit().await?));
+            }
+        }
+        Ok(ended)
+    }
+
+    /// Returns what all processes have written last, for the report of a failure.
+    #[must_use]
+    pub fn output(&self) -> String {
+        let nodes = self.entries.iter().chain(&self.agents);
+        nodes
+            .map(|node| format!("--- {}\n{}", node.name(), node.child.output()))
+            .collect()
+    }
+
+    async fn start_upstream(&mut self, plan: &Plan, at: usize) -> Result<()> {
+        let Upstream { name, zone, .. } = self.deployment.upstreams[at].clone();
+        let arguments = match self.deployment.kind_of(at)? {
+            ServiceKind::Plain if plan.journals => {
+                let journal = self.directory.file(&format!("{name}.journal"));
+                vec!["plain".to_owned(), "--journal".to_owned(), text(&journal)?]
+            }
+            ServiceKind::Plain => words(&["plain"]),
+            ServiceKind::Model => [words(&["engine"]), plan.engine_arguments.clone()].concat(),
+        };
+        let upstream = Child::start(&binary(STANDINS)?, &arguments).await?;
+        let agent = self.agent(&name, &zone, upstream.address()).await?;
+        self.deployment.upstreams[at].address = agent.address().to_string();
+        store::put_instance(&self.caller, self.platform.address(), &agent).await?;
+        self.upstreams.push(upstream);
+        self.agents.push(agent);
+        Ok(())
+    }
+
+    async fn node(&self, role: Role, name: &str, zone: &str, settings: Value) -> Result<Node> {
+        let platform = json!({"platform": {"address": self.platform.address().to_string()}});
+        let file = self.directory.file(&format!("{name}.yaml"));
+        let layers = [&platform, &self.settings, &settings];
+        Node::start(&binary(PRODUCT)?, role, name, zone, &file, &layers).await
+    }
+
+    async fn put_deployment(&self) -> Result<()> {
+        let Deployment {
+            services,
+            upstreams,
+            organisations,
+            groups,
+            rules,
+        } = &self.deployment;
+        for service in services {
+            self.put_config("services", &service.name, service).await?;
+        }
+        for upstream in upstreams {
+            self.put_config("upstreams", &upstream.name, upstream)
+                .await?;
+        }
+        for group in groups {
+            self.put_config("groups", &group.name, group).await?;
+        }
+        ensure!(!services.is_empty(), "a deployment without services");
+        self.put_config("organisations", "all", organisations)
+            .await?;
+        self.put_config("rules", "list", &json!({"rules": rules}))
+            .await
+    }
+}
+
+fn words(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
+
+fn text(path: &Path) -> Result<String> {
+    let text = path.to_str().context("a path that is no text")?;
+    Ok(text.to_owned())
+}
--- /dev/null
+++ b/standins/src/fleet/binaries.rs
@@ -0,0 +1,62 @@
+//! Finds the binaries beside the running test or trial, freshly built.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
+
+use anyhow::{Context, Result, anyhow, ensure};
+
+/// The name of the directory of optimised binaries.
+const RELEASE: &str = "release";
+
+static BUILT: OnceLock<std::result::Result<PathBuf, String>> = OnceLock::new();
+
+/// Returns the path of a binary of this workspace, in the profile of the running program.
+///
+/// The first call builds the binaries, so that they are there and fresh.
+///
+/// # Errors
+///
+/// Fails if they cannot be built or the binary is not among them.
+pub fn binary(name: &str) -> Result<PathBuf> {
+    let built = BUILT.get_or_init(|| build().map_err(|error| format!("{error:#}")));
+    let directory = built.as_ref().map_err(|error| anyhow!("{error}"))?;
+    let path = directory.join(name);
+    ensure!(path.is_file(), "{} is not there", path.display());
+    Ok(path)
+}
+
+fn build() -> Result<PathBuf> {
+    let directory = profile_directory()?;
+    let target = directory.parent().context("no target directory")?;
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .args(["build", "--quiet", "--locked"])
+        .args(["-p", "sardinepin", "-p", "sardinepin-standins"])
+        .arg("--target-dir")
+        .arg(target);
+    if directory.ends_with(RELEASE) {
+        command.arg("--release");
+    }
+    let output = command.output().context("cargo cannot be started")?;
+    let said = String::from_utf8_lossy(&output.stderr);
+    ensure!(output.status.success(), "cargo build failed:\n{said}");
+    Ok(directory)
+}
+
+/// Returns the directory of the profile: that of the running program, above `deps` and `examples`.
+fn profile_directory() -> Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let directory = program.parent().context("the program has no directory")?;
+    let is_inner = directory.ends_with("deps") || directory.ends_with("examples");
+    let profile = if is_inner {
+        directory.parent()
+    } else {
+        Some(directory)
+    };
+    profile
+        .map(Path::to_path_buf)
+        .context("the profile has no directory")
+}
--- /dev/null
+++ b/standins/src/fleet/deployment.rs
@@ -0,0 +1,69 @@
+//! The configuration of a deployment, as a deployment file gives it.
+
+use std::path::Path;
+
+use anyhow::{Context, Result};
+use sardinepin_config::{Group, Organisation, Rule, Service, ServiceKind, Upstream};
+use serde::{Deserialize, Serialize};
+
+/// Services, upstreams, organisations, rank groups and rules.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Deployment {
+    /// The services.
+    pub services: Vec<Service>,
+    /// The upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// The organisations.
+    pub organisations: Vec<Organisation>,
+    /// The rank groups.
+    pub groups: Vec<Group>,
+    /// The rules, first to last.
+    pub rules: Vec<Rule>,
+}
+
+impl Deployment {
+    /// Reads a deployment file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or is not a deployment.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("{} cannot be read", path.display()))?;
+        serde_yaml_ng::from_str(&text).with_context(|| path.display().to_string())
+    }
+
+    /// Adds a service with `count` upstreams, named after it, over `zones` in turn.
+    #[must_use]
+    pub fn with_service(mut self, service: Service, count: usize, zones: &[&str]) -> Self {
+        let zones = zones.iter().cycle().take(count).enumerate();
+        self.upstreams.extend(zones.map(|(at, zone)| Upstream {
+            name: format!("{}-{}", service.name, at + 1),
+            service: service.name.clone(),
+            zone: (*zone).to_owned(),
+            ..Upstream::default()
+        }));
+        self.services.push(service);
+        self
+    }
+
+    /// Returns the availability zones of the upstreams, each once.
+    #[must_use]
+    pub fn zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> = Vec::new();
+        for upstream in &self.upstreams {
+            if !zones.contains(&upstream.zone) {
+                zones.push(upstream.zone.clone());
+            }
+        }
+        zones
+    }
+
+    /// Returns the kind of the service of an upstream.
+    pub(super) fn kind_of(&self, upstream: usize) -> Result<ServiceKind> {
+        let name = &self.upstreams[upstream].service;
+        let service = self.services.iter().find(|service| service.name == *name);
+        Ok(service.with_context(|| format!("no service {name}"))?.kind)
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/node.rs
@@ -0,0 +1,166 @@
+//! One entry or agent with its settings file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use anyhow::Result;
+use bytes::Bytes;
+use hyper::Method;
+use sardinepin_common::Millis;
+use sardinepin_protocol::Role;
+use serde_json::{Value, json};
+
+use super::child::Child;
+use crate::http::Caller;
+
+/// An entry or an agent.
+#[derive(Debug)]
+pub struct Node {
+    /// The process.
+    pub child: Child,
+    name: String,
+    zone: String,
+    role: Role,
+    binary: PathBuf,
+    file: PathBuf,
+    settings: Value,
+}
+
+impl Node {
+    /// Writes the settings file, later layers over earlier ones, and starts the process.
+    pub(super) async fn start(
+        binary: &Path,
+        role: Role,
+        name: &str,
+        zone: &str,
+        file: &Path,
+        layers: &[&Value],
+    ) -> Result<Self> {
+        let mut settings = json!({
+            "name": name,
+            "zone": zone,
+            "admin_listen": "127.0.0.1:0",
+            "cluster": {"listen": "127.0.0.1:0"},
+        });
+        for layer in layers {
+            merge(&mut settings, layer);
+        }
+        write(file, &settings)?;
+        let child = Child::start(binary, &arguments(role, file)).await?;
+        let mut node = Self {
+            child,
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            role,
+            binary: binary.to_path_buf(),
+            file: file.to_path_buf(),
+            settings,
+        };
+        node.keep_addresses();
+        Ok(node)
+    }
+
+    /// Returns the name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the availability zone.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    /// Returns the role.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns the address of callers at an entry and of links at an agent.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.child.address()
+    }
+
+    /// Returns the address of the administration API, once the process names it.
+    #[must_use]
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.child.other_address("admin")
+    }
+
+    /// Returns the address for other nodes' datagrams and fetches, once the process names it.
+    #[must_use]
+    pub fn cluster(&self) -> Option<SocketAddr> {
+        self.child.other_address("cluster")
+    }
+
+    /// Kills it if it runs, and starts it again at its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub async fn restart(&mut self) -> Result<()> {
+        self.child.kill9().await?;
+        write(&self.file, &self.settings)?;
+        let arguments = arguments(self.role, &self.file);
+        self.child = Child::start_again(&self.binary, &arguments).await?;
+        Ok(())
+    }
+
+    /// Waits until `/readyz` is answered with success.
+    pub(super) async fn wait_ready(&self, caller: &Caller, poll: Millis) {
+        let Some(admin) = self.admin() else { return };
+        loop {
+            let ask = caller.call(Method::GET, admin, "/readyz", &[], Bytes::new());
+            if ask.await.is_ok_and(|answer| answer.status.is_success()) {
+                return;
+            }
+            tokio::time::sleep(poll.duration()).await;
+        }
+    }
+
+    /// Puts the addresses that the process got into its settings, for the next start.
+    fn keep_addresses(&mut self) {
+        let role = match self.role {
+            Role::Entry => "entry",
+            Role::Agent => "agent",
+        };
+        let listen = |address: SocketAddr| json!({"listen": address.to_string()});
+        let mut kept = json!({role: listen(self.address())});
+        if let Some(admin) = self.admin() {
+            kept["admin_listen"] = admin.to_string().into();
+        }
+        if let Some(cluster) = self.cluster() {
+            kept["cluster"] = listen(cluster);
+        }
+        merge(&mut self.settings, &kept);
+    }
+}
+
+fn arguments(role: Role, file: &Path) -> Vec<String> {
+    let role = match role {
+        Role::Entry => "entry",
+        Role::Agent => "agent",
+    };
+    let file = file.display().to_string();
+    vec![role.to_owned(), "--config".to_owned(), file]
+}
+
+fn write(file: &Path, settings: &Value) -> Result<()> {
+    Ok(std::fs::write(file, serde_yaml_ng::to_string(settings)?)?)
+}
+
+/// Puts `layer` over `base`, mapping by mapping.
+fn merge(base: &mut Value, layer: &Value) {
+    match (base, layer) {
+        (Value::Object(base), Value::Object(layer)) => {
+            for (name, value) in layer {
+                merge(base.entry(name.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (_, Value::Null) => {}
+        (base, layer) => *base = layer.clone(),
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/store.rs
@@ -0,0 +1,67 @@
+//! Writes into the platform.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use anyhow::{Result, ensure};
+use bytes::Bytes;
+use hyper::header::{IF_MATCH, IF_NONE_MATCH};
+use hyper::{Method, StatusCode};
+use sardinepin_platform::{Instance, InstanceState, Object};
+use serde::Serialize;
+use serde_json::json;
+
+use super::node::Node;
+use crate::http::Caller;
+
+static WRITES: AtomicU64 = AtomicU64::new(0);
+
+/// Writes an object over whatever stands.
+pub(super) async fn put<T: Serialize>(
+    caller: &Caller,
+    platform: SocketAddr,
+    key: &str,
+    value: &T,
+) -> Result<()> {
+    let path = format!("/v1/objects/{key}");
+    let body = json!({
+        "write_id": format!("fleet-{}", WRITES.fetch_add(1, Ordering::Relaxed)),
+        "value": serde_json::to_string(value)?,
+    });
+    loop {
+        let found = caller
+            .call(Method::GET, platform, &path, &[], Bytes::new())
+            .await?;
+        let condition = if found.status == StatusCode::NOT_FOUND {
+            (IF_NONE_MATCH.as_str(), "*".to_owned())
+        } else {
+            let revision = found.json::<Object>()?.revision;
+            (IF_MATCH.as_str(), format!("\"{revision}\""))
+        };
+        let headers = [(condition.0, condition.1.as_str())];
+        let bytes = body.to_string().into();
+        let answer = caller
+            .call(Method::PUT, platform, &path, &headers, bytes)
+            .await?;
+        if answer.status == StatusCode::PRECONDITION_FAILED {
+            continue;
+        }
+        ensure!(answer.status.is_success(), "{key}: {}", answer.status);
+        return Ok(());
+    }
+}
+
+/// Puts a node into the instance list.
+pub(super) async fn put_instance(caller: &Caller, platform: SocketAddr, node: &Node) -> Result<()> {
+    let instance = Instance {
+        name: node.name().to_owned(),
+        role: node.role(),
+        zone: node.zone().to_owned(),
+        address: node.cluster().unwrap_or(node.address()).to_string(),
+        state: InstanceState::Live,
+    };
+    let path = format!("/instances/{}", node.name());
+    let answer = caller.send(Method::PUT, platform, &path, &instance).await?;
+    ensure!(answer.status.is_success(), "{path}: {}", answer.status);
+    Ok(())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around sardinepin, a load client, and deployments on loopback.
 
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod plain;
 pub mod platform;
