--- /dev/null
+++ b/crates/sardinepin/src/entry/answers.rs
@@ -0,0 +1,282 @@
+//! The caller's side of a request: its answer, whole or with an explicit error.
+
+use std::io;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use sardinepin_common::Millis;
+use sardinepin_protocol::{ErrorKind, Field, Outcome, RetryAdvice};
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::entry::sse::Events;
+use crate::telemetry::count_refusal;
+
+/// The body of every answer.
+pub(crate) type Body = BoxBody<Bytes, io::Error>;
+
+/// Says what a caller may conclude about the run.
+pub(crate) const OUTCOME_HEADER: &str = "x-sardinepin-outcome";
+
+/// Answers up to this size are held until they are whole, in bytes.
+const HOLD_MAX: usize = 64 * 1024;
+
+/// How many parts of an answer wait for a slow caller.
+const PARTS_MAX: usize = 16;
+
+/// The head of an upstream's answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    status: u16,
+    headers: Vec<Field>,
+}
+
+/// The caller's side of one request.
+#[derive(Debug)]
+pub(crate) struct Outbound {
+    request: String,
+    state: State,
+    head: Option<Head>,
+    events: Option<Events>,
+    held: Vec<Bytes>,
+}
+
+#[derive(Debug)]
+enum State {
+    /// Nothing has gone to the caller.
+    Pending(oneshot::Sender<Response<Body>>),
+    /// The head has gone, and parts follow.
+    Streaming(mpsc::Sender<io::Result<Frame<Bytes>>>),
+    /// The answer has ended, or the caller has gone.
+    Over,
+}
+
+/// The caller has gone.
+#[derive(Debug)]
+pub(crate) struct Gone;
+
+impl Outbound {
+    /// Starts with a caller that waits.
+    pub(crate) fn new(request: &str, reply: oneshot::Sender<Response<Body>>) -> Self {
+        Self {
+            request: request.to_owned(),
+            state: State::Pending(reply),
+            head: None,
+            events: None,
+            held: Vec::new(),
+        }
+    }
+
+    /// Waits until the caller hangs up.
+    pub(crate) async fn gone(&mut self) {
+        match &mut self.state {
+            State::Pending(reply) => reply.closed().await,
+            State::Streaming(parts) => parts.closed().await,
+            State::Over => {}
+        }
+    }
+
+    /// Returns whether the caller has bytes that another upstream cannot go on from.
+    pub(crate) fn is_spoiled(&self) -> bool {
+        !matches!(self.state, State::Pending(_)) && self.events.is_none()
+    }
+
+    /// Returns how many tokens the caller has.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.events.as_ref().map_or(0, Events::tokens)
+    }
+
+    /// Makes ready for the answer of another attempt.
+    pub(crate) fn restart(&mut self) {
+        self.held.clear();
+        if let Some(events) = &mut self.events {
+            events.cut();
+        }
+        if matches!(self.state, State::Pending(_)) {
+            self.head = None;
+            self.events = None;
+        }
+    }
+
+    /// Takes in the head of an attempt's answer.
+    pub(crate) fn head(&mut self, status: u16, headers: Vec<Field>) -> Result<(), Gone> {
+        if self.head.is_some() {
+            return Ok(());
+        }
+        let is_stream = headers.iter().any(is_event_stream);
+        self.head = Some(Head { status, headers });
+        if is_stream {
+            self.events = Some(Events::default());
+            return self.open();
+        }
+        Ok(())
+    }
+
+    /// Takes in a chunk of an attempt's answer.
+    pub(crate) async fn chunk(&mut self, data: Bytes) -> Result<(), Gone> {
+        let part = match &mut self.events {
+            Some(events) => events.push(&data),
+            None => data,
+        };
+        if part.is_empty() {
+            return Ok(());
+        }
+        if matches!(self.state, State::Pending(_)) {
+            self.held.push(part);
+            if self.held.iter().map(Bytes::len).sum::<usize>() <= HOLD_MAX {
+                return Ok(());
+            }
+            self.open()?;
+            for part in std::mem::take(&mut self.held) {
+                self.pass(part).await?;
+            }
+            return Ok(());
+        }
+        self.pass(part).await
+    }
+
+    /// Returns whether the answer is whole as far as its own marks tell.
+    pub(crate) fn looks_whole(&self) -> bool {
+        let failed = self.head.as_ref().is_some_and(|head| head.status >= 400);
+        failed || self.events.as_ref().is_none_or(Events::is_done)
+    }
+
+    /// Ends a whole answer.
+    pub(crate) fn finish(&mut self) {
+        let State::Pending(reply) = std::mem::replace(&mut self.state, State::Over) else {
+            return;
+        };
+        let body = Full::new(join(&self.held)).map_err(never).boxed();
+        let mut response = self.response(body);
+        response.headers_mut().insert(
+            OUTCOME_HEADER,
+            HeaderValue::from_static(Outcome::Answered.label()),
+        );
+        let _ = reply.send(response);
+    }
+
+    /// Ends the answer with an error that the caller cannot overlook.
+    pub(crate) async fn fail(&mut self, kind: ErrorKind, retry_after: Millis) {
+        count_refusal(kind);
+        match std::mem::replace(&mut self.state, State::Over) {
+            State::Pending(reply) => {
+                let _ = reply.send(problem(kind, retry_after, &self.request));
+            }
+            State::Streaming(parts) if self.events.is_some() => {
+                let problem = problem_json(kind, retry_after, &self.request);
+                let event = format!("event: error\ndata: {problem}\n\n");
+                let _ = parts.send(Ok(Frame::data(Bytes::from(event)))).await;
+            }
+            // Breaking the connection off is the only way left to say that the body is not whole.
+            State::Streaming(parts) => {
+                let _ = parts.send(Err(io::Error::other(kind))).await;
+            }
+            State::Over => {}
+        }
+    }
+
+    /// Sends the head and opens the body.
+    fn open(&mut self) -> Result<(), Gone> {
+        let (sender, receiver) = mpsc::channel(PARTS_MAX);
+        let parts = stream::unfold(receiver, async |mut receiver: mpsc::Receiver<_>| {
+            receiver.recv().await.map(|part| (part, receiver))
+        });
+        let response = self.response(BodyExt::boxed(StreamBody::new(parts)));
+        match std::mem::replace(&mut self.state, State::Streaming(sender)) {
+            State::Pending(reply) => reply.send(response).map_err(|_| Gone),
+            _ => Err(Gone),
+        }
+    }
+
+    async fn pass(&mut self, part: Bytes) -> Result<(), Gone> {
+        match &self.state {
+            State::Streaming(parts) => parts.send(Ok(Frame::data(part))).await.map_err(|_| Gone),
+            _ => Err(Gone),
+        }
+    }
+
+    fn response(&self, body: Body) -> Response<Body> {
+        let mut response = Response::new(body);
+        if let Some(head) = &self.head {
+            *response.status_mut() =
+                StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            for field in &head.headers {
+                let name = http::HeaderName::from_bytes(field.name.as_bytes());
+                let value = HeaderValue::from_maybe_shared(field.value.clone());
+                if let (Ok(name), Ok(value)) = (name, value) {
+                    response.headers_mut().append(name, value);
+                }
+            }
+        }
+        set_request(&mut response, &self.request);
+        response
+    }
+}
+
+/// Returns the problem answer (RFC 9457) of an error kind.
+pub(crate) fn problem(kind: ErrorKind, retry_after: Millis, request: &str) -> Response<Body> {
+    let answer = kind.answer();
+    let body = Full::from(problem_json(kind, retry_after, request));
+    let mut response = Response::new(body.map_err(never).boxed());
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    headers.insert(
+        OUTCOME_HEADER,
+        HeaderValue::from_static(answer.outcome.label()),
+    );
+    if answer.retry == RetryAdvice::Later {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds(retry_after)));
+    }
+    set_request(&mut response, request);
+    response
+}
+
+fn problem_json(kind: ErrorKind, retry_after: Millis, request: &str) -> String {
+    let answer = kind.answer();
+    let mut body = json!({
+        "type": format!("urn:sardinepin:{}", answer.label),
+        "title": answer.title,
+        "status": answer.status,
+        "outcome": answer.outcome.label(),
+        "request": request,
+    });
+    if answer.retry == RetryAdvice::Later {
+        body["retry_after_ms"] = json!(retry_after.0);
+    }
+    body.to_string()
+}
+
+fn set_request(response: &mut Response<Body>, request: &str) {
+    if let Ok(value) = HeaderValue::from_str(request) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+}
+
+fn is_event_stream(field: &Field) -> bool {
+    field.name == header::CONTENT_TYPE.as_str() && field.value.starts_with(b"text/event-stream")
+}
+
+/// Returns whole seconds, at least one: the field knows no smaller unit.
+fn seconds(retry_after: Millis) -> u64 {
+    retry_after.0.div_ceil(1_000).max(1)
+}
+
+fn join(parts: &[Bytes]) -> Bytes {
+    match parts {
+        [one] => one.clone(),
+        many => Bytes::from(many.concat()),
+    }
+}
+
+fn never(error: std::convert::Infallible) -> io::Error {
+    match error {}
+}
--- a/crates/sardinepin/src/entry/directory.rs
+++ b/crates/sardinepin/src/entry/directory.rs
@@ -15,7 +15,10 @@
 impl Directory {
     /// Returns the upstreams of a configuration with their numbers.
     pub(crate) fn infos(&mut self, snapshot: &Snapshot) -> Vec<UpstreamInfo> {
-        snapshot.upstreams().map(|upstream| self.info(upstream)).collect()
+        snapshot
+            .upstreams()
+            .map(|upstream| self.info(upstream))
+            .collect()
     }
 
     fn info(&mut self, upstream: &Upstream) -> UpstreamInfo {
