Claim keyed calls in the platform before they run

Cause: a booking that is sent again after a lost answer must not be run a second time, on whatever agent it lands. Ruled out: claims made by the entry (claimer and runner would be two processes, and a crash between them leaves a claim nobody can answer for). Change: the agent claims, reads back lost writes, asks the claiming process, takes over what was released, replays answers and writes small ones behind the claim; a claimed call runs on when its caller has gone. Conclusion: to be proved under failure next.

--- a/crates/decisions/src/claims/machine.rs
+++ b/crates/decisions/src/claims/machine.rs
@@ -22,7 +22,7 @@
     NotClaimed,
     /// The call was claimed but did not reach the upstream.
     NotRun,
-    /// The whole answer has come.
+    /// The whole answer has come, from the upstream or from the process that ran the call.
     Finish(KeptAnswer),
     /// The call may have run, and its answer is lost or too large to keep.
     Lose,
@@ -142,6 +142,10 @@
             }
             KeyEvent::Run => Transition(KeyState::running()),
             KeyEvent::NotClaimed => Transition(KeyState::idle()),
+            KeyEvent::Finish(answer) => {
+                self.forget();
+                Transition(KeyState::done(answer.clone()))
+            }
             KeyEvent::Lose => {
                 self.forget();
                 Transition(KeyState::unknown())
--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -1,6 +1,8 @@
 //! The role `agent`: the only door to one upstream.
 
 mod answer;
+mod claims;
+mod keys;
 mod load;
 mod runner;
 mod session;
@@ -35,7 +37,7 @@
         .with_context(|| format!("agent.listen: cannot listen on {}", settings.agent.listen))?;
     let address = listener.local_addr()?;
     let identity = Identity::new(Role::Agent, &settings.name, &settings.zone);
-    let agent = Arc::new(Agent::new(settings, identity, Clock::start()));
+    let agent = Arc::new(Agent::new(settings, identity, Clock::start(), address));
     log::info!(event = "listening", role = "agent", address:% = address; "listening");
 
     tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
--- a/crates/sardinepin/src/agent/answer.rs
+++ b/crates/sardinepin/src/agent/answer.rs
@@ -68,9 +68,9 @@
         self.stop.clone()
     }
 
-    /// Returns how many chunks are kept unacknowledged.
-    pub(crate) fn unacknowledged(&self) -> u64 {
-        self.chunks.len() as u64
+    /// Returns whether `window` chunks are kept unacknowledged and one more has to wait.
+    pub(crate) fn is_full(&self, window: u64) -> bool {
+        self.end.is_none() && self.chunks.len() as u64 >= window
     }
 
     /// Returns when the answer ended.
@@ -86,13 +86,16 @@
 
     /// Takes in the head.
     pub(crate) fn put_head(&mut self, status: u16, headers: Vec<Field>) {
+        if self.end.is_some() {
+            return;
+        }
         self.head = Some((status, headers));
         self.send_head();
     }
 
     /// Takes in the next chunk.
     pub(crate) fn put_chunk(&mut self, data: Bytes) {
-        if self.unwanted {
+        if self.unwanted || self.end.is_some() {
             return;
         }
         let seq = self.base + self.chunks.len() as u64;
@@ -102,7 +105,11 @@
 
     /// Ends the answer.
     pub(crate) fn finish(&mut self, now: Millis, end: AnswerEnd) {
+        if self.end.is_some() {
+            return;
+        }
         self.end = Some((now, end));
+        self.room.notify_one();
         self.send_end();
     }
 
--- /dev/null
+++ b/crates/sardinepin/src/agent/claims/record.rs
@@ -0,0 +1,111 @@
+//! A claim as it is written into the platform's store.
+
+use std::net::SocketAddr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use sardinepin_common::{Clock, Incarnation, Millis};
+use sardinepin_decisions::{FoundClaim, KeptAnswer};
+use sardinepin_platform::Object;
+use sardinepin_protocol::{Attempt, ClaimKey, Digest, Field};
+use serde::{Deserialize, Serialize};
+
+use crate::agent::state::Agent;
+
+/// The value of a claim.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct ClaimRecord {
+    /// The incarnation of the claiming process.
+    pub(super) claimer: Incarnation,
+    /// Where the claiming process can be asked.
+    pub(super) address: SocketAddr,
+    nonce: u64,
+    digest: String,
+    /// When the claim was made, by the wall clock.
+    made: Millis,
+    answer: Option<AnswerRecord>,
+}
+
+/// The answer behind a claim.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct AnswerRecord {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: String,
+}
+
+/// Returns the name of a key's claim in the store; what callers choose does not show in it.
+pub(super) fn claim_name(key: &ClaimKey) -> String {
+    let digest = Digest::of(&[
+        key.organisation.as_bytes(),
+        key.service.as_bytes(),
+        key.key.as_bytes(),
+    ]);
+    format!("claims/{digest}")
+}
+
+impl ClaimRecord {
+    /// Makes the claim of an attempt.
+    pub(super) fn new(agent: &Agent, attempt: &Attempt, nonce: u64) -> Self {
+        Self {
+            claimer: agent.identity.incarnation,
+            address: agent.keys.address,
+            nonce,
+            digest: attempt.digest.to_string(),
+            made: Clock::wall(),
+            answer: None,
+        }
+    }
+
+    /// Adds the answer.
+    pub(super) fn with_answer(mut self, answer: &KeptAnswer) -> Self {
+        let headers = answer.headers.iter().map(header).collect();
+        self.answer = Some(AnswerRecord {
+            status: answer.status,
+            headers,
+            body: STANDARD.encode(&answer.body),
+        });
+        self
+    }
+
+    /// Returns the claim as JSON.
+    pub(super) fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Reads a claim; `None` if the object holds none.
+    pub(super) fn read(object: &Object) -> Option<(Self, FoundClaim)> {
+        let record: Self = serde_json::from_str(object.value.as_deref()?).ok()?;
+        let claim = FoundClaim {
+            claimer: record.claimer,
+            nonce: record.nonce,
+            digest: Digest::parse(&record.digest)?,
+            revision: object.revision,
+            answer: match &record.answer {
+                Some(answer) => Some(answer.read()?),
+                None => None,
+            },
+        };
+        Some((record, claim))
+    }
+}
+
+impl AnswerRecord {
+    fn read(&self) -> Option<KeptAnswer> {
+        let headers = self.headers.iter().map(|(name, value)| Field {
+            name: name.clone(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        });
+        Some(KeptAnswer {
+            status: self.status,
+            headers: headers.collect(),
+            body: Bytes::from(STANDARD.decode(&self.body).ok()?),
+        })
+    }
+}
+
+fn header(field: &Field) -> (String, String) {
+    let value = String::from_utf8_lossy(&field.value).into_owned();
+    (field.name.clone(), value)
+}
--- a/crates/sardinepin/src/agent/session.rs
+++ b/crates/sardinepin/src/agent/session.rs
@@ -80,8 +80,12 @@
         ToAgent::Ping => {
             let _ = sender.send(ToEntry::Pong);
         }
-        // TODO: answer questions about claims, and pass group messages to the map switch.
-        ToAgent::Hello(_) | ToAgent::AskClaim { .. } | ToAgent::Group { .. } => {}
+        ToAgent::AskClaim { ask, key, claimer } => {
+            let state = agent.keys.asked(&key, claimer);
+            let _ = sender.send(ToEntry::Claim { ask, state });
+        }
+        // TODO: pass group messages to the map switch.
+        ToAgent::Hello(_) | ToAgent::Group { .. } => {}
     }
 }
 
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -1,14 +1,18 @@
 //! What an agent knows: its attempts, their answers and its links.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use sardinepin_common::{AttemptId, Clock, Incarnation, Map, Millis};
-use sardinepin_decisions::{AttemptEvent, AttemptSettings, AttemptState, Attempts, Taken};
+use sardinepin_decisions::{
+    AttemptEvent, AttemptSettings, AttemptState, Attempts, KeptAnswer, Taken,
+};
 use sardinepin_protocol::{Attempt, ErrorKind, Settled, ToEntry};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::answer::{Answer, AnswerEnd, ToLink};
+use crate::agent::keys::Keys;
 use crate::agent::load::Gauge;
 use crate::agent::upstream::UpstreamClient;
 use crate::link::Identity;
@@ -23,6 +27,7 @@
     pub(crate) slots: Semaphore,
     pub(crate) gauge: Gauge,
     pub(crate) upstream: UpstreamClient,
+    pub(crate) keys: Keys,
     table: Mutex<Table>,
 }
 
@@ -52,7 +57,12 @@
 
 impl Agent {
     /// Makes an agent without attempts.
-    pub(crate) fn new(settings: Settings, identity: Identity, clock: Clock) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        identity: Identity,
+        clock: Clock,
+        address: SocketAddr,
+    ) -> Self {
         let attempts = Attempts::new(AttemptSettings {
             keep_ms: settings.agent.keep_ms,
             ..AttemptSettings::default()
@@ -61,6 +71,7 @@
             slots: Semaphore::new(settings.agent.slots),
             gauge: Gauge::default(),
             upstream: UpstreamClient::new(settings.agent.upstream),
+            keys: Keys::new(&settings, identity.incarnation, address),
             settings,
             identity,
             clock,
@@ -198,6 +209,15 @@
         true
     }
 
+    /// Ends an attempt with the answer of an earlier run of the same key.
+    pub(crate) fn replay(&self, id: AttemptId, answer: &KeptAnswer) {
+        self.with_answer(id, |kept| {
+            kept.put_head(answer.status, answer.headers.clone());
+            kept.put_chunk(answer.body.clone());
+        });
+        self.end(id, AttemptEvent::Finish, AnswerEnd::Whole);
+    }
+
     /// Ends an attempt and its answer.
     pub(crate) fn end(&self, id: AttemptId, event: AttemptEvent, end: AnswerEnd) {
         let now = self.clock.now();
@@ -232,7 +252,8 @@
         let now = self.clock.now();
         let table = self.table();
         let wanted = |answer: &Answer| !answer.is_abandoned(now);
-        table.attempts.open() == 0 && !table.answers.values().any(wanted)
+        let running = self.gauge.report(0).running > 0;
+        !running && table.attempts.open() == 0 && !table.answers.values().any(wanted)
     }
 
     /// Returns how many attempts or answers are open.
@@ -247,6 +268,7 @@
         let keep = Millis(self.settings.agent.keep_ms);
         let mut table = self.table();
         table.attempts.sweep(now);
+        self.keys.sweep(now);
         table
             .answers
             .retain(|_, answer| answer.ended_at().is_none_or(|at| now.since(at) < keep));
