Prove the request path under kills, freezes, cuts and platform outages

Cause: four promises had code and no proof on processes. Ruled out: sleeping to reach a point of a call; the stand-ins hold calls before and after the run, and a relay holds or cuts a link.

--- /dev/null
+++ b/crates/sardinepin/tests/outcomes/at_most_once.rs
@@ -0,0 +1,201 @@
+//! A keyed call runs at most once.
+
+use std::collections::BTreeSet;
+
+use anyhow::Result;
+use serde_json::json;
+
+use crate::util::*;
+
+async fn bookings() -> Result<sardinepin_standins::fleet::Fleet> {
+    start(app(), 2, 2, json!({"entry": {"settle_ms": 500}})).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_repeat_gets_the_first_answer() -> Result<()> {
+    let fleet = bookings().await?;
+    let first = book(&fleet, 0, "k", "seat").await?;
+    let again = book(&fleet, 1, "k", "seat").await?;
+    assert_eq!((outcome(&first), outcome(&again)), ("answered", "answered"));
+    assert_eq!(first.body, again.body);
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_same_key_at_two_entries_at_once() -> Result<()> {
+    let fleet = bookings().await?;
+    for round in 0..10 {
+        let key = format!("k{round}");
+        let calls: Vec<_> = (0..8).map(|at| start_book(&fleet, at % 2, &key)).collect();
+        let mut bodies = BTreeSet::new();
+        for call in calls {
+            let answer = call.await??;
+            assert_eq!(outcome(&answer), "answered", "{}", fleet.output());
+            bodies.insert(answer.body);
+        }
+        assert_eq!(bodies.len(), 1);
+        assert_eq!(runs(&fleet, &key).await?, 1);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_same_key_with_another_body_is_refused() -> Result<()> {
+    let fleet = bookings().await?;
+    book(&fleet, 0, "k", "seat").await?;
+    let other = book(&fleet, 1, "k", "another seat").await?;
+    assert_eq!(
+        (outcome(&other), reason(&other).as_str()),
+        ("not_run", "key_reused")
+    );
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_agent_killed_during_the_run() -> Result<()> {
+    for hold in ["hold_before", "hold_after"] {
+        let mut fleet = bookings().await?;
+        upstream_faults(&fleet, json!({hold: true})).await?;
+        let call = start_book(&fleet, 0, "k");
+        let at = wait_held(&fleet).await?;
+        fleet.agents[at].child.kill9().await?;
+        let first = call.await??;
+        assert_eq!(outcome(&first), "unknown", "{hold}");
+        release(&fleet).await;
+        // Twice: the repeat lands on the other agent, then on the replacement too.
+        let again = book(&fleet, 1, "k", "seat").await?;
+        assert_eq!(outcome(&again), "unknown", "{hold}");
+        fleet.restart_agent(at).await?;
+        let last = book(&fleet, 0, "k", "seat").await?;
+        assert_eq!(outcome(&last), "unknown", "{hold}");
+        assert!(runs(&fleet, "k").await? <= 1);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_agent_frozen_during_the_run_and_thawed() -> Result<()> {
+    for hold in ["hold_before", "hold_after"] {
+        let fleet = bookings().await?;
+        upstream_faults(&fleet, json!({hold: true})).await?;
+        let call = start_book(&fleet, 0, "k");
+        let at = wait_held(&fleet).await?;
+        fleet.agents[at].child.freeze()?;
+        assert_eq!(outcome(&call.await??), "unknown", "{hold}");
+        let again = book(&fleet, 1, "k", "seat").await?;
+        assert_eq!(outcome(&again), "unknown", "{hold}");
+        fleet.agents[at].child.thaw()?;
+        release(&fleet).await;
+        // The thawed agent has the run's answer, and gives it to repeats.
+        until("a repeat is answered", async || {
+            Ok(outcome(&book(&fleet, 1, "k", "seat").await?) == "answered")
+        })
+        .await?;
+        assert_eq!(runs(&fleet, "k").await?, 1);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_upstream_killed_after_the_run() -> Result<()> {
+    let mut fleet = bookings().await?;
+    upstream_faults(&fleet, json!({"hold_after": true})).await?;
+    let call = start_book(&fleet, 0, "k");
+    let at = wait_held(&fleet).await?;
+    fleet.upstreams[at].kill9().await?;
+    assert_eq!(outcome(&call.await??), "unknown");
+    fleet.restart_upstream(at).await?;
+    release(&fleet).await;
+    let again = book(&fleet, 1, "k", "seat").await?;
+    assert_eq!(outcome(&again), "unknown");
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_answer_outlives_its_agent() -> Result<()> {
+    let mut fleet = bookings().await?;
+    let first = book(&fleet, 0, "k", "seat").await?;
+    until("the answer is written behind the claim", async || {
+        let path = "/v1/objects?prefix=claims/";
+        let listing: sardinepin_platform::Listing =
+            fleet.caller.get(fleet.platform.address(), path).await?;
+        let kept = |value: &Option<String>| {
+            value
+                .as_deref()
+                .is_some_and(|text| text.contains("\"status\""))
+        };
+        Ok(listing.objects.iter().any(|object| kept(&object.value)))
+    })
+    .await?;
+    for agent in &mut fleet.agents {
+        agent.child.kill9().await?;
+    }
+    for at in 0..fleet.agents.len() {
+        fleet.restart_agent(at).await?;
+    }
+    until("a repeat is answered", async || {
+        let again = book(&fleet, 1, "k", "seat").await?;
+        Ok(outcome(&again) == "answered" && again.body == first.body)
+    })
+    .await?;
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_platform_loses_the_answer_to_the_claim() -> Result<()> {
+    let fleet = bookings().await?;
+    fleet
+        .faults(&fleet.platform, &json!({"lose_answers": 1}))
+        .await?;
+    let first = book(&fleet, 0, "k", "seat").await?;
+    assert_eq!(outcome(&first), "answered");
+    let again = book(&fleet, 1, "k", "seat").await?;
+    assert_eq!(again.body, first.body);
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_claims_take_effect_late() -> Result<()> {
+    let fleet = bookings().await?;
+    fleet
+        .faults(&fleet.platform, &json!({"late_writes": 6, "late_ms": 300}))
+        .await?;
+    // Both agents may have a late claim under way; whichever stands, one run follows.
+    for entry in [0, 1] {
+        book(&fleet, entry, "k", "seat").await?;
+    }
+    fleet.faults(&fleet.platform, &json!({})).await?;
+    until("a repeat is answered", async || {
+        Ok(outcome(&book(&fleet, 0, "k", "seat").await?) == "answered")
+    })
+    .await?;
+    let again = book(&fleet, 1, "k", "seat").await?;
+    assert_eq!(outcome(&again), "answered");
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_platform_out_refuses_keyed_calls_only() -> Result<()> {
+    let fleet = bookings().await?;
+    fleet
+        .faults(&fleet.platform, &json!({"down": true}))
+        .await?;
+    let refused = book(&fleet, 0, "k", "seat").await?;
+    assert_eq!(
+        (outcome(&refused), reason(&refused).as_str()),
+        ("not_run", "platform_out")
+    );
+    assert_eq!(runs(&fleet, "k").await?, 0);
+    let plain = status(&fleet, 0).await?;
+    assert_eq!(outcome(&plain), "answered");
+    fleet.faults(&fleet.platform, &json!({})).await?;
+    assert_eq!(outcome(&book(&fleet, 1, "k", "seat").await?), "answered");
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardinepin/tests/outcomes/not_run.rs
@@ -0,0 +1,76 @@
+//! "Not run" is said only of what truly did not run.
+
+use anyhow::Result;
+use serde_json::json;
+
+use crate::util::*;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_agent_without_room_refuses() -> Result<()> {
+    let settings = json!({"agent": {"slots": 1, "queue_max": 1}});
+    let fleet = start(app(), 1, 1, settings).await?;
+    upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    let calls: Vec<_> = (0..6)
+        .map(|at| start_book(&fleet, 0, &format!("k{at}")))
+        .collect();
+    wait_held(&fleet).await?;
+    release(&fleet).await;
+    for (at, call) in calls.into_iter().enumerate() {
+        let answer = call.await??;
+        let expected = u64::from(outcome(&answer) == "answered");
+        assert!(["answered", "not_run"].contains(&outcome(&answer)));
+        assert_eq!(runs(&fleet, &format!("k{at}")).await?, expected);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_attempt_lost_on_the_way_is_settled() -> Result<()> {
+    let fleet = start(app(), 1, 1, json!({})).await?;
+    let relay = relay(&fleet, 0).await?;
+    relay.change(|flow| flow.hold_out = true);
+    let call = start_book(&fleet, 0, "k");
+    // The frame is held at the relay, and lost with the connection.
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    relay.cut();
+    relay.change(|flow| flow.hold_out = false);
+    let answer = call.await??;
+    let expected = u64::from(outcome(&answer) == "answered");
+    assert_ne!(outcome(&answer), "unknown", "{}", fleet.output());
+    assert_eq!(runs(&fleet, "k").await?, expected);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_is_not_said_when_the_agent_cannot_be_asked() -> Result<()> {
+    let fleet = start(app(), 1, 1, json!({"entry": {"settle_ms": 300}})).await?;
+    let relay = relay(&fleet, 0).await?;
+    upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    let call = start_book(&fleet, 0, "k");
+    wait_held(&fleet).await?;
+    relay.change(|flow| flow.refuse = true);
+    relay.cut();
+    assert_eq!(outcome(&call.await??), "unknown");
+    release(&fleet).await;
+    until("the call has run", async || {
+        Ok(runs(&fleet, "k").await? == 1)
+    })
+    .await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_upstream_that_is_down_is_said_so() -> Result<()> {
+    let mut fleet = start(app(), 1, 1, json!({})).await?;
+    fleet.upstreams[0].kill9().await?;
+    let answer = book(&fleet, 0, "k", "seat").await?;
+    assert_eq!(outcome(&answer), "not_run");
+    assert!(!answer.header("retry-after").is_empty());
+    fleet.restart_upstream(0).await?;
+    until("a repeat is answered", async || {
+        Ok(outcome(&book(&fleet, 0, "k", "seat").await?) == "answered")
+    })
+    .await?;
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardinepin/tests/outcomes/shutdown.rs
@@ -0,0 +1,54 @@
+//! A graceful shutdown cuts off no request in flight.
+
+use anyhow::Result;
+use serde_json::json;
+
+use crate::util::*;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_of_an_entry_finishes_what_is_open() -> Result<()> {
+    let mut fleet = start(app(), 1, 1, json!({"stop": {"grace_ms": 50}})).await?;
+    upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    let call = start_book(&fleet, 0, "k");
+    wait_held(&fleet).await?;
+    fleet.entries[0].child.terminate()?;
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    release(&fleet).await;
+    assert_eq!(outcome(&call.await??), "answered");
+    assert!(fleet.entries[0].child.wait_exit().await?.success());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_of_an_agent_finishes_what_is_open() -> Result<()> {
+    let mut fleet = start(app(), 1, 1, json!({})).await?;
+    upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    let call = start_book(&fleet, 0, "k");
+    wait_held(&fleet).await?;
+    fleet.agents[0].child.terminate()?;
+    let refused = book(&fleet, 0, "k2", "seat").await?;
+    assert_eq!(outcome(&refused), "not_run");
+    release(&fleet).await;
+    assert_eq!(outcome(&call.await??), "answered");
+    assert!(fleet.agents[0].child.wait_exit().await?.success());
+    assert_eq!(runs(&fleet, "k2").await?, 0);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_at_once_says_what_it_cut() -> Result<()> {
+    let mut fleet = start(app(), 1, 1, json!({"stop": {"grace_ms": 50}})).await?;
+    upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    let call = start_book(&fleet, 0, "k");
+    wait_held(&fleet).await?;
+    fleet.entries[0].child.terminate()?;
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    fleet.entries[0].child.terminate()?;
+    assert!(!fleet.entries[0].child.wait_exit().await?.success());
+    until("the log says what was cut", async || {
+        Ok(fleet.entries[0].child.output().contains("\"cut\""))
+    })
+    .await?;
+    assert!(call.await?.is_err());
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardinepin/tests/outcomes/util.rs
@@ -0,0 +1,237 @@
+//! Deployments and calls for the proofs of the request path.
+
+use anyhow::{Result, bail};
+use bytes::Bytes;
+use http::Method;
+use sardinepin_common::{Clock, Millis};
+use sardinepin_config::{Service, ServiceKind, Upstream};
+use sardinepin_standins::fleet::{Child, Deployment, Fleet, Plan};
+use sardinepin_standins::http::{Answer, Caller};
+use sardinepin_standins::plain::Counts;
+use sardinepin_standins::relay::Relay;
+use serde_json::{Value, json};
+
+/// How long a condition may take to hold before the test fails.
+pub(crate) const PATIENCE: Millis = Millis(60_000);
+
+/// The time between two looks at a condition.
+const POLL: Millis = Millis(10);
+
+/// The plain service, whose calls under `/book` are keyed.
+pub(crate) fn app() -> Service {
+    Service {
+        name: "app".to_owned(),
+        paths: vec!["/".to_owned()],
+        keyed_paths: vec!["/book".to_owned()],
+        deadline_ms: 20_000,
+        ..Service::default()
+    }
+}
+
+/// The model service.
+pub(crate) fn llm() -> Service {
+    Service {
+        name: "llm".to_owned(),
+        kind: ServiceKind::Model,
+        paths: vec!["/v1/chat/completions".to_owned()],
+        models: vec!["m".to_owned()],
+        deadline_ms: 60_000,
+        ..Service::default()
+    }
+}
+
+/// Starts `entries` entries before `upstreams` upstreams of a service, and waits until all serve.
+pub(crate) async fn start(
+    service: Service,
+    upstreams: usize,
+    entries: usize,
+    settings: Value,
+) -> Result<Fleet> {
+    let is_model = service.kind == ServiceKind::Model;
+    let fleet = Fleet::start(Plan {
+        deployment: Deployment::default().with_service(service, upstreams, &["zone-a"]),
+        entries,
+        journals: true,
+        settings,
+        ..Plan::default()
+    })
+    .await?;
+    if !is_model {
+        wait_served(&fleet).await?;
+    }
+    wait_links(&fleet).await?;
+    Ok(fleet)
+}
+
+/// Waits until every entry has a link to every agent.
+pub(crate) async fn wait_links(fleet: &Fleet) -> Result<()> {
+    for entry in &fleet.entries {
+        let wanted = fleet.agents.len();
+        until("every link is up", async || {
+            Ok(entry.child.output().matches("\"link_up\"").count() >= wanted)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+async fn wait_served(fleet: &Fleet) -> Result<()> {
+    for entry in &fleet.entries {
+        until("an entry serves", async || {
+            let call = fleet.caller.call(
+                Method::GET,
+                entry.address(),
+                "/warm",
+                &[("x-organisation", "warm")],
+                Bytes::new(),
+            );
+            Ok(call.await?.status.is_success())
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Looks again and again until `holds` returns true; fails after [`PATIENCE`].
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> Result<bool>) -> Result<()> {
+    let clock = Clock::start();
+    while clock.now() < PATIENCE {
+        if holds().await? {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL.duration()).await;
+    }
+    bail!("in vain: {what}")
+}
+
+/// Books with an idempotency key at one entry.
+pub(crate) async fn book(fleet: &Fleet, entry: usize, key: &str, body: &str) -> Result<Answer> {
+    call_book(&fleet.caller, fleet.entries[entry].address(), key, body).await
+}
+
+/// Books through a caller of its own, so that it can go on beside the test.
+pub(crate) async fn call_book(
+    caller: &Caller,
+    entry: std::net::SocketAddr,
+    key: &str,
+    body: &str,
+) -> Result<Answer> {
+    let headers = [("x-organisation", "o1"), ("idempotency-key", key)];
+    let body = Bytes::from(body.to_owned());
+    caller
+        .call(Method::POST, entry, "/book", &headers, body)
+        .await
+}
+
+/// Makes a call that needs no key at one entry.
+pub(crate) async fn status(fleet: &Fleet, entry: usize) -> Result<Answer> {
+    let headers = [("x-organisation", "o1")];
+    let address = fleet.entries[entry].address();
+    fleet
+        .caller
+        .call(Method::GET, address, "/status", &headers, Bytes::new())
+        .await
+}
+
+/// Starts a booking that goes on beside the test.
+pub(crate) fn start_book(
+    fleet: &Fleet,
+    entry: usize,
+    key: &str,
+) -> tokio::task::JoinHandle<Result<Answer>> {
+    let caller = fleet.caller.clone();
+    let address = fleet.entries[entry].address();
+    let key = key.to_owned();
+    tokio::spawn(async move { call_book(&caller, address, &key, "seat").await })
+}
+
+/// Returns what an answer says of the run.
+pub(crate) fn outcome(answer: &Answer) -> &str {
+    answer.header("x-sardinepin-outcome")
+}
+
+/// Returns the reason in a problem answer.
+pub(crate) fn reason(answer: &Answer) -> String {
+    let problem: Value = answer.json().unwrap_or_default();
+    let kind = problem["type"].as_str().unwrap_or_default();
+    kind.trim_start_matches("urn:sardinepin:").to_owned()
+}
+
+/// Returns the counts of one upstream.
+pub(crate) async fn counts(fleet: &Fleet, at: usize) -> Result<Counts> {
+    fleet
+        .caller
+        .get(fleet.upstreams[at].address(), "/counts")
+        .await
+}
+
+/// Returns how often a key has run at all upstreams together.
+pub(crate) async fn runs(fleet: &Fleet, key: &str) -> Result<u64> {
+    let mut runs = 0;
+    for at in 0..fleet.upstreams.len() {
+        runs += counts(fleet, at)
+            .await?
+            .runs
+            .get(key)
+            .copied()
+            .unwrap_or_default();
+    }
+    Ok(runs)
+}
+
+/// Sets the same faults at every upstream.
+pub(crate) async fn upstream_faults(fleet: &Fleet, faults: Value) -> Result<()> {
+    for upstream in &fleet.upstreams {
+        fleet.faults(upstream, &faults).await?;
+    }
+    Ok(())
+}
+
+/// Waits until a call is held at one upstream, and returns which.
+pub(crate) async fn wait_held(fleet: &Fleet) -> Result<usize> {
+    let clock = Clock::start();
+    while clock.now() < PATIENCE {
+        for at in 0..fleet.upstreams.len() {
+            let counts = counts(fleet, at).await?;
+            if counts.held_before + counts.held_after > 0 {
+                return Ok(at);
+            }
+        }
+        tokio::time::sleep(POLL.duration()).await;
+    }
+    bail!("in vain: a call is held\n{}", fleet.output())
+}
+
+/// Lets held calls go on, at every upstream that lives.
+pub(crate) async fn release(fleet: &Fleet) {
+    for upstream in &fleet.upstreams {
+        let _ = fleet
+            .caller
+            .post(upstream.address(), "/release", &json!({}))
+            .await;
+    }
+}
+
+/// Puts a relay before the agent of an upstream, and waits until every entry links through it.
+pub(crate) async fn relay(fleet: &Fleet, at: usize) -> Result<Relay> {
+    let relay = Relay::start(fleet.agents[at].address()).await?;
+    let upstream = fleet.deployment.upstreams[at].clone();
+    let before = links_up(fleet);
+    let moved = Upstream {
+        address: relay.address().to_string(),
+        ..upstream.clone()
+    };
+    fleet
+        .put_config("upstreams", &upstream.name, &moved)
+        .await?;
+    until("every entry links through the relay", async || {
+        Ok(links_up(fleet) >= before + fleet.entries.len())
+    })
+    .await?;
+    Ok(relay)
+}
+
+fn links_up(fleet: &Fleet) -> usize {
+    let ups = |child: &Child| child.output().matches("\"link_up\"").count();
+    fleet.entries.iter().map(|entry| ups(&entry.child)).sum()
+}
--- /dev/null
+++ b/crates/sardinepin/tests/outcomes/whole_answer.rs
@@ -0,0 +1,150 @@
+//! A caller gets the whole answer to its own request, or an explicit error.
+
+use anyhow::Result;
+use bytes::Bytes;
+use http::Method;
+use http_body_util::BodyExt;
+use sardinepin_standins::fleet::Fleet;
+use sardinepin_standins::tokens;
+use serde_json::{Value, json};
+
+use crate::util::*;
+
+const TOKENS: u64 = 200;
+
+/// Starts a streamed chat completion.
+async fn chat(fleet: &Fleet, prompt: &str) -> Result<hyper::Response<hyper::body::Incoming>> {
+    let body = json!({
+        "model": "m",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": TOKENS,
+        "stream": true,
+    });
+    fleet
+        .caller
+        .open(
+            Method::POST,
+            fleet.entries[0].address(),
+            "/v1/chat/completions",
+            &[("x-organisation", "o1")],
+            Bytes::from(body.to_string()),
+        )
+        .await
+}
+
+/// Reads a stream to its end; after `pause_at` bytes, `pause` is run.
+async fn read(
+    response: hyper::Response<hyper::body::Incoming>,
+    pause: impl AsyncFnOnce() -> Result<()>,
+) -> Result<String> {
+    let mut body = response.into_body();
+    let mut text = Vec::new();
+    let mut pause = Some(pause);
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            text.extend_from_slice(&data);
+        }
+        if text.len() > 500
+            && let Some(pause) = pause.take()
+        {
+            pause().await?;
+        }
+    }
+    Ok(String::from_utf8(text)?)
+}
+
+/// Returns the text that a stream bears, and whether it ended with its mark.
+fn content(stream: &str) -> (String, bool) {
+    let mut content = String::new();
+    for line in stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+    {
+        let chunk: Value = serde_json::from_str(line).unwrap_or_default();
+        if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
+            content.push_str(text);
+        }
+    }
+    (content, stream.contains("data: [DONE]"))
+}
+
+fn expected(prompt: &str) -> String {
+    let messages = json!([{"role": "user", "content": prompt}]);
+    tokens::answer(tokens::prompt_digest(&messages), TOKENS)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_streams_over_a_link_that_is_cut_twice() -> Result<()> {
+    let fleet = start(llm(), 1, 1, json!({})).await?;
+    let relay = relay(&fleet, 0).await?;
+    let response = chat(&fleet, "first").await?;
+    let text = read(response, async || {
+        relay.cut();
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        relay.cut();
+        Ok(())
+    })
+    .await?;
+    assert_eq!(
+        content(&text),
+        (expected("first"), true),
+        "{}",
+        fleet.output()
+    );
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_goes_on_at_another_upstream() -> Result<()> {
+    for victim in ["upstream", "agent"] {
+        let mut fleet = start(llm(), 2, 1, json!({"entry": {"settle_ms": 300}})).await?;
+        let response = chat(&fleet, victim).await?;
+        let text = read(response, async || {
+            let at = busy(&fleet).await?;
+            match victim {
+                "upstream" => fleet.upstreams[at].kill9().await,
+                _ => fleet.agents[at].child.kill9().await,
+            }
+        })
+        .await?;
+        assert_eq!(content(&text), (expected(victim), true), "{victim}");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_that_cannot_go_on_ends_in_an_error_event() -> Result<()> {
+    let mut fleet = start(llm(), 1, 1, json!({})).await?;
+    let response = chat(&fleet, "alone").await?;
+    let text = read(response, async || fleet.upstreams[0].kill9().await).await?;
+    let (content, done) = content(&text);
+    assert!(!done);
+    assert!(expected("alone").starts_with(&content));
+    assert!(text.contains("event: error"), "{text}");
+    assert!(text.contains("\"outcome\":\"unknown\""), "{text}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_of_a_plain_service_is_never_cut_in_silence() -> Result<()> {
+    let fleet = start(app(), 1, 1, json!({})).await?;
+    upstream_faults(&fleet, json!({"break_after": 20})).await?;
+    let answer = book(&fleet, 0, "k", "seat").await?;
+    assert_eq!(outcome(&answer), "unknown");
+    assert_eq!(answer.status, 502);
+    Ok(())
+}
+
+/// Returns the upstream whose engine has work.
+async fn busy(fleet: &Fleet) -> Result<usize> {
+    for at in 0..fleet.upstreams.len() {
+        let load: Value = fleet
+            .caller
+            .get(fleet.upstreams[at].address(), "/load")
+            .await?;
+        if load["running"].as_u64().unwrap_or_default() > 0 {
+            return Ok(at);
+        }
+    }
+    anyhow::bail!("no engine has work")
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod plain;
 pub mod platform;
+pub mod relay;
 pub mod tokens;
 
 mod query;
--- /dev/null
+++ b/standins/src/relay.rs
@@ -0,0 +1,106 @@
+//! A relay of TCP connections that can be cut or held, in the process of the test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Result;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// The size of a read, in bytes.
+const READ_LEN: usize = 16 * 1024;
+
+/// What the relay does with bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Flow {
+    /// Bytes towards the target are held.
+    pub hold_out: bool,
+    /// Bytes from the target are held.
+    pub hold_back: bool,
+    /// New connections are closed at once.
+    pub refuse: bool,
+    /// Connections of an earlier number than this are closed; bytes held for them are lost.
+    pub cut: u64,
+}
+
+/// A relay to one address.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    flow: Arc<watch::Sender<Flow>>,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on an ephemeral port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot listen.
+    pub async fn start(target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let flow = Arc::new(watch::Sender::new(Flow::default()));
+        tokio::spawn(accept(listener, target, Arc::clone(&flow)));
+        Ok(Self { address, flow })
+    }
+
+    /// Returns the relay's own address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the relay does.
+    pub fn change(&self, change: impl FnOnce(&mut Flow)) {
+        self.flow.send_modify(change);
+    }
+
+    /// Closes every open connection; what is held is lost.
+    pub fn cut(&self) {
+        self.change(|flow| flow.cut += 1);
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, flow: Arc<watch::Sender<Flow>>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let mut watched = flow.subscribe();
+        if watched.borrow_and_update().refuse {
+            continue;
+        }
+        tokio::spawn(connect(near, target, watched));
+    }
+}
+
+async fn connect(near: TcpStream, target: SocketAddr, flow: watch::Receiver<Flow>) {
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    let number = flow.borrow().cut;
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let mut cut = flow.clone();
+    tokio::select! {
+        _ = pump(near_read, far_write, flow.clone(), |flow| flow.hold_out) => {}
+        _ = pump(far_read, near_write, flow, |flow| flow.hold_back) => {}
+        _ = cut.wait_for(|flow| flow.cut > number) => {}
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut flow: watch::Receiver<Flow>,
+    held: impl Fn(&Flow) -> bool,
+) -> Result<()> {
+    let mut buffer = vec![0; READ_LEN];
+    loop {
+        let len = from.read(&mut buffer).await?;
+        if len == 0 {
+            return Ok(());
+        }
+        flow.wait_for(|flow| !held(flow)).await?;
+        to.write_all(&buffer[..len]).await?;
+    }
+}
