Check settings, rule lists and deployment files offline, with samples of both deployments

Cause: a fault in a file should be seen before it reaches an instance, with file, line, field and what is allowed. Ruled out: one subcommand a file type, since the fields tell files apart; stopping at the first fault. Change: check with exit codes 0 and 2; deployment files that hold services, upstreams, organisations, groups and rules; sample_configs for both deployments.

--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -1,6 +1,7 @@
 //! The load balancer: its settings and the roles of its one binary.
 
 pub mod agent;
+pub mod check;
 pub mod entry;
 pub mod logs;
 pub mod options;
--- a/crates/sardinepin/src/options.rs
+++ b/crates/sardinepin/src/options.rs
@@ -1,13 +1,13 @@
 //! Arguments and settings, apart from what the roles do with them.
 
 mod arguments;
-mod document;
+pub(crate) mod document;
 mod faults;
-mod fields;
+pub(crate) mod fields;
 mod load;
 mod locate;
 mod settings;
-mod validate;
+pub(crate) mod validate;
 
 pub use arguments::{Invocation, RoleArguments, command, parse_arguments};
 pub use faults::{FileFault, FileFaults};
--- a/crates/sardinepin/src/options/document.rs
+++ b/crates/sardinepin/src/options/document.rs
@@ -39,10 +39,9 @@
             };
             let steps = steps_of_path(error.path());
             let field = path_of(&taken.original(&steps));
-            let message = message_of(&error.into_inner().to_string(), allowed(&field));
-            // A field that is missing only because a fault inside was taken out is no news.
-            if faults.iter().all(|fault| !fault.field.starts_with(&field)) {
-                faults.push(self.fault(&field, message));
+            let error = error.into_inner().to_string();
+            if !taken.explains(&field, &error) {
+                faults.push(self.fault(&field, message_of(&error, allowed(&field))));
             }
             if faults.len() == FAULTS_MAX || !taken.take_out(&mut value, &steps) {
                 return Err(FileFaults::sorted(faults));
@@ -99,10 +98,10 @@
     }
 }
 
-/// The items that were taken out of lists, so that those behind them keep their numbers.
+/// The fields that were taken out, by their places in the document as it was.
 #[derive(Debug, Default)]
 struct Taken {
-    items: Vec<Vec<Step>>,
+    paths: Vec<Vec<Step>>,
 }
 
 impl Taken {
@@ -121,7 +120,7 @@
 
     fn original_item(&self, list: &[Step], at: usize) -> usize {
         let mut gone: Vec<usize> = self
-            .items
+            .paths
             .iter()
             .filter_map(|path| match path.split_last() {
                 Some((Step::Item(gone), around)) if around == list => Some(*gone),
@@ -133,12 +132,23 @@
             .fold(at, |at, gone| if gone <= at { at + 1 } else { at })
     }
 
+    /// Says whether `error` only misses, in the mapping at `field`, what was taken out.
+    fn explains(&self, field: &str, error: &str) -> bool {
+        let missed = error
+            .strip_prefix("missing field `")
+            .and_then(|rest| rest.strip_suffix('`'));
+        missed.is_some_and(|missed| {
+            let full = format!("{field}.{missed}");
+            self.paths.iter().any(|path| path_of(path) == full)
+        })
+    }
+
     /// Removes the field at `steps`, so that the rest can be read; says whether it was there.
     fn take_out(&mut self, value: &mut Value, steps: &[Step]) -> bool {
         let original = self.original(steps);
         let removed = remove(value, steps);
-        if removed && matches!(steps.last(), Some(Step::Item(_))) {
-            self.items.push(original);
+        if removed {
+            self.paths.push(original);
         }
         removed
     }
--- a/crates/sardinepin/src/options/fields.rs
+++ b/crates/sardinepin/src/options/fields.rs
@@ -132,10 +132,15 @@
 /// The levels of the log, least talkative first.
 pub(crate) const LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
 
-/// Returns what the field at `path` allows; list positions such as `[3]` count as `[]`.
+/// Returns what the field at `path` of the settings allows.
 pub(crate) fn allowed_at(path: &str) -> Option<Allowed> {
+    find_allowed(FIELDS, path)
+}
+
+/// Returns what the field at `path` allows by `table`; list positions such as `[3]` count as `[]`.
+pub(crate) fn find_allowed(table: &[FieldRule], path: &str) -> Option<Allowed> {
     let pattern = pattern_of(path);
-    FIELDS
+    table
         .iter()
         .find(|rule| rule.path == pattern)
         .map(|rule| rule.allowed)
--- a/crates/sardinepin/src/options/load.rs
+++ b/crates/sardinepin/src/options/load.rs
@@ -4,7 +4,7 @@
 
 use super::document::Document;
 use super::faults::FileFaults;
-use super::fields::allowed_at;
+use super::fields::{FIELDS, allowed_at};
 use super::settings::Settings;
 use super::validate::{contradictions, table_faults};
 
@@ -27,7 +27,7 @@
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, FileFaults> {
     let document = Document { file, text };
     let (settings, mut faults): (Settings, _) = document.read(allowed_at)?;
-    let mut found = table_faults(&settings);
+    let mut found = table_faults(&settings, FIELDS);
     // What could not be read stands at its default, so contradictions would be made up.
     if faults.is_empty() {
         found.extend(contradictions(&settings));
--- a/crates/sardinepin/src/options/validate.rs
+++ b/crates/sardinepin/src/options/validate.rs
@@ -4,9 +4,10 @@
 
 use http::HeaderName;
 use sardinepin_common::Map;
+use serde::Serialize;
 use serde_yaml_ng::Value;
 
-use super::fields::{Allowed, FIELDS, REQUEST_MAX};
+use super::fields::{Allowed, FieldRule, REQUEST_MAX};
 use super::locate::{Step, steps_of};
 use super::settings::Settings;
 
@@ -22,13 +23,13 @@
     found
 }
 
-/// Checks every field by its row of the table.
-pub(crate) fn table_faults(settings: &Settings) -> Vec<Found> {
-    let Ok(value) = serde_yaml_ng::to_value(settings) else {
+/// Checks every field of `document` by its row of the table.
+pub(crate) fn table_faults<T: Serialize>(document: &T, table: &[FieldRule]) -> Vec<Found> {
+    let Ok(value) = serde_yaml_ng::to_value(document) else {
         return Vec::new();
     };
     let mut found = Vec::new();
-    for rule in FIELDS {
+    for rule in table {
         for (path, value) in values_at(&value, rule.path) {
             found.extend(wrong_with(value, rule.allowed).map(|message| (path, message)));
         }
@@ -38,20 +39,30 @@
 
 /// Returns the values at a path of the table; `[]` stands for every item of a list.
 fn values_at<'a>(root: &'a Value, pattern: &str) -> Vec<(String, &'a Value)> {
-    let Some((list, rest)) = pattern.split_once("[]") else {
-        return at_steps(root, &steps_of(pattern))
-            .map(|value| (pattern.to_owned(), value))
+    let mut found = vec![(String::new(), root)];
+    for (part, list) in pattern.split("[]").zip(0_usize..) {
+        found = found
             .into_iter()
+            .flat_map(|(path, value)| items_of(path, value, list > 0))
+            .filter_map(|(path, value)| {
+                at_steps(value, &steps_of(part)).map(|inner| (path + part, inner))
+            })
             .collect();
-    };
-    let items = at_steps(root, &steps_of(list)).and_then(Value::as_sequence);
-    items
+    }
+    found
+}
+
+/// Returns the items of a list, or the value itself if no list is meant.
+fn items_of(path: String, value: &Value, list: bool) -> Vec<(String, &Value)> {
+    if !list {
+        return vec![(path, value)];
+    }
+    value
+        .as_sequence()
         .into_iter()
         .flatten()
         .enumerate()
-        .filter_map(|(at, item)| {
-            at_steps(item, &steps_of(rest)).map(|value| (format!("{list}[{at}]{rest}"), value))
-        })
+        .map(|(at, item)| (format!("{path}[{at}]"), item))
         .collect()
 }
 
--- /dev/null
+++ b/crates/sardinepin/tests/integration/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the package as its users see it.
+
+// Helpers outside the test functions unwrap too.
+#![allow(clippy::unwrap_used)]
+
+mod samples;
