--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod agent;
 pub mod check;
 pub mod entry;
+mod link;
 pub mod logs;
 pub mod options;
+mod stop;
 pub mod telemetry;
