--- a/crates/sardinepin/src/entry.rs
+++ b/crates/sardinepin/src/entry.rs
@@ -10,16 +10,15 @@
 mod server;
 mod sse;
 mod uplink;
+mod watcher;
 
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use anyhow::Context;
 use sardinepin_common::Clock;
-use sardinepin_config::Snapshot;
 use sardinepin_protocol::Role;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
 use crate::entry::core::Core;
 use crate::entry::links::Links;
@@ -42,7 +41,7 @@
     let clock = Clock::start();
     let identity = Identity::new(Role::Entry, &settings.name, &settings.zone);
 
-    let snapshot = snapshots(&settings);
+    let snapshot = watcher::start(&settings.platform);
     let core = Core::start(&settings, &identity, clock);
     let links = Links::start(identity.clone(), core.clone(), snapshot.clone());
     let entry = Arc::new(Entry::new(settings, identity, clock, core, links, snapshot));
@@ -53,7 +52,10 @@
     log::info!(event = "leaving"; "not ready; new requests are still taken for a while");
     entry.leave();
     let drained = async {
-        tokio::time::sleep(std::time::Duration::from_millis(entry.settings.stop.grace_ms)).await;
+        tokio::time::sleep(std::time::Duration::from_millis(
+            entry.settings.stop.grace_ms,
+        ))
+        .await;
         entry.close();
         let _ = server.await;
     };
--- a/crates/sardinepin/src/entry/core.rs
+++ b/crates/sardinepin/src/entry/core.rs
@@ -1,18 +1,23 @@
 //! The one loop that owns the balancer: every decision of an entry passes through it.
 
 use sardinepin_common::{Clock, Map, Millis};
-use sardinepin_decisions::{Arrival, Balancer, Effect, Event, Settings as BalancerSettings, Ticket, UpstreamId};
+use sardinepin_decisions::{
+    Arrival, Balancer, Effect, Event, Settings as BalancerSettings, Ticket, UpstreamId,
+};
 use sardinepin_protocol::ErrorKind;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::link::Identity;
 use crate::options::Settings;
+use crate::telemetry::count_retry;
 
 /// What the balancer orders for one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Order {
     /// Send it to an upstream.
     Send(UpstreamId),
+    /// Take it away from the upstream that it waits on.
+    Withdraw,
     /// Give the caller its final answer.
     GiveUp {
         /// The reason.
@@ -29,8 +34,6 @@
     Arrived(Arrival, mpsc::UnboundedSender<Order>),
     /// Something else happened.
     Event(Event),
-    /// Somebody asks for what the balancer knows.
-    Ask(oneshot::Sender<usize>),
 }
 
 /// The way to the loop.
@@ -44,6 +47,7 @@
     pub(crate) fn start(settings: &Settings, identity: &Identity, clock: Clock) -> Self {
         let (inputs, receiver) = mpsc::unbounded_channel();
         let balancer = Balancer::new(BalancerSettings {
+            policy: settings.entry.policy.parse().unwrap_or_default(),
             zone: settings.zone.clone(),
             seed: identity.incarnation.0,
             attempts_max: settings.entry.attempts_max,
@@ -69,13 +73,6 @@
     pub(crate) fn tell(&self, event: Event) {
         let _ = self.inputs.send(Input::Event(event));
     }
-
-    /// Returns how many requests the loop holds.
-    pub(crate) async fn requests(&self) -> usize {
-        let (sender, receiver) = oneshot::channel();
-        let _ = self.inputs.send(Input::Ask(sender));
-        receiver.await.unwrap_or_default()
-    }
 }
 
 #[derive(Debug)]
@@ -114,9 +111,6 @@
                     self.orders.remove(&ticket);
                 }
             }
-            Input::Ask(answer) => {
-                let _ = answer.send(self.orders.len());
-            }
         }
     }
 
@@ -129,13 +123,25 @@
         self.effects = effects;
     }
 
+    fn order(&self, ticket: Ticket, order: Order) {
+        if let Some(orders) = self.orders.get(&ticket) {
+            let _ = orders.send(order);
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Send { ticket, upstream } => {
-                if let Some(orders) = self.orders.get(&ticket) {
-                    let _ = orders.send(Order::Send(upstream));
+            Effect::Send {
+                ticket,
+                upstream,
+                retry,
+            } => {
+                if let Some(kind) = retry {
+                    count_retry(kind);
                 }
+                self.order(ticket, Order::Send(upstream));
             }
+            Effect::Withdraw { ticket, .. } => self.order(ticket, Order::Withdraw),
             Effect::GiveUp {
                 ticket,
                 kind,
--- a/crates/sardinepin/src/entry/flight.rs
+++ b/crates/sardinepin/src/entry/flight.rs
@@ -51,7 +51,13 @@
     /// Enters an attempt that is about to be queued.
     pub(crate) fn enter(&self, id: AttemptId) -> mpsc::UnboundedReceiver<FromLink> {
         let (sender, receiver) = mpsc::unbounded_channel();
-        self.open().insert(id, Flight { sender, sent: false });
+        self.open().insert(
+            id,
+            Flight {
+                sender,
+                sent: false,
+            },
+        );
         receiver
     }
 
@@ -81,7 +87,11 @@
     /// Tells every attempt that the link was lost; those that were not written leave.
     pub(crate) fn lose(&self) {
         self.open().retain(|_, flight| {
-            let message = if flight.sent { FromLink::Lost } else { FromLink::Unsent };
+            let message = if flight.sent {
+                FromLink::Lost
+            } else {
+                FromLink::Unsent
+            };
             let _ = flight.sender.send(message);
             flight.sent
         });
@@ -94,6 +104,11 @@
         }
     }
 
+    /// Returns whether nothing is under way.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.open().is_empty()
+    }
+
     /// Returns whether an attempt waits for its agent.
     pub(crate) fn any_sent(&self) -> bool {
         self.open().values().any(|flight| flight.sent)
--- a/crates/sardinepin/src/entry/links.rs
+++ b/crates/sardinepin/src/entry/links.rs
@@ -5,7 +5,7 @@
 
 use sardinepin_common::Map;
 use sardinepin_config::Snapshot;
-use sardinepin_decisions::{Event, UpstreamId, UpstreamInfo};
+use sardinepin_decisions::{Event, ServiceInfo, UpstreamId, UpstreamInfo};
 use sardinepin_protocol::UpstreamState;
 use tokio::sync::watch;
 
@@ -22,7 +22,11 @@
 
 impl Links {
     /// Starts following the configuration.
-    pub(crate) fn start(identity: Identity, core: Core, snapshot: watch::Receiver<Arc<Snapshot>>) -> Self {
+    pub(crate) fn start(
+        identity: Identity,
+        core: Core,
+        snapshot: watch::Receiver<Arc<Snapshot>>,
+    ) -> Self {
         let links = Self {
             open: Arc::default(),
         };
@@ -67,7 +71,12 @@
         let infos = self.directory.infos(snapshot);
         // The balancer learns of an upstream before its link can come up.
         self.core.tell(Event::Upstreams(infos.clone()));
-        let mut open = self.links.open.write().unwrap_or_else(PoisonError::into_inner);
+        self.core.tell(Event::Services(services(snapshot)));
+        let mut open = self
+            .links
+            .open
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         let mut wanted: Map<UpstreamId, SocketAddr> = Map::default();
         for info in &infos {
             if let Some(address) = address_of(snapshot, info) {
@@ -77,13 +86,14 @@
         open.retain(|id, link| {
             let keep = wanted.get(id) == Some(&link.address());
             if !keep {
-                link.close();
+                link.close_when_idle();
             }
             keep
         });
         for (id, address) in wanted {
-            open.entry(id)
-                .or_insert_with(|| Uplink::start(id, address, self.identity.clone(), self.core.clone()));
+            open.entry(id).or_insert_with(|| {
+                Uplink::start(id, address, self.identity.clone(), self.core.clone())
+            });
         }
     }
 }
@@ -95,3 +105,13 @@
     }
     snapshot.upstream(&info.name)?.address.parse().ok()
 }
+
+fn services(snapshot: &Snapshot) -> Vec<ServiceInfo> {
+    snapshot
+        .services()
+        .map(|service| ServiceInfo {
+            name: Arc::from(service.name.as_str()),
+            retry_milli: service.retry_milli,
+        })
+        .collect()
+}
--- a/crates/sardinepin/src/entry/uplink.rs
+++ b/crates/sardinepin/src/entry/uplink.rs
@@ -47,7 +47,12 @@
 
 impl Uplink {
     /// Starts connecting to the agent at `address`.
-    pub(crate) fn start(upstream: UpstreamId, address: SocketAddr, identity: Identity, core: Core) -> Self {
+    pub(crate) fn start(
+        upstream: UpstreamId,
+        address: SocketAddr,
+        identity: Identity,
+        core: Core,
+    ) -> Self {
         let (commands, receiver) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared {
             upstream,
@@ -68,14 +73,27 @@
         self.shared.address
     }
 
-    /// Ends the link for good.
-    pub(crate) fn close(&self) {
-        self.shared.closed.cancel();
+    /// Ends the link for good, once nothing is under way on it.
+    pub(crate) fn close_when_idle(&self) {
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            while !shared.flights.is_empty() {
+                tokio::time::sleep(SILENCE_POLL.duration()).await;
+            }
+            shared.closed.cancel();
+        });
     }
 
     /// Queues an attempt; `None` if the link is down, so that no byte of it leaves.
-    pub(crate) fn run(&self, attempt: Attempt) -> Option<(Incarnation, mpsc::UnboundedReceiver<FromLink>)> {
-        let agent = *self.shared.agent.lock().unwrap_or_else(PoisonError::into_inner);
+    pub(crate) fn run(
+        &self,
+        attempt: Attempt,
+    ) -> Option<(Incarnation, mpsc::UnboundedReceiver<FromLink>)> {
+        let agent = *self
+            .shared
+            .agent
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let agent = agent?;
         let receiver = self.shared.flights.enter(attempt.id);
         let _ = self.commands.send(ToAgent::Run(Box::new(attempt)));
@@ -149,7 +167,9 @@
 
 impl Heard {
     fn new(now: Millis) -> Self {
-        Self { at: Mutex::new(now) }
+        Self {
+            at: Mutex::new(now),
+        }
     }
 
     fn set(&self, now: Millis) {
@@ -201,7 +221,10 @@
         let Some(frame) = frame else {
             return shared.closed.cancelled().await;
         };
-        if write_waiting(shared, commands, &mut writer, frame).await.is_err() {
+        if write_waiting(shared, commands, &mut writer, frame)
+            .await
+            .is_err()
+        {
             return;
         }
     }
@@ -266,12 +289,19 @@
         match frame {
             ToEntry::Refused { id, kind, retry_ms } => {
                 let retry_after = Millis(u64::from(retry_ms));
-                self.flights.hand(id, FromLink::Refused { kind, retry_after });
+                self.flights
+                    .hand(id, FromLink::Refused { kind, retry_after });
             }
-            ToEntry::Head { id, status, headers } => {
+            ToEntry::Head {
+                id,
+                status,
+                headers,
+            } => {
                 self.flights.hand(id, FromLink::Head { status, headers });
             }
-            ToEntry::Chunk { id, seq, data } => self.flights.hand(id, FromLink::Chunk { seq, data }),
+            ToEntry::Chunk { id, seq, data } => {
+                self.flights.hand(id, FromLink::Chunk { seq, data })
+            }
             ToEntry::End { id, chunks } => self.flights.hand(id, FromLink::End { chunks }),
             ToEntry::Broken { id, kind } => self.flights.hand(id, FromLink::Broken(kind)),
             ToEntry::Settled { id, state } => self.flights.hand(id, FromLink::Settled(state)),
