Serve the administration API over the platform's store

Cause: operators change rules and upstreams while traffic flows, two at a time and with a platform that loses answers. Ruled out: unconditional writes, since two edits would overwrite each other; reading back only the value after a lost answer, since another's equal write would pass for one's own (write ids settle it); tokens kept from the start of the process, since a rotation would need a restart. Conclusion: the entry plugs in by implementing Live and calling admin::serve.

--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -150,6 +150,10 @@
     AnswerGone => 502, Unknown, Never, "answer_gone", "The answer to this key is no longer kept";
     /// A fault in this program.
     Internal => 500, Unknown, Never, "internal", "Internal error";
+    /// An operator names an object, or calls a path, that is not there.
+    NotFound => 404, NotRun, Never, "not_found", "There is nothing of that name";
+    /// The platform did not say whether an operator's change took effect.
+    Unsettled => 504, Unknown, Later, "unsettled", "The platform did not confirm the change";
 }
 
 impl fmt::Display for ErrorKind {
--- /dev/null
+++ b/crates/sardinepin/src/admin.rs
@@ -0,0 +1,26 @@
+//! The administration API: health and metrics for all, changes for operators with a token.
+
+mod access;
+mod answers;
+mod apply;
+mod backend;
+mod calls;
+mod explain;
+mod problem;
+mod routes;
+mod server;
+mod store_backend;
+mod views;
+
+pub use access::Access;
+pub use backend::{Backend, Health, Live, Reply, UpstreamLoad};
+pub use problem::{Problem, ProblemBody};
+pub use server::{Admin, serve};
+pub use store_backend::{Node, StoreBackend};
+pub use views::{
+    AppliedView, GroupView, LoadView, MatchView, NodeView, QuarantineView, RulesView, StatusView,
+    TestAnswer, TestRequest, UpstreamView, WrittenView,
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sardinepin/src/admin/tests.rs
@@ -0,0 +1,36 @@
+//! Tests of the tables behind the administration API.
+
+use http::Method;
+use sardinepin_protocol::UpstreamState;
+
+use super::access::{Access, Tokens};
+use super::routes::{Call, Route, route};
+
+#[test]
+fn tokens_are_read_by_line_and_faulty_lines_left_out() {
+    let tokens = Tokens::parse(
+        "# comment\n\nread-only 0123456789abcdef\n operator\t0123456789abcdeg \nowner 0123456789abcdeh\noperator short\n",
+    );
+    assert_eq!(tokens.access("0123456789abcdef"), Some(Access::ReadOnly));
+    assert_eq!(tokens.access("0123456789abcdeg"), Some(Access::Operator));
+    assert_eq!(tokens.access("0123456789abcdeh"), None);
+    assert_eq!(tokens.access("short"), None);
+    assert_eq!(tokens.access(""), None);
+}
+
+#[test]
+fn routes_take_exact_paths_only() {
+    let get = |path| route(&Method::GET, path);
+    assert_eq!(get("/livez"), Some(Route::Livez));
+    assert_eq!(get("/v1/rules"), Some(Route::Call(Call::GetRules)));
+    assert_eq!(get("/v1/rules/"), None);
+    assert_eq!(get("/v1"), None);
+    assert_eq!(get("/v1/upstreams/a/drain"), None);
+    assert_eq!(
+        route(&Method::POST, "/v1/upstreams/a/drain"),
+        Some(Route::Call(Call::SetState(
+            "a".to_owned(),
+            UpstreamState::Draining
+        )))
+    );
+}
--- a/crates/sardinepin/src/check.rs
+++ b/crates/sardinepin/src/check.rs
@@ -10,6 +10,7 @@
 use crate::options::{FileFaults, parse_settings};
 
 pub use deployment::Deployment;
+pub(crate) use deployment::deployment_faults;
 
 mod deployment;
 mod fields;
--- a/crates/sardinepin/src/check/deployment.rs
+++ b/crates/sardinepin/src/check/deployment.rs
@@ -45,16 +45,24 @@
         }
     }
 
+    /// Returns the organisations as the shards in which the platform keeps them.
+    pub(crate) fn organisation_shards(&self) -> Vec<(String, Vec<Organisation>)> {
+        vec![(
+            object_key("organisations", SHARD),
+            self.organisations.clone(),
+        )]
+    }
+
     /// Returns the objects that make up this deployment, key and JSON text.
     ///
     /// # Errors
     ///
     /// Returns an error if a value cannot be written as JSON.
     pub fn objects(&self) -> serde_json::Result<Vec<(String, String)>> {
-        let mut objects = vec![
-            object("rules", "list", &self.rule_list())?,
-            object("organisations", SHARD, &self.organisations)?,
-        ];
+        let mut objects = vec![object("rules", "list", &self.rule_list())?];
+        for (key, shard) in self.organisation_shards() {
+            objects.push((key, serde_json::to_string(&shard)?));
+        }
         for service in &self.services {
             objects.push(object("services", &service.name, service)?);
         }
@@ -94,7 +102,7 @@
     // What could not be read is missing, so the rest would be blamed for naming it.
     if faults.is_empty() {
         faults.extend(
-            faults_of(&deployment)
+            deployment_faults(&deployment)
                 .into_iter()
                 .map(|fault| document.fault(&fault.field, fault.message)),
         );
@@ -102,7 +110,8 @@
     FileFaults::or(faults, deployment)
 }
 
-fn faults_of(deployment: &Deployment) -> Vec<Fault> {
+/// Returns every fault of a deployment whose fields have the right types.
+pub(crate) fn deployment_faults(deployment: &Deployment) -> Vec<Fault> {
     let mut faults = name_faults(deployment);
     faults.extend(reference_faults(deployment));
     match deployment.snapshot() {
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -1,5 +1,6 @@
 //! The load balancer: its settings and the roles of its one binary.
 
+pub mod admin;
 pub mod agent;
 pub mod check;
 pub mod entry;
--- /dev/null
+++ b/crates/sardinepin/tests/integration/admin_server.rs
@@ -0,0 +1,242 @@
+//! An administration API over a store in memory, for the tests of the API and of `ctl`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use sardinepin::admin::{
+    Admin, Health, Live, LoadView, Node, NodeView, QuarantineView, StoreBackend, UpstreamLoad,
+    serve,
+};
+use sardinepin::telemetry::Telemetry;
+use sardinepin_common::{Millis, Revision};
+use sardinepin_config::{Entry, Snapshot};
+use sardinepin_platform::{BoxFuture, MemoryStore, Store};
+use sardinepin_protocol::{Digest, Load, Role};
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+pub(crate) const READ_TOKEN: &str = "reading-token-0001";
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token-0001";
+
+const PREFIX: &str = "config/";
+
+/// What the process under test claims to know.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    pub(crate) waiting: Mutex<Option<String>>,
+    pub(crate) nodes: Mutex<Vec<NodeView>>,
+    pub(crate) quarantine: Mutex<Vec<Digest>>,
+}
+
+impl Health for Known {
+    fn waiting(&self) -> Option<String> {
+        self.waiting.lock().unwrap().clone()
+    }
+}
+
+impl Live for Known {
+    fn nodes(&self) -> BoxFuture<'_, Vec<NodeView>> {
+        Box::pin(async { self.nodes.lock().unwrap().clone() })
+    }
+
+    fn loads(&self) -> BoxFuture<'_, Vec<UpstreamLoad>> {
+        let load = LoadView {
+            load: Load {
+                running: 3,
+                waiting: 1,
+                slots: 16,
+                ..Load::default()
+            },
+            since_ms: 250,
+        };
+        let seen = UpstreamLoad {
+            name: "opptak-app-1".to_owned(),
+            linked: true,
+            leaving: false,
+            load: Some(load),
+        };
+        Box::pin(async { vec![seen] })
+    }
+
+    fn quarantine(&self) -> BoxFuture<'_, Vec<QuarantineView>> {
+        let held = self.quarantine.lock().unwrap().clone();
+        Box::pin(async move {
+            held.iter()
+                .map(|digest| QuarantineView {
+                    digest: digest.to_string(),
+                    left_ms: 1_000,
+                })
+                .collect()
+        })
+    }
+
+    fn lift(&self, digest: Digest) -> BoxFuture<'_, bool> {
+        let mut held = self.quarantine.lock().unwrap();
+        let before = held.len();
+        held.retain(|other| *other != digest);
+        let lifted = held.len() < before;
+        Box::pin(async move { lifted })
+    }
+}
+
+/// A running administration API.
+pub(crate) struct AdminServer {
+    pub(crate) address: SocketAddr,
+    pub(crate) store: Arc<MemoryStore>,
+    pub(crate) known: Arc<Known>,
+    pub(crate) tokens_file: PathBuf,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+}
+
+/// An answer, read to its end.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub(crate) fn etag(&self) -> &str {
+        self.headers.get("etag").unwrap().to_str().unwrap()
+    }
+}
+
+impl AdminServer {
+    /// Starts a server; `name` tells its tokens file from those of other tests.
+    pub(crate) async fn start(name: &str) -> Self {
+        let tokens_file = scratch(&format!("{name}-tokens"));
+        let tokens = format!("# two roles\nread-only {READ_TOKEN}\noperator {OPERATOR_TOKEN}\n");
+        std::fs::write(&tokens_file, tokens).unwrap();
+        let store = Arc::new(MemoryStore::new());
+        let known = Arc::new(Known::default());
+        let (sender, snapshots) = watch::channel(Arc::new(Snapshot::default()));
+        tokio::spawn(follow(Arc::clone(&store), sender));
+        let node = Node {
+            name: "entry-1".to_owned(),
+            zone: "bergen-a".to_owned(),
+            role: Role::Entry,
+        };
+        let platform: Arc<dyn Store> = store.clone();
+        let backend = StoreBackend::new(node, platform, snapshots.clone(), known.clone());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let admin = Admin {
+            health: known.clone(),
+            backend: Some(Arc::new(backend)),
+            tokens_file: Some(tokens_file.clone()),
+            telemetry: Telemetry::install().unwrap(),
+        };
+        tokio::spawn(serve(listener, admin));
+        Self {
+            address,
+            store,
+            known,
+            tokens_file,
+            snapshots,
+        }
+    }
+
+    /// Calls with a token, or without one if it is empty.
+    pub(crate) async fn call(
+        &self,
+        token: &str,
+        method: &str,
+        path: &str,
+        condition: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        if !token.is_empty() {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        for (name, value) in condition {
+            request = request.header(*name, *value);
+        }
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let request = request
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .unwrap();
+        let (head, body) = client.request(request).await.unwrap().into_parts();
+        Answer {
+            status: head.status,
+            headers: head.headers,
+            body: body.collect().await.unwrap().to_bytes(),
+        }
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Answer {
+        self.call(READ_TOKEN, "GET", path, &[], "").await
+    }
+
+    pub(crate) async fn post(&self, path: &str) -> Answer {
+        self.call(OPERATOR_TOKEN, "POST", path, &[], "").await
+    }
+
+    /// Waits until the node has the store's configuration in force.
+    pub(crate) async fn in_force(&self) {
+        let wanted = self.store.revision();
+        let mut snapshots = self.snapshots.clone();
+        snapshots
+            .wait_for(|snapshot| snapshot.revision() >= wanted)
+            .await
+            .unwrap();
+    }
+}
+
+/// Returns a path for a file of this test process.
+pub(crate) fn scratch(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    folder.join(format!("{}-{name}", std::process::id()))
+}
+
+/// Keeps a snapshot in step with the store.
+async fn follow(store: Arc<MemoryStore>, snapshots: watch::Sender<Arc<Snapshot>>) {
+    loop {
+        let after = snapshots.borrow().revision();
+        let Ok(listing) = store.watch(PREFIX, after, Millis(60_000)).await else {
+            // The store is down for now.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let entries: Vec<Entry> = listing
+            .objects
+            .into_iter()
+            .map(|object| Entry {
+                key: object.key[PREFIX.len()..].to_owned(),
+                revision: object.revision,
+                value: object.value,
+            })
+            .collect();
+        let mut snapshot = Snapshot::clone(&snapshots.borrow());
+        snapshot.merge(listing.revision, &entries);
+        if snapshots.send(Arc::new(snapshot)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns a node that another node has heard of.
+pub(crate) fn node(name: &str, revision: Revision, live: bool) -> NodeView {
+    NodeView {
+        name: name.to_owned(),
+        role: Role::Entry,
+        zone: "forde".to_owned(),
+        revision,
+        live,
+        age_ms: 100,
+    }
+}
--- a/crates/sardinepin/tests/integration/main.rs
+++ b/crates/sardinepin/tests/integration/main.rs
@@ -3,4 +3,6 @@
 // Helpers outside the test functions unwrap too.
 #![allow(clippy::unwrap_used)]
 
+mod admin;
+mod admin_server;
 mod samples;
