Add ctl, the operator's client of the administration API

Cause: rules, upstreams and groups must be changed from a terminal, and a change must be seen to be in force. Ruled out: an unconditional rules put; without --if-match the list is replaced as it stands when the command runs. One exit code for all failures: a conflict, an open change and nodes that are behind call for different next steps.

--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod agent;
 pub mod check;
+pub mod ctl;
 pub mod entry;
 mod link;
 pub mod logs;
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use sardinepin::options::{self, Invocation, RoleArguments, Settings};
 use sardinepin::telemetry::Telemetry;
-use sardinepin::{agent, check, entry, logs};
+use sardinepin::{agent, check, ctl, entry, logs};
 use sardinepin_protocol::Role;
 
 /// The exit code for a command line or a file that is not in order.
@@ -33,7 +33,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Invocation::Check(files) => Ok(check::run(&files)),
-        Invocation::Ctl(_) => anyhow::bail!("not there yet"),
+        Invocation::Ctl(given) => ctl::run(&given),
     }
 }
 
--- a/crates/sardinepin/src/options/arguments.rs
+++ b/crates/sardinepin/src/options/arguments.rs
@@ -8,6 +8,7 @@
 use sardinepin_protocol::Role;
 
 use super::fields::LEVELS;
+use crate::ctl::ctl_command;
 
 /// What a command line asks for.
 #[derive(Debug)]
@@ -65,7 +66,7 @@
         .subcommand(role_command("entry").about("Take requests from callers"))
         .subcommand(role_command("agent").about("Stand before one upstream"))
         .subcommand(check_command())
-        .subcommand(Command::new("ctl").about("Call the administration API of an entry"))
+        .subcommand(ctl_command())
 }
 
 fn role_command(name: &'static str) -> Command {
--- a/crates/sardinepin/tests/integration/main.rs
+++ b/crates/sardinepin/tests/integration/main.rs
@@ -5,4 +5,5 @@
 
 mod admin;
 mod admin_server;
+mod ctl;
 mod samples;
