Admit fairly, limit each upstream, route by load, and hold back what crashes upstreams

Cause: the policy sardinepin still ran as least_in_flight. Counting any two crashes of a digest: the loss of several upstreams at once would quarantine a request that many callers send, so a crash counts as second only if the attempt was sent after the first. Change: start-time fair queues by organisation in weighted classes, urgent first with one turn in nine for the others; refusal at once by the drain rate; token buckets for rule limits; limits by additive increase and multiplicative decrease with slow start; ejection, probes and a withdrawal from stalled upstreams; routing by report and own work, zone, prefix, key and rank group; retry budgets; suspects apart and quarantine.

--- a/crates/decisions/src/balancer.rs
+++ b/crates/decisions/src/balancer.rs
@@ -6,6 +6,7 @@
 
 use crate::baseline::{Baseline, Pick};
 use crate::events::{Effect, Event};
+use crate::scheduler::Scheduler;
 use crate::settings::{Policy, Settings};
 
 /// What a policy does with events.
@@ -26,9 +27,8 @@
     pub fn new(settings: Settings) -> Self {
         let policy: Box<dyn Decide> = match settings.policy {
             Policy::RoundRobin => Box::new(Baseline::new(settings, Pick::NextInTurn)),
-            Policy::LeastInFlight | Policy::Sardinepin => {
-                Box::new(Baseline::new(settings, Pick::LeastInFlight))
-            }
+            Policy::LeastInFlight => Box::new(Baseline::new(settings, Pick::LeastInFlight)),
+            Policy::Sardinepin => Box::new(Scheduler::new(settings)),
         };
         Self { policy }
     }
--- /dev/null
+++ b/crates/decisions/src/bucket.rs
@@ -0,0 +1,69 @@
+//! The limits that rules set on organisations: token buckets.
+
+use std::sync::Arc;
+
+use sardinepin_common::{Map, Millis};
+use sardinepin_config::Limit;
+
+/// Token buckets by organisation and limit.
+#[derive(Debug, Default)]
+pub(crate) struct Buckets {
+    buckets: Map<BucketKey, Bucket>,
+}
+
+#[derive(Debug, PartialEq, Eq, Hash)]
+struct BucketKey {
+    organisation: Arc<str>,
+    per_second: u32,
+    burst: u32,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f32,
+    filled: Millis,
+}
+
+impl Buckets {
+    /// Takes a token; without one, returns the time until there is one.
+    pub(crate) fn take(
+        &mut self,
+        now: Millis,
+        organisation: &Arc<str>,
+        limit: Limit,
+    ) -> Result<(), Millis> {
+        let key = BucketKey {
+            organisation: Arc::clone(organisation),
+            per_second: limit.per_second,
+            burst: limit.burst,
+        };
+        let bucket = self.buckets.entry(key).or_insert(Bucket {
+            tokens: limit.burst as f32,
+            filled: now,
+        });
+        bucket.tokens = bucket.level(now, limit.per_second, limit.burst);
+        bucket.filled = now;
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = (1.0 - bucket.tokens) * 1_000.0 / limit.per_second.max(1) as f32;
+        Err(Millis(missing.ceil() as u64))
+    }
+
+    /// Forgets the buckets that are full again.
+    pub(crate) fn forget(&mut self, now: Millis) {
+        self.buckets
+            .retain(|key, bucket| bucket.level(now, key.per_second, key.burst) < key.burst as f32);
+        if self.buckets.is_empty() {
+            self.buckets = Map::default();
+        }
+    }
+}
+
+impl Bucket {
+    fn level(&self, now: Millis, per_second: u32, burst: u32) -> f32 {
+        let gained = now.since(self.filled).0 as f32 * per_second as f32 / 1_000.0;
+        (self.tokens + gained).min(burst as f32)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/estimate.rs
@@ -0,0 +1,165 @@
+//! Estimates from measured times: how long a request takes and how fast a queue drains.
+
+use sardinepin_common::Millis;
+
+/// The weight of a new sample in a running mean.
+const SAMPLE_WEIGHT: f32 = 0.1;
+
+/// How many mean deviations the cautious estimate lies above the mean.
+const CAUTION: f32 = 2.0;
+
+/// The shortest measurement of a drain rate.
+const DRAIN_WINDOW: Millis = Millis(200);
+
+/// The longest one.
+const DRAIN_WINDOW_MAX: Millis = Millis(3_000);
+
+/// The requests after which a measurement need not be longer than the shortest.
+const DRAIN_REQUESTS: u32 = 8;
+
+/// The weight of a new measurement of a drain rate that is lower than the ones before.
+const DRAIN_WEIGHT: f32 = 0.3;
+
+/// The weight of one that is higher.
+const DRAIN_RISE: f32 = 0.7;
+
+/// What is left of an estimate after each interval without a sample, as a factor.
+const FADE: f32 = 0.8;
+
+/// A running mean and mean deviation.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Running {
+    mean: f32,
+    deviation: f32,
+    sampled: bool,
+}
+
+impl Running {
+    /// Takes in a sample.
+    pub(crate) fn add(&mut self, sample: f32) {
+        if !self.sampled {
+            self.mean = sample;
+            self.deviation = sample / 2.0;
+            self.sampled = true;
+            return;
+        }
+        let error = sample - self.mean;
+        self.mean += SAMPLE_WEIGHT * error;
+        self.deviation += SAMPLE_WEIGHT * (error.abs() - self.deviation);
+    }
+
+    /// Returns the mean, zero before the first sample.
+    pub(crate) fn mean(self) -> f32 {
+        self.mean
+    }
+
+    fn fade(&mut self) {
+        self.mean *= FADE;
+        self.deviation *= FADE;
+    }
+
+    fn cautious(self) -> f32 {
+        self.mean + CAUTION * self.deviation
+    }
+}
+
+/// How long the requests of a service take once they are sent.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ServiceTime {
+    /// Milliseconds to the first byte.
+    first: Running,
+    /// Milliseconds from there to the end, for each unit of cost.
+    rest: Running,
+    /// Whether a sample came since the estimate last faded.
+    fresh: bool,
+}
+
+impl ServiceTime {
+    /// Takes in the time to a first byte.
+    pub(crate) fn began(&mut self, time: Millis) {
+        self.first.add(time.0 as f32);
+        self.fresh = true;
+    }
+
+    /// Takes in the time from the first byte to the end of a whole answer.
+    pub(crate) fn ended(&mut self, time: Millis, cost: u32) {
+        self.rest.add(time.0 as f32 / cost.max(1) as f32);
+    }
+
+    /// Lets the estimate fade if no sample came since the last call.
+    ///
+    /// Otherwise an estimate that lies above every deadline would refuse all requests for ever.
+    pub(crate) fn fade(&mut self) {
+        if !self.fresh {
+            self.first.fade();
+            self.rest.fade();
+        }
+        self.fresh = false;
+    }
+
+    /// Returns the mean time to the first byte, in milliseconds.
+    pub(crate) fn first_mean(&self) -> f32 {
+        self.first.mean()
+    }
+
+    /// Returns a cautious estimate for a request, zero before the first sample.
+    pub(crate) fn expected(&self, cost: u32) -> Millis {
+        let rest = self.rest.cautious() * cost as f32;
+        Millis((self.first.cautious() + rest) as u64)
+    }
+}
+
+/// How much cost leaves a queue per millisecond while requests wait in it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct DrainRate {
+    rate: f32,
+    sent: u64,
+    requests: u32,
+    since: Millis,
+    /// Whether requests have waited all the time since `since`.
+    backlogged: bool,
+}
+
+impl DrainRate {
+    /// Counts what leaves the queue.
+    pub(crate) fn sent(&mut self, cost: u32) {
+        self.sent += u64::from(cost);
+        self.requests += 1;
+    }
+
+    /// Closes the measurement if it has seen enough.
+    pub(crate) fn roll(&mut self, now: Millis, waiting: bool) {
+        if !waiting || !self.backlogged {
+            return self.restart(now, waiting);
+        }
+        let elapsed = now.since(self.since);
+        let enough = elapsed >= DRAIN_WINDOW && self.requests >= DRAIN_REQUESTS;
+        if !enough && elapsed < DRAIN_WINDOW_MAX {
+            return;
+        }
+        let sample = self.sent as f32 / elapsed.0 as f32;
+        let weight = if sample > self.rate {
+            DRAIN_RISE
+        } else {
+            DRAIN_WEIGHT
+        };
+        if self.rate == 0.0 {
+            self.rate = sample;
+        } else {
+            self.rate += weight * (sample - self.rate);
+        }
+        self.restart(now, waiting);
+    }
+
+    /// Returns how long `cost` takes to leave the queue, `None` if that is not known yet.
+    pub(crate) fn time_for(&self, cost: f32) -> Option<Millis> {
+        (self.rate > 0.0).then(|| Millis((cost / self.rate) as u64))
+    }
+
+    fn restart(&mut self, now: Millis, waiting: bool) {
+        self.sent = 0;
+        self.requests = 0;
+        self.since = now;
+        self.backlogged = waiting;
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/groups.rs
@@ -0,0 +1,70 @@
+//! Rank groups: each is judged by its worst member.
+
+use std::sync::Arc;
+
+use sardinepin_common::{Map, Millis};
+
+/// The weight of a group that cannot advance.
+pub(crate) const STOPPED: f32 = 0.02;
+
+/// The rank groups and how much each is used.
+#[derive(Debug, Default)]
+pub(crate) struct Groups {
+    list: Vec<Group>,
+    names: Map<Arc<str>, u32>,
+}
+
+#[derive(Debug)]
+struct Group {
+    members: Vec<u32>,
+    /// From [`STOPPED`] to 1.
+    weight: f32,
+}
+
+impl Groups {
+    /// Forgets the members of all groups, to add them anew.
+    pub(crate) fn clear_members(&mut self) {
+        for group in &mut self.list {
+            group.members = Vec::new();
+        }
+    }
+
+    /// Adds the upstream at `slot` to a group and returns the group's number.
+    pub(crate) fn add(&mut self, name: &Arc<str>, slot: u32) -> u32 {
+        let at = *self.names.entry(Arc::clone(name)).or_insert_with(|| {
+            self.list.push(Group {
+                members: Vec::new(),
+                weight: 1.0,
+            });
+            self.list.len() as u32 - 1
+        });
+        self.list[at as usize].members.push(slot);
+        at
+    }
+
+    /// Returns the weight of a group, 1 for an upstream without one.
+    pub(crate) fn weight(&self, group: Option<u32>) -> f32 {
+        group.map_or(1.0, |at| self.list[at as usize].weight)
+    }
+
+    /// Lowers a group at once to what one member bears.
+    pub(crate) fn lower(&mut self, group: Option<u32>, bearable: f32) {
+        if let Some(at) = group {
+            let group = &mut self.list[at as usize];
+            group.weight = group.weight.min(bearable.max(STOPPED));
+        }
+    }
+
+    /// Lets each group come back gradually; `bearable` judges a member, from 0 to 1.
+    pub(crate) fn tick(&mut self, tick: Millis, ramp: Millis, bearable: impl Fn(u32) -> f32) {
+        let gain = tick.as_f64() as f32 / ramp.0.max(1) as f32;
+        for group in &mut self.list {
+            let worst = group
+                .members
+                .iter()
+                .map(|member| bearable(*member))
+                .fold(1.0, f32::min);
+            group.weight = (group.weight + gain).min(worst.max(STOPPED));
+        }
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -2,10 +2,26 @@
 //!
 //! A [`Balancer`] takes [`Event`]s and the time and returns [`Effect`]s; the entry drives it.
 
+mod affinity;
 mod balancer;
 mod baseline;
+mod bucket;
+mod budget;
+mod classes;
+mod estimate;
 mod events;
+mod fair;
+mod fleet;
+mod groups;
+mod health;
+mod limiter;
+mod pending;
+mod pool;
+mod routing;
+mod scheduler;
 mod settings;
+mod slot;
+mod suspects;
 
 pub use balancer::Balancer;
 pub use events::{Arrival, Effect, End, Event, ServiceInfo, Ticket, UpstreamId, UpstreamInfo};
--- /dev/null
+++ b/crates/decisions/src/scheduler/dispatch.rs
@@ -0,0 +1,226 @@
+//! Sends what waits as soon as an upstream has room.
+
+use sardinepin_common::Millis;
+use sardinepin_protocol::ErrorKind;
+
+use super::Scheduler;
+use crate::events::{Effect, Ticket};
+use crate::pending::Stage;
+use crate::routing::{Router, Wish};
+use crate::slot::{Attempt, Room};
+
+/// What became of the first request of a class.
+enum Turn {
+    /// It left the queue, or there was none.
+    Done,
+    /// No upstream has room for it.
+    NoRoom,
+}
+
+/// Where a suspect may run.
+enum Place {
+    /// On this upstream, now.
+    Now(usize),
+    /// On one that is held for it and still runs other work.
+    Held,
+    /// Nowhere yet.
+    None,
+}
+
+impl Scheduler {
+    /// Serves the requests of every service.
+    pub(super) fn pump_all(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        for pool in 0..self.pools.list.len() {
+            self.pump(now, pool, effects);
+        }
+    }
+
+    /// Serves the requests of a service until no upstream has room.
+    pub(super) fn pump(&mut self, now: Millis, pool: usize, effects: &mut Vec<Effect>) {
+        if !self.pools.list[pool].waits() || self.pools.list[pool].absent.is_some() {
+            return;
+        }
+        self.pump_apart(now, pool, effects);
+        let run = self.settings.queue.urgent_run;
+        loop {
+            let order = self.pools.list[pool].classes.order(run);
+            if !self.round(now, pool, order, effects) {
+                return;
+            }
+        }
+    }
+
+    /// Serves the first request of the class whose turn it is or else of the next one, and returns
+    /// whether one could be served.
+    fn round(
+        &mut self,
+        now: Millis,
+        pool: usize,
+        order: [Option<usize>; 2],
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let [first, second] = order;
+        // Were urgent requests to go over the limit out of turn, no others would ever find room.
+        let in_turn = first.is_some_and(|class| self.pools.list[pool].classes.is_urgent(class));
+        let over = if in_turn { Room::Urgent } else { Room::Plain };
+        [first, second].into_iter().flatten().any(|class| {
+            let urgent = self.pools.list[pool].classes.is_urgent(class);
+            let room = if urgent { over } else { Room::Plain };
+            matches!(self.turn(now, pool, class, room, effects), Turn::Done)
+        })
+    }
+
+    /// Serves the first request of a class.
+    fn turn(
+        &mut self,
+        now: Millis,
+        pool: usize,
+        class: usize,
+        room: Room,
+        effects: &mut Vec<Effect>,
+    ) -> Turn {
+        let list = &mut self.pools.list[pool];
+        let expected = list.times;
+        let Some(first) = list.classes.class(class).queue.peek() else {
+            return Turn::Done;
+        };
+        let Some(one) = self.pending.get(&first.ticket) else {
+            self.pools.list[pool].classes.class(class).queue.pop();
+            return Turn::Done;
+        };
+        if one.too_late(now, expected.expected(first.cost)) {
+            self.expire(now, first.ticket, effects);
+            return Turn::Done;
+        }
+        if self.suspects.suspected(&one.arrival.digest) {
+            self.move_apart(first.ticket);
+            self.pump_apart(now, pool, effects);
+            return Turn::Done;
+        }
+        let router = Router {
+            now,
+            fleet: &self.fleet,
+            pool: &self.pools.list[pool],
+            settings: &self.settings.routing,
+        };
+        let wish = Wish {
+            room,
+            tried: &one.tried,
+            key: one.arrival.key.as_ref(),
+            prefix: one.arrival.prefix.as_ref(),
+        };
+        let Some(at) = router.pick(&wish, &mut self.rng) else {
+            return Turn::NoRoom;
+        };
+        let classes = &mut self.pools.list[pool].classes;
+        classes.served(class, first.cost);
+        classes.class(class).queue.pop();
+        self.send(now, first.ticket, at, effects);
+        Turn::Done
+    }
+
+    fn move_apart(&mut self, ticket: Ticket) {
+        self.leave_queue(ticket);
+        if let Some(one) = self.pending.remove(&ticket) {
+            self.enqueue(one);
+        }
+    }
+
+    /// Gives up a request that waits and whose deadline can no longer be met.
+    pub(super) fn expire(&mut self, now: Millis, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(one) = self.pending.get(&ticket) else {
+            return;
+        };
+        let (pool, class) = (one.pool, one.class);
+        let kind = match one.cause {
+            Some(cause) if one.arrival.deadline > now => cause,
+            _ => ErrorKind::TooLate,
+        };
+        self.leave_queue(ticket);
+        let retry_after = self.come_back(pool, class);
+        self.give_up(ticket, kind, retry_after, effects);
+    }
+
+    /// Sends suspects, each to an upstream of its own that runs nothing else where that can be had.
+    fn pump_apart(&mut self, now: Millis, pool: usize, effects: &mut Vec<Effect>) {
+        let waiting: Vec<Ticket> = self.pools.list[pool].apart.iter().copied().collect();
+        for ticket in waiting {
+            match self.place_apart(now, pool, ticket) {
+                Place::Now(at) => {
+                    self.pools.list[pool].apart.retain(|one| *one != ticket);
+                    self.release(ticket);
+                    self.fleet.slots[at].held = Some(ticket);
+                    self.send(now, ticket, at, effects);
+                }
+                Place::Held => {}
+                Place::None => return,
+            }
+        }
+    }
+
+    /// Finds the upstream for a suspect, or holds one until it runs nothing else.
+    fn place_apart(&mut self, now: Millis, pool: usize, ticket: Ticket) -> Place {
+        let Some(one) = self.pending.get(&ticket) else {
+            return Place::None;
+        };
+        let router = Router {
+            now,
+            fleet: &self.fleet,
+            pool: &self.pools.list[pool],
+            settings: &self.settings.routing,
+        };
+        let (fit, held) = router.fit_and_held();
+        let mine = self.pools.list[pool]
+            .members()
+            .find(|at| self.fleet.slots[*at].held == Some(ticket));
+        if mine.is_none() && held >= fit.div_ceil(2) {
+            return Place::None;
+        }
+        let idle = |at: &usize| self.fleet.slots[*at].attempts.is_empty();
+        let found = mine.filter(idle).or_else(|| router.pick_apart(&one.tried));
+        // The last upstream is not kept from the others: the suspect goes beside them.
+        if let Some(at) = found.filter(|at| idle(at) || fit <= 1) {
+            return Place::Now(at);
+        }
+        match (mine, found) {
+            (Some(_), _) => Place::Held,
+            (None, Some(at)) => {
+                self.fleet.slots[at].held = Some(ticket);
+                Place::Held
+            }
+            (None, None) => Place::None,
+        }
+    }
+
+    /// Sends a request.
+    fn send(&mut self, now: Millis, ticket: Ticket, at: usize, effects: &mut Vec<Effect>) {
+        let Some(one) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        let slot = &mut self.fleet.slots[at];
+        let pool = &mut self.pools.list[one.pool];
+        if one.tried.is_empty() {
+            pool.budget.sent();
+        }
+        if let Some(prefix) = one.arrival.prefix {
+            let max = self.settings.routing.prefixes_max;
+            pool.affinity.held(prefix, slot.id(), max);
+        }
+        one.stage = Stage::Sent;
+        one.tried.push(slot.id());
+        slot.sent(Attempt {
+            ticket,
+            digest: one.arrival.digest,
+            sent: now,
+            began: None,
+            cost: one.arrival.cost,
+            struck: false,
+            withdrawn: false,
+        });
+        effects.push(Effect::Send {
+            ticket,
+            upstream: slot.id(),
+            retry: one.cause,
+        });
+    }
+}
--- a/crates/decisions/tests/balancer/driver.rs
+++ b/crates/decisions/tests/balancer/driver.rs
@@ -1,7 +1,5 @@
 //! A small driver: it feeds events and keeps what is in flight and what was ordered.
 
-#![allow(dead_code, reason = "later tests use the rest")]
-
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/decisions/tests/balancer/main.rs
+++ b/crates/decisions/tests/balancer/main.rs
@@ -2,3 +2,8 @@
 
 mod baselines;
 mod driver;
+mod limits;
+mod overload;
+mod quarantine;
+mod retry;
+mod routing;
