--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,15 +3,18 @@
 //! A [`Balancer`] takes [`Event`]s and the time and returns [`Effect`]s; the entry drives it.
 
 mod affinity;
+mod attempts;
 mod balancer;
 mod baseline;
 mod bucket;
 mod budget;
+mod claims;
 mod classes;
 mod estimate;
 mod events;
 mod fair;
 mod fleet;
+mod follow;
 mod groups;
 mod health;
 mod limiter;
@@ -23,8 +26,13 @@
 mod slot;
 mod suspects;
 
+pub use attempts::{AttemptEvent, AttemptMachine, AttemptSettings, AttemptState, Attempts, Taken};
 pub use balancer::Balancer;
+pub use claims::{
+    ClaimSettings, ClaimStep, Claims, FoundClaim, KeptAnswer, KeyEvent, KeyMachine, KeyState,
+};
 pub use events::{Arrival, Effect, End, Event, ServiceInfo, Ticket, UpstreamId, UpstreamInfo};
+pub use follow::{FollowAction, FollowEvent, FollowMachine};
 pub use settings::{
     EjectionSettings, LimitSettings, Policy, QuarantineSettings, QueueSettings, RoutingSettings,
     Settings, UnknownPolicy,
