Remember that no upstream has room until something changes

Cause: under overload every arrival looked at all upstreams once more to find that none has room. Ruled out: counting free places; limits, probes and rank groups change them in too many places. Change: the pool keeps the room that was last found lacking and forgets it at each end, link, tick. Conclusion: an arrival that only waits costs no look at upstreams.

--- a/crates/decisions/src/pool.rs
+++ b/crates/decisions/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::estimate::ServiceTime;
 use crate::events::Ticket;
 use crate::fleet::Fleet;
+use crate::slot::Room;
 
 /// The share of retries of a service that is not described, in thousandths.
 const RETRY_MILLI: u32 = 100;
@@ -33,6 +34,8 @@
     pub(crate) budget: RetryBudget,
     /// Where prompt prefixes are cached.
     pub(crate) affinity: Affinity,
+    /// The room that no upstream had when it was last asked for, until something changes.
+    pub(crate) full: Option<Room>,
     /// Since when no upstream takes work; `None` while one does.
     pub(crate) absent: Option<Millis>,
 }
@@ -109,6 +112,7 @@
             times: ServiceTime::default(),
             budget: RetryBudget::new(RETRY_MILLI),
             affinity: Affinity::default(),
+            full: None,
             absent: Some(now),
         }
     }
@@ -132,6 +136,11 @@
         };
     }
 
+    /// Returns whether it is known that no upstream has this room.
+    pub(crate) fn lacks(&self, room: Room) -> bool {
+        self.full.is_some_and(|full| room <= full)
+    }
+
     /// Returns whether any request waits.
     pub(crate) fn waits(&self) -> bool {
         self.classes.waits() || !self.apart.is_empty()
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -114,7 +114,7 @@
         self.fleet.judge(at);
         if let Some(pool) = self.pools.place(&self.fleet.slots[at].info.service) {
             self.pools.list[pool].count(now, &self.fleet);
-            self.pump(now, pool, effects);
+            self.pump_anew(now, pool, effects);
         }
     }
 
@@ -162,7 +162,7 @@
     fn hung_up(&mut self, now: Millis, ticket: Ticket, effects: &mut Vec<Effect>) {
         self.leave_queue(ticket);
         if let Some(gone) = self.pending.remove(&ticket) {
-            self.pump(now, gone.pool, effects);
+            self.pump_anew(now, gone.pool, effects);
         }
     }
 
--- a/crates/decisions/src/scheduler/dispatch.rs
+++ b/crates/decisions/src/scheduler/dispatch.rs
@@ -31,10 +31,16 @@
     /// Serves the requests of every service.
     pub(super) fn pump_all(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         for pool in 0..self.pools.list.len() {
-            self.pump(now, pool, effects);
+            self.pump_anew(now, pool, effects);
         }
     }
 
+    /// Serves the requests of a service after a change that may have made room.
+    pub(super) fn pump_anew(&mut self, now: Millis, pool: usize, effects: &mut Vec<Effect>) {
+        self.pools.list[pool].full = None;
+        self.pump(now, pool, effects);
+    }
+
     /// Serves the requests of a service until no upstream has room.
     pub(super) fn pump(&mut self, now: Millis, pool: usize, effects: &mut Vec<Effect>) {
         if !self.pools.list[pool].waits() || self.pools.list[pool].absent.is_some() {
@@ -97,10 +103,14 @@
             self.pump_apart(now, pool, effects);
             return Turn::Done;
         }
+        let pool_now = &self.pools.list[pool];
+        if one.arrival.key.is_none() && pool_now.lacks(room) {
+            return Turn::NoRoom;
+        }
         let router = Router {
             now,
             fleet: &self.fleet,
-            pool: &self.pools.list[pool],
+            pool: pool_now,
             settings: &self.settings.routing,
         };
         let wish = Wish {
@@ -110,6 +120,9 @@
             prefix: one.arrival.prefix.as_ref(),
         };
         let Some(at) = router.pick(&wish, &mut self.rng) else {
+            if one.tried.is_empty() {
+                self.pools.list[pool].full = Some(room);
+            }
             return Turn::NoRoom;
         };
         let classes = &mut self.pools.list[pool].classes;
--- a/crates/decisions/src/scheduler/upkeep.rs
+++ b/crates/decisions/src/scheduler/upkeep.rs
@@ -36,7 +36,7 @@
                 self.expire_late(now, pool, effects);
                 self.give_up_absent(now, pool, effects);
             }
-            self.pump(now, pool, effects);
+            self.pump_anew(now, pool, effects);
         }
         if now.since(self.swept) >= SWEEP {
             self.swept = now;
--- a/crates/decisions/src/slot.rs
+++ b/crates/decisions/src/slot.rs
@@ -45,7 +45,7 @@
 }
 
 /// How much more an upstream may take.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Room {
     /// Up to the limit.
     Plain,
