Add the load client

Cause: every answer has to be checked for owner, order and completeness, and keyed calls for a second run. Ruled out: an answer without an outcome counted as answered when it is an error; it is reported as wrong. Change: seeded plain, keyed and streamed calls, copies of keyed calls at two entries, verdicts by outcome and fault, latencies by class, a record of each send if wanted; the command line prints one JSON report. Conclusion: the client finds another's answer, silence, a second run and a broken connection.

--- /dev/null
+++ b/standins/src/arguments.rs
@@ -0,0 +1,187 @@
+//! The arguments of the stand-ins and the settings that they give.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use sardinepin_standins::engine;
+use sardinepin_standins::load::{self, Mix};
+
+/// Numbers that set the engine.
+const ENGINE_NUMBERS: [(&str, &str); 5] = [
+    ("slots", "The most requests in one step"),
+    ("step-us", "The time of a step, in microseconds"),
+    (
+        "batch-us",
+        "The time that each request adds to a step, in microseconds",
+    ),
+    (
+        "prefill-us",
+        "The time that a kibibyte of a new prompt adds, in microseconds",
+    ),
+    ("cache-entries", "How many prefixes the cache holds"),
+];
+
+/// Numbers that set the load.
+const LOAD_NUMBERS: [(&str, &str); 12] = [
+    ("requests", "How many calls are made"),
+    ("seconds", "How long calls are begun, in seconds"),
+    ("concurrency", "How many calls are open at once"),
+    ("seed", "The seed that calls are drawn from"),
+    ("keyed", "Parts of the calls that are plain and bear a key"),
+    ("plain", "Parts of the calls that are plain without a key"),
+    ("stream", "Parts of the calls that are streamed completions"),
+    ("chat", "Parts of the calls that are whole completions"),
+    ("tokens-max", "The most tokens of an answer"),
+    ("padding", "The size of a body's padding, in bytes"),
+    (
+        "copies-milli",
+        "The share of keyed calls that are sent twice, in thousandths",
+    ),
+    ("timeout-ms", "How long an answer may take, in milliseconds"),
+];
+
+/// Texts that set the load.
+const LOAD_TEXTS: [(&str, &str); 4] = [
+    (
+        "organisation-header",
+        "The header that names the organisation",
+    ),
+    ("keyed-path", "The path of calls with a key"),
+    ("plain-path", "The path of plain calls without a key"),
+    ("model", "The model of completions"),
+];
+
+/// Returns the whole command.
+pub(crate) fn command() -> Command {
+    let journal = Arg::new("journal")
+        .long("journal")
+        .help("A file that keeps the count of runs over a restart")
+        .value_parser(value_parser!(PathBuf));
+    Command::new("sardinepin-standins")
+        .about("Stand-ins for the systems around sardinepin, and a load client")
+        .subcommand_required(true)
+        .subcommand(served("plain", "A plain service that counts its runs").arg(journal))
+        .subcommand(served(
+            "platform",
+            "The platform's object API and instance list",
+        ))
+        .subcommand(engine_command())
+        .subcommand(load_command())
+}
+
+/// Reads the settings of an engine.
+pub(crate) fn engine_settings(matches: &ArgMatches) -> Result<engine::Settings> {
+    let default = engine::Settings::default();
+    Ok(engine::Settings {
+        slots: size(matches, "slots", default.slots)?,
+        step_micros: number(matches, "step-us", default.step_micros),
+        batch_micros: number(matches, "batch-us", default.batch_micros),
+        prefill_micros: number(matches, "prefill-us", default.prefill_micros),
+        cache_entries: size(matches, "cache-entries", default.cache_entries)?,
+    })
+}
+
+/// Reads the settings of a run of load.
+pub(crate) fn load_settings(matches: &ArgMatches) -> Result<load::Settings> {
+    let default = load::Settings::default();
+    let parts = |name, default| u32::try_from(number(matches, name, u64::from(default)));
+    let text = |name: &str, default: String| matches.get_one(name).cloned().unwrap_or(default);
+    Ok(load::Settings {
+        entries: all(matches, "entry"),
+        requests: number(matches, "requests", default.requests),
+        seconds: number(matches, "seconds", default.seconds),
+        concurrency: size(matches, "concurrency", default.concurrency)?,
+        seed: number(matches, "seed", default.seed),
+        organisations: match all(matches, "organisation") {
+            none if none.is_empty() => default.organisations,
+            some => some,
+        },
+        organisation_header: text("organisation-header", default.organisation_header),
+        mix: Mix {
+            keyed: parts("keyed", default.mix.keyed)?,
+            plain: parts("plain", default.mix.plain)?,
+            stream: parts("stream", default.mix.stream)?,
+            chat: parts("chat", default.mix.chat)?,
+        },
+        keyed_path: text("keyed-path", default.keyed_path),
+        plain_path: text("plain-path", default.plain_path),
+        model: text("model", default.model),
+        tokens_max: number(matches, "tokens-max", default.tokens_max),
+        padding: size(matches, "padding", default.padding)?,
+        copies_milli: parts("copies-milli", default.copies_milli)?,
+        timeout_ms: number(matches, "timeout-ms", default.timeout_ms),
+        records: matches.get_flag("records"),
+    })
+}
+
+/// Returns the value of an argument that has a default.
+pub(crate) fn given<T: Clone + Send + Sync + 'static>(
+    matches: &ArgMatches,
+    name: &str,
+) -> Result<T> {
+    matches
+        .get_one::<T>(name)
+        .cloned()
+        .with_context(|| format!("--{name} is missing"))
+}
+
+fn served(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(
+        Arg::new("listen")
+            .long("listen")
+            .help("The address to listen on")
+            .default_value("127.0.0.1:0")
+            .value_parser(value_parser!(SocketAddr)),
+    )
+}
+
+fn engine_command() -> Command {
+    served("engine", "A model engine that advances in steps").args(numbers(&ENGINE_NUMBERS))
+}
+
+fn load_command() -> Command {
+    let entry = Arg::new("entry")
+        .long("entry")
+        .help("The address of an entry; may be given more than once")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr));
+    let organisation = Arg::new("organisation")
+        .long("organisation")
+        .help("An organisation that calls are made for; may be given more than once")
+        .action(ArgAction::Append);
+    let records = Arg::new("records")
+        .long("records")
+        .help("Prints a record of each send")
+        .action(ArgAction::SetTrue);
+    let texts = LOAD_TEXTS.map(|(name, help)| Arg::new(name).long(name).help(help));
+    Command::new("load")
+        .about("Sends calls, checks every answer and prints what was seen as JSON")
+        .args([entry, organisation, records])
+        .args(numbers(&LOAD_NUMBERS))
+        .args(texts)
+}
+
+fn numbers(names: &'static [(&str, &str)]) -> impl Iterator<Item = Arg> {
+    let parser = value_parser!(u64);
+    names
+        .iter()
+        .map(move |(name, help)| Arg::new(*name).long(*name).help(*help).value_parser(parser))
+}
+
+fn number(matches: &ArgMatches, name: &str, default: u64) -> u64 {
+    matches.get_one(name).copied().unwrap_or(default)
+}
+
+fn size(matches: &ArgMatches, name: &str, default: usize) -> Result<usize> {
+    Ok(usize::try_from(number(matches, name, default as u64))?)
+}
+
+fn all<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    matches
+        .get_many(name)
+        .map(|values| values.cloned().collect())
+        .unwrap_or_default()
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod plain;
 pub mod platform;
 pub mod tokens;
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,126 @@
+//! A load client that checks every answer for owner, order and completeness.
+
+mod answers;
+mod calls;
+mod events;
+mod report;
+mod settings;
+
+use std::future::pending;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use anyhow::{Result, ensure};
+use futures_util::future::join_all;
+use sardinepin_common::{Clock, Millis, seeded};
+use sardinepin_protocol::Outcome;
+
+pub use calls::Kind;
+pub use report::{Latency, Record, Report};
+pub use settings::{Mix, Settings};
+
+use crate::http::Caller;
+use answers::{Fault, Verdict};
+use calls::{Call, Sends};
+use report::Tally;
+
+/// What all workers share.
+#[derive(Debug)]
+struct Run {
+    settings: Settings,
+    caller: Caller,
+    clock: Clock,
+    next: AtomicU64,
+    stop: AtomicBool,
+    tally: Mutex<Tally>,
+}
+
+/// Sends load until its bounds are reached and returns what was seen.
+///
+/// # Errors
+///
+/// Fails if there is no entry, no organisation, no kind of call or no bound.
+pub async fn run(settings: Settings) -> Result<Report> {
+    let bounded = settings.requests > 0 || settings.seconds > 0;
+    ensure!(bounded, "neither requests nor seconds are bounded");
+    run_until(settings, pending()).await
+}
+
+/// Sends load until its bounds are reached or `stop` is done, and returns what was seen.
+///
+/// Requests that are open then are followed to their end.
+///
+/// # Errors
+///
+/// Fails if there is no entry, no organisation or no kind of call.
+pub async fn run_until(settings: Settings, stop: impl Future<Output = ()>) -> Result<Report> {
+    ensure!(!settings.entries.is_empty(), "there is no entry");
+    ensure!(
+        !settings.organisations.is_empty(),
+        "there is no organisation"
+    );
+    ensure!(settings.mix.total() > 0, "there is no kind of call");
+    let run = Arc::new(Run {
+        caller: Caller::default(),
+        clock: Clock::start(),
+        next: AtomicU64::new(0),
+        stop: AtomicBool::new(false),
+        tally: Mutex::default(),
+        settings,
+    });
+    let workers: Vec<_> = (0..run.settings.concurrency)
+        .map(|_| tokio::spawn(work(Arc::clone(&run))))
+        .collect();
+    let all = join_all(workers);
+    tokio::pin!(all);
+    let stopped = async {
+        stop.await;
+        run.stop.store(true, Ordering::Relaxed);
+        pending::<()>().await;
+    };
+    let results = tokio::select! {
+        results = &mut all => results,
+        () = stopped => Vec::new(),
+    };
+    for result in results {
+        result?;
+    }
+    let tally = run.tally.lock().unwrap_or_else(PoisonError::into_inner);
+    Ok(tally.report(run.clock.now()))
+}
+
+async fn work(run: Arc<Run>) {
+    let settings = &run.settings;
+    let until = Millis(settings.seconds * 1_000);
+    while !run.stop.load(Ordering::Relaxed) {
+        let number = run.next.fetch_add(1, Ordering::Relaxed);
+        let is_last = settings.requests > 0 && number >= settings.requests;
+        if is_last || until > Millis::ZERO && run.clock.now() >= until {
+            return;
+        }
+        // Each request is drawn from its own number, so that a seed gives the same requests.
+        let mut rng = seeded(settings.seed.wrapping_mul(1 << 32) ^ number);
+        let call = Call::draw(settings, number, &mut rng);
+        let verdicts = match call.sends {
+            Sends::Once => vec![send(&run, &call, 0).await],
+            Sends::Again => vec![send(&run, &call, 0).await, send(&run, &call, 1).await],
+            Sends::AtOnce => join_all([send(&run, &call, 0), send(&run, &call, 1)]).await,
+        };
+        let mut tally = run.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        let differ = answers::differ(&verdicts);
+        for (copy, verdict) in verdicts.into_iter().enumerate() {
+            let fault = verdict.fault.or(differ.then_some(Fault::Differs));
+            let record = settings.records.then(|| call.record(copy, &verdict));
+            tally.add(&call, &verdict, fault, record);
+        }
+    }
+}
+
+/// Sends one copy of a call and judges its answer.
+async fn send(run: &Run, call: &Call, copy: usize) -> Verdict {
+    let limit = Millis(run.settings.timeout_ms).duration();
+    let exchange = answers::exchange(run, call, copy);
+    tokio::time::timeout(limit, exchange)
+        .await
+        .unwrap_or_else(|_| Verdict::lost(Outcome::Unknown, "timeout"))
+}
--- /dev/null
+++ b/standins/src/load/answers.rs
@@ -0,0 +1,295 @@
+//! Judges answers: whose they are, whether they are in order and whole, and what they say.
+
+use std::fmt;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Response, StatusCode};
+use sardinepin_protocol::{Digest, Outcome};
+use serde_json::Value;
+
+use super::Run;
+use super::calls::{Call, Kind};
+use super::events::{Event, Events};
+use crate::http::Answer;
+use crate::plain::Echo;
+use crate::tokens::{answer, token};
+
+/// The header field that says what a caller may conclude.
+const OUTCOME_HEADER: &str = "x-sardinepin-outcome";
+
+/// The mark at the end of a stream.
+const DONE: &str = "[DONE]";
+
+/// What is wrong with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fault {
+    /// It belongs to another call.
+    Owner,
+    /// Its tokens are not those expected next.
+    Order,
+    /// It ended without its end mark or an error.
+    Cut,
+    /// It tells of another run than the first.
+    Run,
+    /// Two copies of a keyed call were answered differently.
+    Differs,
+    /// It cannot be read.
+    Malformed,
+}
+
+/// What became of one send.
+#[derive(Debug, Clone)]
+pub(super) struct Verdict {
+    pub(super) outcome: Outcome,
+    /// Why it was not answered; empty if it was.
+    pub(super) reason: String,
+    pub(super) fault: Option<Fault>,
+    /// From the send to the end of the answer, in microseconds.
+    pub(super) micros: u64,
+    /// From the send to the first token.
+    pub(super) first_token: Option<u64>,
+    /// The whole body of a plain answer.
+    pub(super) body: Bytes,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Owner => "owner",
+            Self::Order => "order",
+            Self::Cut => "cut",
+            Self::Run => "run",
+            Self::Differs => "differs",
+            Self::Malformed => "malformed",
+        })
+    }
+}
+
+impl Verdict {
+    /// A verdict without an answer to judge.
+    pub(super) fn lost(outcome: Outcome, reason: &str) -> Self {
+        Self {
+            outcome,
+            reason: reason.to_owned(),
+            fault: None,
+            micros: 0,
+            first_token: None,
+            body: Bytes::new(),
+        }
+    }
+
+    fn answered() -> Self {
+        Self::lost(Outcome::Answered, "")
+    }
+
+    fn with(self, fault: Option<Fault>) -> Self {
+        Self { fault, ..self }
+    }
+}
+
+/// Returns whether two copies were answered differently.
+pub(super) fn differ(verdicts: &[Verdict]) -> bool {
+    let mut answered = verdicts
+        .iter()
+        .filter(|verdict| verdict.outcome == Outcome::Answered);
+    let first = answered.next();
+    answered.any(|other| first.is_some_and(|first| first.body != other.body))
+}
+
+/// Sends one copy of a call and judges its answer.
+pub(super) async fn exchange(run: &Run, call: &Call, copy: usize) -> Verdict {
+    let settings = &run.settings;
+    let to = settings.entries[call.entry(copy, settings.entries.len())];
+    let request = call.request(copy);
+    let mut headers = vec![
+        (
+            settings.organisation_header.as_str(),
+            call.organisation.as_str(),
+        ),
+        ("content-type", "application/json"),
+        ("x-request-id", request.as_str()),
+    ];
+    headers.extend(call.key.as_deref().map(|key| ("idempotency-key", key)));
+    let began = run.clock.micros();
+    let body = call.body.clone();
+    let opened = run
+        .caller
+        .open(Method::POST, to, &call.path, &headers, body)
+        .await;
+    let mut verdict = match opened {
+        Ok(response) if is_stream(&response) => follow(run, call, response, began).await,
+        Ok(response) => read(call, response).await,
+        Err(error) if is_unconnected(&error) => Verdict::lost(Outcome::NotRun, "connect"),
+        Err(_) => Verdict::lost(Outcome::Unknown, "connection"),
+    };
+    verdict.micros = run.clock.micros() - began;
+    verdict
+}
+
+fn is_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get("content-type");
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+/// Says whether no connection was made, so that no byte of the call has left.
+fn is_unconnected(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<hyper_util::client::legacy::Error>();
+    error.is_some_and(hyper_util::client::legacy::Error::is_connect)
+}
+
+async fn read(call: &Call, response: Response<Incoming>) -> Verdict {
+    let (head, body) = response.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Verdict::lost(Outcome::Unknown, "connection");
+    };
+    let answer = Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    };
+    match answer.header(OUTCOME_HEADER) {
+        "answered" => judge(call, &answer),
+        "not_run" => refused(Outcome::NotRun, &answer.body),
+        "unknown" => refused(Outcome::Unknown, &answer.body),
+        // A stand-in that is called directly says nothing.
+        "" if answer.status.is_success() => judge(call, &answer),
+        _ => Verdict::lost(Outcome::Unknown, "no outcome").with(Some(Fault::Malformed)),
+    }
+}
+
+/// Judges a whole answer of the upstream.
+fn judge(call: &Call, answer: &Answer) -> Verdict {
+    let fault = match call.kind {
+        _ if answer.status != StatusCode::OK => Some(Fault::Malformed),
+        Kind::Keyed | Kind::Plain => plain_fault(call, &answer.body),
+        Kind::Chat => chat_fault(call, &answer.body),
+        Kind::Stream => Some(Fault::Malformed),
+    };
+    Verdict {
+        body: answer.body.clone(),
+        ..Verdict::answered().with(fault)
+    }
+}
+
+fn plain_fault(call: &Call, body: &[u8]) -> Option<Fault> {
+    let Ok(echo) = serde_json::from_slice::<Echo>(body) else {
+        return Some(Fault::Malformed);
+    };
+    let is_own = echo.organisation == call.organisation
+        && echo.path == call.path
+        && echo.digest == Digest::of(&[&call.body]).to_string()
+        && call.key.as_ref().is_none_or(|key| *key == echo.key);
+    match call.kind {
+        _ if !is_own => Some(Fault::Owner),
+        Kind::Keyed if echo.run != 1 => Some(Fault::Run),
+        _ => None,
+    }
+}
+
+fn chat_fault(call: &Call, body: &[u8]) -> Option<Fault> {
+    let Ok(value) = serde_json::from_slice::<Value>(body) else {
+        return Some(Fault::Malformed);
+    };
+    let content = value["choices"][0]["message"]["content"].as_str();
+    let expected = answer(call.prompt, call.tokens);
+    (content != Some(expected.as_str())).then_some(Fault::Owner)
+}
+
+/// Reads the reason from a problem body.
+fn refused(outcome: Outcome, body: &[u8]) -> Verdict {
+    let problem: Value = serde_json::from_slice(body).unwrap_or_default();
+    let kind = problem["type"].as_str().unwrap_or("no reason");
+    Verdict::lost(outcome, kind.rsplit(':').next().unwrap_or(kind))
+}
+
+/// Follows a stream to its end.
+async fn follow(run: &Run, call: &Call, response: Response<Incoming>, began: u64) -> Verdict {
+    let mut body = response.into_body();
+    let mut events = Events::default();
+    let mut stream = Stream::default();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return stream.ended(call, "connection");
+        };
+        if let Some(data) = frame.data_ref() {
+            events.push(data);
+        }
+        while let Some(event) = events.next() {
+            stream.take(call, &event);
+            let tokens = stream.tokens;
+            stream.first_token = stream
+                .first_token
+                .or((tokens > 0).then(|| run.clock.micros() - began));
+        }
+    }
+    if events.is_partial() {
+        stream.fault = stream.fault.or(Some(Fault::Cut));
+    }
+    stream.ended(call, "")
+}
+
+/// A stream as far as it has come.
+#[derive(Debug, Default)]
+struct Stream {
+    tokens: u64,
+    done: bool,
+    error: Option<Verdict>,
+    fault: Option<Fault>,
+    first_token: Option<u64>,
+}
+
+impl Stream {
+    fn take(&mut self, call: &Call, event: &Event) {
+        let is_over = self.done || self.error.is_some();
+        if is_over {
+            self.fault = self.fault.or(Some(Fault::Order));
+        } else if event.kind == "error" {
+            self.error = Some(error(&event.data));
+        } else if event.data == DONE {
+            self.done = true;
+        } else {
+            self.token(call, &event.data);
+        }
+    }
+
+    fn token(&mut self, call: &Call, data: &str) {
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        let content = chunk["choices"][0]["delta"]["content"].as_str();
+        if content != Some(token(call.prompt, self.tokens).as_str()) {
+            let is_first = self.tokens == 0;
+            let fault = if is_first { Fault::Owner } else { Fault::Order };
+            self.fault = self.fault.or(Some(fault));
+        }
+        self.tokens += 1;
+    }
+
+    /// Judges the stream at its end, which a broken connection may have brought.
+    fn ended(self, call: &Call, broken: &str) -> Verdict {
+        let is_whole = self.done && self.tokens == call.tokens;
+        let verdict = match self.error {
+            Some(error) => error,
+            None if self.done && broken.is_empty() => Verdict::answered(),
+            None if broken.is_empty() => Verdict::lost(Outcome::Unknown, "silence"),
+            None => Verdict::lost(Outcome::Unknown, broken),
+        };
+        // Without an error or a broken connection, only a whole answer may end.
+        let must_be_whole = verdict.reason.is_empty() || verdict.reason == "silence";
+        let cut = (must_be_whole && !is_whole).then_some(Fault::Cut);
+        Verdict {
+            first_token: self.first_token,
+            ..verdict.with(self.fault.or(cut))
+        }
+    }
+}
+
+/// Reads the problem in an error event.
+fn error(data: &str) -> Verdict {
+    let problem: Value = serde_json::from_str(data).unwrap_or_default();
+    match problem["outcome"].as_str() {
+        Some("not_run") => refused(Outcome::NotRun, data.as_bytes()),
+        Some("unknown") => refused(Outcome::Unknown, data.as_bytes()),
+        _ => Verdict::lost(Outcome::Unknown, "no outcome").with(Some(Fault::Malformed)),
+    }
+}
--- /dev/null
+++ b/standins/src/load/calls.rs
@@ -0,0 +1,150 @@
+//! The calls of a run, drawn from its seed.
+
+use bytes::Bytes;
+use rand::Rng as _;
+use sardinepin_common::Rng;
+use sardinepin_protocol::Digest;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::answers::Verdict;
+use super::report::Record;
+use super::settings::Settings;
+use crate::tokens::prompt_digest;
+
+/// The path of chat completions.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// The kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A plain call that may not be repeated and bears a key.
+    Keyed,
+    /// A plain call that may be repeated.
+    Plain,
+    /// A streamed chat completion.
+    Stream,
+    /// A chat completion answered in whole.
+    Chat,
+}
+
+/// How often a call is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Sends {
+    Once,
+    /// Again after the first outcome, to the next entry.
+    Again,
+    /// Twice at once, to two entries.
+    AtOnce,
+}
+
+/// One call.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) kind: Kind,
+    pub(super) sends: Sends,
+    pub(super) organisation: String,
+    pub(super) path: String,
+    pub(super) key: Option<String>,
+    pub(super) body: Bytes,
+    pub(super) prompt: Digest,
+    pub(super) tokens: u64,
+    name: String,
+    entry: usize,
+}
+
+impl Call {
+    /// Draws the call of this number.
+    pub(super) fn draw(settings: &Settings, number: u64, rng: &mut Rng) -> Self {
+        let kind = draw_kind(settings, rng);
+        let at = rng.random_range(0..settings.organisations.len());
+        let organisation = settings.organisations[at].clone();
+        let name = format!("load-{}-{number}", settings.seed);
+        let tokens = rng.random_range(1..=settings.tokens_max.max(1));
+        // The prompt names its owner, so that no two calls have the same answer.
+        let messages = json!([
+            {"role": "system", "content": format!("You help {organisation}.")},
+            {"role": "user", "content": format!("{name} {}", "x".repeat(settings.padding))},
+        ]);
+        let prompt = prompt_digest(&messages);
+        let body = match kind {
+            Kind::Keyed | Kind::Plain => json!({"name": name, "messages": messages}),
+            Kind::Stream | Kind::Chat => chat_body(settings, kind, messages, tokens),
+        };
+        let path = match kind {
+            Kind::Keyed => settings.keyed_path.as_str(),
+            Kind::Plain => settings.plain_path.as_str(),
+            Kind::Stream | Kind::Chat => CHAT_PATH,
+        };
+        Self {
+            kind,
+            sends: draw_sends(settings, kind, rng),
+            organisation,
+            path: path.to_owned(),
+            key: (kind == Kind::Keyed).then(|| format!("key-{name}")),
+            body: body.to_string().into(),
+            prompt,
+            tokens,
+            entry: rng.random_range(0..settings.entries.len()),
+            name,
+        }
+    }
+
+    /// Returns which of `entries` entries this copy goes to.
+    pub(super) fn entry(&self, copy: usize, entries: usize) -> usize {
+        (self.entry + copy) % entries
+    }
+
+    /// Returns the request identifier of this copy.
+    pub(super) fn request(&self, copy: usize) -> String {
+        format!("{}-{copy}", self.name)
+    }
+
+    /// Returns the record of this copy.
+    pub(super) fn record(&self, copy: usize, verdict: &Verdict) -> Record {
+        Record {
+            kind: self.kind,
+            request: self.request(copy),
+            key: self.key.clone(),
+            outcome: verdict.outcome,
+            reason: verdict.reason.clone(),
+        }
+    }
+}
+
+fn chat_body(settings: &Settings, kind: Kind, messages: Value, tokens: u64) -> Value {
+    json!({
+        "model": settings.model,
+        "messages": messages,
+        "max_tokens": tokens,
+        "stream": kind == Kind::Stream,
+    })
+}
+
+fn draw_kind(settings: &Settings, rng: &mut Rng) -> Kind {
+    let mix = settings.mix;
+    let mut at = rng.random_range(0..mix.total());
+    for (kind, parts) in [
+        (Kind::Keyed, mix.keyed),
+        (Kind::Plain, mix.plain),
+        (Kind::Stream, mix.stream),
+    ] {
+        if at < parts {
+            return kind;
+        }
+        at -= parts;
+    }
+    Kind::Chat
+}
+
+fn draw_sends(settings: &Settings, kind: Kind, rng: &mut Rng) -> Sends {
+    let drawn = rng.random_range(0..1_000);
+    if kind != Kind::Keyed || drawn >= settings.copies_milli {
+        Sends::Once
+    } else if drawn.is_multiple_of(2) {
+        Sends::Again
+    } else {
+        Sends::AtOnce
+    }
+}
--- /dev/null
+++ b/standins/src/load/report.rs
@@ -0,0 +1,166 @@
+//! What a run of load has seen.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use sardinepin_common::Millis;
+use sardinepin_protocol::Outcome;
+use serde::{Deserialize, Serialize};
+
+use super::answers::{Fault, Verdict};
+use super::calls::{Call, Kind};
+
+/// How many faults are described.
+const SAMPLES: usize = 10;
+
+/// The significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Latencies of answered calls, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Latency {
+    /// How many there are.
+    pub count: u64,
+    /// The median.
+    pub p50: f64,
+    /// The 95th percentile.
+    pub p95: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+/// One send.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The kind of the call.
+    pub kind: Kind,
+    /// The request identifier, of its own for each copy.
+    pub request: String,
+    /// The idempotency key, which copies share.
+    pub key: Option<String>,
+    /// What the caller may conclude.
+    pub outcome: Outcome,
+    /// Why it was not answered; empty if it was.
+    pub reason: String,
+}
+
+/// What a run has seen.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Sends, copies of keyed calls included.
+    pub sent: u64,
+    /// Sends with a whole answer.
+    pub answered: u64,
+    /// Sends that did not run.
+    pub not_run: u64,
+    /// Sends that may have run.
+    pub unknown: u64,
+    /// Answers that are another's, out of order, cut in silence, of a second run or malformed.
+    pub wrong: u64,
+    /// Answers among these that ended in silence.
+    pub cut: u64,
+    /// Answers among these that belong to another call.
+    pub wrong_owner: u64,
+    /// How long the run took, in seconds.
+    pub seconds: f64,
+    /// Answered sends each second.
+    pub answered_per_s: f64,
+    /// Sends that were not answered, by reason.
+    pub reasons: BTreeMap<String, u64>,
+    /// Latencies by kind of call, and to the first token of streams.
+    pub latency_ms: BTreeMap<String, Latency>,
+    /// Descriptions of some wrong answers.
+    pub faults: Vec<String>,
+    /// A record of each send, if they were wanted.
+    #[serde(skip_serializing_if = "Vec::is_empty", default)]
+    pub records: Vec<Record>,
+}
+
+/// The counts while the run goes on.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    report: Report,
+    histograms: BTreeMap<&'static str, Histogram<u64>>,
+}
+
+impl Tally {
+    /// Takes in one send.
+    pub(super) fn add(
+        &mut self,
+        call: &Call,
+        verdict: &Verdict,
+        fault: Option<Fault>,
+        record: Option<Record>,
+    ) {
+        let report = &mut self.report;
+        report.sent += 1;
+        *match verdict.outcome {
+            Outcome::Answered => &mut report.answered,
+            Outcome::NotRun => &mut report.not_run,
+            Outcome::Unknown => &mut report.unknown,
+        } += 1;
+        if verdict.outcome != Outcome::Answered {
+            *report.reasons.entry(verdict.reason.clone()).or_default() += 1;
+        }
+        if let Some(fault) = fault {
+            report.wrong += 1;
+            report.cut += u64::from(fault == Fault::Cut);
+            report.wrong_owner += u64::from(fault == Fault::Owner);
+            if report.faults.len() < SAMPLES {
+                report.faults.push(format!("{fault}: {}", call.request(0)));
+            }
+        }
+        report.records.extend(record);
+        if verdict.outcome == Outcome::Answered {
+            self.time(label(call.kind), verdict.micros);
+        }
+        if let Some(micros) = verdict.first_token {
+            self.time("first_token", micros);
+        }
+    }
+
+    /// Returns the report after a run of this length.
+    pub(super) fn report(&self, took: Millis) -> Report {
+        let seconds = took.as_f64() / 1_000.0;
+        let latency =
+            |(kind, times): (&&'static str, &Histogram<u64>)| ((*kind).to_owned(), latency(times));
+        Report {
+            seconds,
+            answered_per_s: self.report.answered as f64 / seconds.max(f64::EPSILON),
+            latency_ms: self.histograms.iter().map(latency).collect(),
+            ..self.report.clone()
+        }
+    }
+
+    fn time(&mut self, kind: &'static str, micros: u64) {
+        if let Some(times) = self.histograms.get_mut(kind) {
+            times.saturating_record(micros);
+        } else if let Ok(mut times) = Histogram::new(DIGITS) {
+            times.auto(true);
+            times.saturating_record(micros);
+            self.histograms.insert(kind, times);
+        }
+    }
+}
+
+fn label(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Keyed => "keyed",
+        Kind::Plain => "plain",
+        Kind::Stream => "stream",
+        Kind::Chat => "chat",
+    }
+}
+
+fn latency(times: &Histogram<u64>) -> Latency {
+    let millis = |micros: u64| micros as f64 / 1_000.0;
+    Latency {
+        count: times.len(),
+        p50: millis(times.value_at_quantile(0.50)),
+        p95: millis(times.value_at_quantile(0.95)),
+        p99: millis(times.value_at_quantile(0.99)),
+        max: millis(times.max()),
+    }
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,28 +1,40 @@
 //! The command line of the stand-ins.
 
+mod arguments;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitCode;
 use std::sync::Arc;
 
 use anyhow::{Context, Result, bail};
-use clap::{Arg, ArgMatches, Command, value_parser};
-use sardinepin_standins::engine::{Engine, Settings};
+use clap::ArgMatches;
+use sardinepin_standins::engine::Engine;
 use sardinepin_standins::http::{Handler, serve};
+use sardinepin_standins::load;
 use sardinepin_standins::plain::Plain;
 use sardinepin_standins::platform::Platform;
 use serde_json::json;
 use tokio::net::TcpListener;
 
+use arguments::{command, engine_settings, given, load_settings};
+
+/// The exit code of a run of load that saw a wrong answer.
+const EXIT_WRONG: u8 = 1;
+
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> Result<ExitCode> {
     let matches = command().get_matches();
     let (name, matches) = matches.subcommand().context("a subcommand is needed")?;
+    if name == "load" {
+        return send_load(matches).await;
+    }
     let handler = handler(name, matches)?;
     let listen: SocketAddr = given(matches, "listen")?;
     let listener = TcpListener::bind(listen).await?;
     println!("{}", json!({"listening": listener.local_addr()?}));
     serve(listener, handler).await;
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
 fn handler(name: &str, matches: &ArgMatches) -> Result<Arc<dyn Handler>> {
@@ -37,75 +49,12 @@
     }
 }
 
-fn engine_settings(matches: &ArgMatches) -> Result<Settings> {
-    let number = |name: &str, default: u64| matches.get_one(name).copied().unwrap_or(default);
-    let size = |name, default: usize| usize::try_from(number(name, default as u64));
-    let default = Settings::default();
-    Ok(Settings {
-        slots: size("slots", default.slots)?,
-        step_micros: number("step-us", default.step_micros),
-        batch_micros: number("batch-us", default.batch_micros),
-        prefill_micros: number("prefill-us", default.prefill_micros),
-        cache_entries: size("cache-entries", default.cache_entries)?,
+async fn send_load(matches: &ArgMatches) -> Result<ExitCode> {
+    let report = load::run(load_settings(matches)?).await?;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(if report.wrong == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_WRONG)
     })
 }
-
-fn command() -> Command {
-    Command::new("sardinepin-standins")
-        .about("Stand-ins for the systems around sardinepin")
-        .subcommand_required(true)
-        .subcommand(
-            served("plain", "A plain service that counts its runs").arg(
-                Arg::new("journal")
-                    .long("journal")
-                    .help("A file that keeps the count of runs over a restart")
-                    .value_parser(value_parser!(PathBuf)),
-            ),
-        )
-        .subcommand(served(
-            "platform",
-            "The platform's object API and instance list",
-        ))
-        .subcommand(engine_command())
-}
-
-fn engine_command() -> Command {
-    let arguments = [
-        ("slots", "The most requests in one step"),
-        ("step-us", "The time of a step, in microseconds"),
-        (
-            "batch-us",
-            "The time that each request adds to a step, in microseconds",
-        ),
-        (
-            "prefill-us",
-            "The time that a kibibyte of a new prompt adds, in microseconds",
-        ),
-        ("cache-entries", "How many prefixes the cache holds"),
-    ];
-    let command = served("engine", "A model engine that advances in steps");
-    arguments
-        .into_iter()
-        .fold(command, |command, (name, help)| {
-            let parser = value_parser!(u64);
-            command.arg(Arg::new(name).long(name).help(help).value_parser(parser))
-        })
-}
-
-fn served(name: &'static str, about: &'static str) -> Command {
-    Command::new(name).about(about).arg(
-        Arg::new("listen")
-            .long("listen")
-            .help("The address to listen on")
-            .default_value("127.0.0.1:0")
-            .value_parser(value_parser!(SocketAddr)),
-    )
-}
-
-/// Returns the value of an argument that has a default.
-fn given<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Result<T> {
-    matches
-        .get_one::<T>(name)
-        .cloned()
-        .with_context(|| format!("--{name} is missing"))
-}
