Drive configuration and membership, and the operators' changes

Cause: each node needs the newest configuration without asking the platform itself, and operators need changes that are in force everywhere and not lost. Ruled out: taking the store's revision after a watch for the configuration's (every claim would make all nodes fetch); one frame for a whole answer (frames end at 4 MiB); naming only heard nodes as lagging. Conclusion: the roles still have to call Control::start.

--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -147,6 +147,12 @@
             .filter(|entry| entry.value.is_some())
     }
 
+    /// Returns whether `value` could be in force under `key`.
+    #[must_use]
+    pub fn takes(key: &str, value: &str) -> bool {
+        Index::default().put(key, value)
+    }
+
     /// Returns the rule list in force.
     #[must_use]
     pub fn rules(&self) -> Arc<RuleList> {
@@ -195,7 +201,9 @@
             return;
         }
         match &entry.value {
-            Some(value) => self.index.put(&entry.key, value),
+            Some(value) => {
+                self.index.put(&entry.key, value);
+            }
             None => self.index.remove(&entry.key),
         }
         self.entries
--- a/crates/config/src/snapshot/index.rs
+++ b/crates/config/src/snapshot/index.rs
@@ -22,29 +22,30 @@
 }
 
 impl Index {
-    /// Takes an object's new value; one that cannot be read, or bears another name than its key,
-    /// leaves the last one in force.
-    pub(super) fn put(&mut self, key: &str, value: &str) {
+    /// Takes an object's new value and returns whether it is in force; one that cannot be read, or
+    /// bears another name than its key, leaves the last one in force.
+    pub(super) fn put(&mut self, key: &str, value: &str) -> bool {
         let Some((kind, name)) = key.split_once('/') else {
-            return;
+            return false;
         };
         match kind {
-            "rules" => {
-                if let Some(rules) = parse(key, value) {
-                    self.rules = Arc::new(rules);
-                }
-            }
-            "services" => put(&mut self.services, key, value, |found| &found.name),
-            "upstreams" => put(&mut self.upstreams, key, value, |found| &found.name),
-            "groups" => put(&mut self.groups, key, value, |found| &found.name),
-            "organisations" => {
-                if let Some(shard) = parse(key, value) {
+            "rules" => match parse(key, value) {
+                Some(rules) => self.rules = Arc::new(rules),
+                None => return false,
+            },
+            "services" => return put(&mut self.services, key, value, |found| &found.name),
+            "upstreams" => return put(&mut self.upstreams, key, value, |found| &found.name),
+            "groups" => return put(&mut self.groups, key, value, |found| &found.name),
+            "organisations" => match parse(key, value) {
+                Some(shard) => {
                     self.shards.insert(name.to_owned(), Arc::new(shard));
                     self.gather();
                 }
-            }
-            _ => {}
+                None => return false,
+            },
+            _ => return false,
         }
+        true
     }
 
     /// Takes an object out.
@@ -82,16 +83,18 @@
     key: &str,
     value: &str,
     name: impl Fn(&T) -> &String,
-) {
+) -> bool {
     let Some(found) = parse::<T>(key, value) else {
-        return;
+        return false;
     };
     let own = name(&found).clone();
-    if key.split_once('/').is_some_and(|(_, name)| name == own) {
+    let named = key.split_once('/').is_some_and(|(_, name)| name == own);
+    if named {
         held.insert(own, Arc::new(found));
     } else {
         log::warn!(event = "misnamed_object", key = key, name = own.as_str(); "the last value stays in force");
     }
+    named
 }
 
 fn parse<T: for<'de> Deserialize<'de>>(key: &str, value: &str) -> Option<T> {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -48,8 +48,8 @@
         /// Whether all of it came.
         whole: bool,
     },
-    /// Every node is to be asked at once what it holds.
-    Poll,
+    /// Every node that is not known to hold this revision is to be asked at once what it holds.
+    Poll(Revision),
     /// This node begins to leave.
     Leave,
 }
@@ -176,7 +176,7 @@
             Input::Listed(listed) => self.take_list(listed),
             Input::Table(updates) => self.take_table(now, &updates, out),
             Input::Fetched { whole } => self.fetched(whole),
-            Input::Poll => self.poll(now, out),
+            Input::Poll(below) => self.poll(now, below, out),
             Input::Leave => self.leave(now, out),
         }
         self.refresh(out);
@@ -207,6 +207,16 @@
             .max(self.revision)
     }
 
+    /// Returns how many other nodes have been heard directly.
+    #[must_use]
+    pub fn heard_count(&self) -> usize {
+        self.table
+            .others
+            .values()
+            .filter(|record| record.heard.is_some())
+            .count()
+    }
+
     /// Returns how this node sees every node, itself included, by name.
     #[must_use]
     pub fn rows(&self, now: Millis) -> Vec<Row> {
--- a/crates/membership/src/members/rounds.rs
+++ b/crates/membership/src/members/rounds.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng as _;
 use rand::seq::IteratorRandom as _;
-use sardinepin_common::Millis;
+use sardinepin_common::{Millis, Revision};
 
 use super::{Members, Output};
 use crate::message::{Kind, State};
@@ -176,9 +176,15 @@
         })
     }
 
-    /// Asks every node that may be there what it holds.
-    pub(super) fn poll(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let names: Vec<String> = self.table.others.keys().cloned().collect();
+    /// Asks every node that may be there and is not known to hold `below` what it holds.
+    pub(super) fn poll(&mut self, now: Millis, below: Revision, out: &mut Vec<Output>) {
+        let names: Vec<String> = self
+            .table
+            .others
+            .values()
+            .filter(|record| record.held.is_none_or(|(held, _)| held < below))
+            .map(|record| record.update.name.clone())
+            .collect();
         for name in names {
             let present = self
                 .table
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -82,11 +82,9 @@
 
     /// Takes a statement about this node: what is wrong is answered with a higher version.
     fn merge_own(&mut self, update: &Update) -> Merged {
-        if *update == self.me || update.version < self.me.version {
-            return Merged::Nothing;
-        }
-        let milder = update.incarnation == self.me.incarnation && update.version == self.me.version;
-        if milder && update.state < self.me.state {
+        let own = update.incarnation == self.me.incarnation;
+        let known = own && update.version == self.me.version && update.state <= self.me.state;
+        if known || update.version < self.me.version {
             return Merged::Nothing;
         }
         self.me.version = update.version.saturating_add(1);
--- a/crates/protocol/src/datagram.rs
+++ b/crates/protocol/src/datagram.rs
@@ -86,6 +86,19 @@
 ///
 /// Returns an error if the ring is empty or the datagram would be too long.
 pub fn seal(ring: &Keyring, body: &[u8]) -> Result<Vec<u8>, DatagramError> {
+    let out = seal_frame(ring, body)?;
+    if out.len() > DATAGRAM_LIMIT {
+        return Err(DatagramError::TooLong);
+    }
+    Ok(out)
+}
+
+/// Seals `body`, of any length, as a frame between nodes over TCP.
+///
+/// # Errors
+///
+/// Returns an error if the ring is empty.
+pub fn seal_frame(ring: &Keyring, body: &[u8]) -> Result<Vec<u8>, DatagramError> {
     let (number, key) = ring.keys.first().ok_or(DatagramError::NoKey)?;
     let mut out = Vec::with_capacity(HEAD_LEN + body.len() + MAC_LEN);
     out.push(version_byte());
@@ -93,9 +106,6 @@
     out.extend_from_slice(body);
     let code = blake3::keyed_hash(key, &out);
     out.extend_from_slice(&code.as_bytes()[..MAC_LEN]);
-    if out.len() > DATAGRAM_LIMIT {
-        return Err(DatagramError::TooLong);
-    }
     Ok(out)
 }
 
@@ -108,6 +118,15 @@
     if datagram.len() > DATAGRAM_LIMIT {
         return Err(DatagramError::TooLong);
     }
+    open_frame(ring, datagram)
+}
+
+/// Checks a frame of [`seal_frame`] and returns its body.
+///
+/// # Errors
+///
+/// Returns an error that says why the frame is to be dropped.
+pub fn open_frame<'a>(ring: &Keyring, datagram: &'a [u8]) -> Result<&'a [u8], DatagramError> {
     if datagram.len() < HEAD_LEN + MAC_LEN {
         return Err(DatagramError::Malformed);
     }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use codec::{CodecError, FrameReader, FrameWriter, decode, encode, framed, frames};
 pub use constants::{FRAME_LIMIT, PROTOCOL_VERSION};
-pub use datagram::{DatagramError, Keyring, open, seal};
+pub use datagram::{DatagramError, Keyring, open, open_frame, seal, seal_frame};
 pub use digest::Digest;
 pub use errors::{Answer, ErrorKind, Outcome, RetryAdvice};
 pub use link::{
--- /dev/null
+++ b/crates/sardinepin/src/control/fetch/server.rs
@@ -0,0 +1,120 @@
+//! The answering side of a fetch.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use sardinepin_common::{Millis, Revision};
+use sardinepin_config::Entry;
+use sardinepin_protocol::{decode, encode, framed, open_frame, seal_frame};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use super::super::hub::{Hub, dropped};
+use super::{Answer, Ask, Part, Request};
+
+/// How many fetches are answered at once; those over it are closed.
+const ANSWERS: usize = 64;
+
+/// How long an answer may take.
+const LIMIT: Millis = Millis(10_000);
+
+/// About how many bytes of values go into a frame; one value of a megabyte may come on top.
+const PAGE_BYTES: usize = 1024 * 1024;
+
+/// How many nodes go into a frame.
+const PAGE_NODES: usize = 4_096;
+
+/// The wait after the listener has failed.
+const PAUSE: Millis = Millis(50);
+
+/// Answers fetches until the task is ended.
+pub(in super::super) async fn serve(hub: Arc<Hub>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(ANSWERS));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE.duration()).await;
+            continue;
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            dropped("fetch_busy");
+            continue;
+        };
+        let hub = Arc::clone(&hub);
+        tokio::spawn(async move {
+            let _place = place;
+            let answered = tokio::time::timeout(LIMIT.duration(), answer(&hub, stream)).await;
+            if !matches!(answered, Ok(Ok(()))) {
+                dropped("fetch_failed");
+            }
+        });
+    }
+}
+
+async fn answer(hub: &Hub, stream: TcpStream) -> anyhow::Result<()> {
+    let mut stream = framed(stream);
+    let frame = stream.next().await.context("no request")??;
+    let request: Request = decode(open_frame(&hub.keyring, &frame)?)?;
+    let mut parts = match request.ask {
+        Ask::Config { after, table } => config(hub, after, table),
+        Ask::View => {
+            let rows = hub.rows();
+            rows.chunks(PAGE_NODES)
+                .map(|page| Part::View(page.to_vec()))
+                .collect()
+        }
+    };
+    parts.push(Part::End);
+    for (number, part) in (0..).zip(parts) {
+        let answer = Answer {
+            nonce: request.nonce,
+            number,
+            part,
+        };
+        let frame = seal_frame(&hub.keyring, &encode(&answer)?)?;
+        stream.send(Bytes::from(frame)).await?;
+    }
+    Ok(())
+}
+
+/// Returns the parts that bring the asker up to what this node holds.
+fn config(hub: &Hub, after: Revision, table: bool) -> Vec<Part> {
+    let mut parts = Vec::new();
+    if table {
+        let updates = hub.updates();
+        parts.extend(
+            updates
+                .chunks(PAGE_NODES)
+                .map(|page| Part::Table(page.to_vec())),
+        );
+    }
+    let snapshot = hub.snapshot();
+    if snapshot.revision() > after {
+        let offer = snapshot.offer(after);
+        let pages = pages(offer.entries);
+        parts.extend(pages.into_iter().map(|entries| Part::Entries {
+            revision: offer.revision,
+            whole: offer.whole,
+            entries,
+        }));
+    }
+    parts
+}
+
+/// Splits entries into pages that fit into frames; there is always one.
+fn pages(entries: Vec<Entry>) -> Vec<Vec<Entry>> {
+    let mut pages = vec![Vec::new()];
+    let mut size = 0;
+    for entry in entries {
+        size += entry.key.len() + entry.value.as_ref().map_or(0, String::len);
+        if let Some(page) = pages.last_mut() {
+            page.push(entry);
+        }
+        if size > PAGE_BYTES {
+            size = 0;
+            pages.push(Vec::new());
+        }
+    }
+    pages
+}
--- /dev/null
+++ b/crates/sardinepin/src/control/operations.rs
@@ -0,0 +1,226 @@
+//! What operators do to the configuration, through any entry.
+//!
+//! Every write is checked whole, conditional, settled if its answer is lost, and written to the log.
+
+mod differences;
+mod intents;
+mod refusal;
+
+use sardinepin_common::Revision;
+use sardinepin_config::{
+    Entry, Fault, RuleList, Snapshot, check_rules, check_snapshot, object_key,
+};
+use sardinepin_platform::{Change, Expect, Object, Store, StoreError, write_settled};
+
+use super::Control;
+use super::hub::Hub;
+use super::watcher::{PREFIX, whole};
+use differences::differences;
+
+pub use intents::Edit;
+pub use refusal::Refusal;
+
+/// An operation that was accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Done {
+    /// The revision from which what was asked for is in force.
+    pub revision: Revision,
+    /// Whether anything had to be changed for it.
+    pub changed: bool,
+}
+
+/// A write that an operator asks for.
+struct Wish<'a> {
+    who: &'a str,
+    what: &'a str,
+    /// The key as configuration knows it, without the store's prefix.
+    key: &'a str,
+    expect: Expect,
+    value: Option<&'a str>,
+}
+
+impl Control {
+    /// Replaces the rule list by `text`, a JSON document, if the one that stands has the revision
+    /// `expect`, or if none stands and `expect` is `None`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the list, the list that stands and what differs if another was
+    /// written meanwhile, or that the platform is out, in which case nothing was accepted.
+    pub async fn put_rules(
+        &self,
+        who: &str,
+        expect: Option<Revision>,
+        text: &str,
+    ) -> Result<Done, Refusal> {
+        let list: RuleList = serde_json::from_str(text).map_err(|error| unreadable(&error))?;
+        let faults = check_rules(&list);
+        if !faults.is_empty() {
+            return Err(Refusal::Faults(faults));
+        }
+        let key = object_key("rules", "list");
+        self.put_checked(who, "put rules", &key, expect, Some(text))
+            .await
+    }
+
+    /// Writes any object of the configuration, or deletes it, if it stands as `expect` says.
+    ///
+    /// The configuration is checked as it would then be; `key` is such as `services/opptak`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Control::put_rules`].
+    pub async fn put_object(
+        &self,
+        who: &str,
+        key: &str,
+        expect: Option<Revision>,
+        value: Option<&str>,
+    ) -> Result<Done, Refusal> {
+        if let Some(value) = value {
+            self.check(key, value).await?;
+        }
+        self.put_checked(who, "put object", key, expect, value)
+            .await
+    }
+
+    async fn put_checked(
+        &self,
+        who: &str,
+        what: &str,
+        key: &str,
+        expect: Option<Revision>,
+        value: Option<&str>,
+    ) -> Result<Done, Refusal> {
+        let standing = self.read(key).await?;
+        if standing.as_ref().map(|object| object.revision) != expect {
+            return Err(conflict(standing, value));
+        }
+        self.write(Wish {
+            who,
+            what,
+            key,
+            expect: expect.map_or(Expect::Absent, Expect::Revision),
+            value,
+        })
+        .await
+    }
+
+    /// Reads an object from the platform; if that fails, nothing is accepted.
+    async fn read(&self, key: &str) -> Result<Option<Object>, Refusal> {
+        let store = self.platform()?;
+        store
+            .get(&stored(key))
+            .await
+            .map_err(|error| Refusal::PlatformOut(error.to_string()))
+    }
+
+    async fn write(&self, wish: Wish<'_>) -> Result<Done, Refusal> {
+        let store = self.platform()?;
+        let write_id = self.hub.write_id();
+        let change = Change {
+            key: &stored(wish.key),
+            expect: wish.expect,
+            write_id: &write_id,
+            value: wish.value,
+        };
+        let result = write_settled(store, change).await;
+        audit(&self.hub, &wish, &result);
+        match result {
+            Ok(revision) => Ok(Done {
+                revision,
+                changed: true,
+            }),
+            Err(StoreError::Conflict(standing)) => Err(conflict(standing, wish.value)),
+            Err(StoreError::Refused(why)) => Err(Refusal::PlatformOut(why)),
+            Err(error) => Err(Refusal::Unknown(error.to_string())),
+        }
+    }
+
+    fn platform(&self) -> Result<&dyn Store, Refusal> {
+        self.hub
+            .store()
+            .map(AsRef::as_ref)
+            .ok_or_else(|| Refusal::PlatformOut("no platform is set".to_owned()))
+    }
+
+    /// Checks the configuration as it would be with this object.
+    ///
+    /// What this node holds may lag behind an object that was just written, so a fault counts only
+    /// if it is there with the platform's own state too.
+    async fn check(&self, key: &str, value: &str) -> Result<(), Refusal> {
+        if !Snapshot::takes(key, value) {
+            return Err(Refusal::Faults(vec![Fault {
+                field: key.to_owned(),
+                message: "the object cannot be read, or bears another name than its key".to_owned(),
+            }]));
+        }
+        if faults_with(self.hub.snapshot().as_ref().clone(), key, value).is_empty() {
+            return Ok(());
+        }
+        let listing = self
+            .platform()?
+            .list(PREFIX)
+            .await
+            .map_err(|error| Refusal::PlatformOut(error.to_string()))?;
+        let mut newest = Snapshot::default();
+        newest.take(&whole(listing));
+        match faults_with(newest, key, value) {
+            faults if faults.is_empty() => Ok(()),
+            faults => Err(Refusal::Faults(faults)),
+        }
+    }
+}
+
+/// Returns the faults that an object would have in a configuration; those of others are not its.
+fn faults_with(mut snapshot: Snapshot, key: &str, value: &str) -> Vec<Fault> {
+    let revision = Revision(u64::MAX);
+    let entry = Entry {
+        key: key.to_owned(),
+        revision,
+        value: Some(value.to_owned()),
+    };
+    snapshot.merge(revision, &[entry]);
+    let own = match key.split_once('/') {
+        Some(("rules", _)) => "rules".to_owned(),
+        _ => format!("{key}."),
+    };
+    let mut faults = check_snapshot(&snapshot);
+    faults.retain(|fault| fault.field.starts_with(&own));
+    faults
+}
+
+fn stored(key: &str) -> String {
+    format!("{PREFIX}{key}")
+}
+
+fn conflict(standing: Option<Object>, wanted: Option<&str>) -> Refusal {
+    let differs = differences(
+        standing.as_ref().and_then(|object| object.value.as_deref()),
+        wanted,
+    );
+    Refusal::Conflict { standing, differs }
+}
+
+fn unreadable(error: &serde_json::Error) -> Refusal {
+    Refusal::Faults(vec![Fault {
+        field: "rules".to_owned(),
+        message: error.to_string(),
+    }])
+}
+
+/// Notes in the log who did what.
+fn audit(hub: &Hub, wish: &Wish<'_>, result: &Result<Revision, StoreError>) {
+    let outcome = match result {
+        Ok(_) => "accepted",
+        Err(StoreError::Conflict(_)) => "conflict",
+        Err(StoreError::Refused(_)) => "not_accepted",
+        Err(_) => "unknown",
+    };
+    let revision = result.as_ref().map_or(0, |revision| revision.0);
+    log::info!(
+        event = "audit", who = wish.who, what = wish.what, key = wish.key, outcome = outcome,
+        revision = revision, at = hub.settings.name.as_str();
+        "an operator's change"
+    );
+}
--- /dev/null
+++ b/crates/sardinepin/src/control/operations/refusal.rs
@@ -0,0 +1,63 @@
+//! Why an operator's change was not made.
+
+use std::fmt;
+
+use sardinepin_config::Fault;
+use sardinepin_platform::Object;
+use sardinepin_protocol::ErrorKind;
+
+/// Why an operator's change was not made, or may not have been.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// The change has faults.
+    Faults(Vec<Fault>),
+    /// Another change came first.
+    Conflict {
+        /// The object as it stands, if it is there.
+        standing: Option<Object>,
+        /// What differs between it and the one that was asked for.
+        differs: Vec<String>,
+    },
+    /// The object is not there.
+    Missing,
+    /// The platform is out; nothing was accepted.
+    PlatformOut(String),
+    /// The platform did not answer and could not be asked again: the change may be in force later.
+    Unknown(String),
+}
+
+impl Refusal {
+    /// Returns the kind of error that this is.
+    #[must_use]
+    pub fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Faults(_) | Self::Missing => ErrorKind::BadRequest,
+            Self::Conflict { .. } => ErrorKind::Conflict,
+            Self::PlatformOut(_) => ErrorKind::PlatformOut,
+            Self::Unknown(_) => ErrorKind::Internal,
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Faults(faults) => {
+                let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                out.write_str(&lines.join("\n"))
+            }
+            Self::Conflict { standing, differs } => {
+                match standing {
+                    Some(object) => write!(out, "it stands at revision {}", object.revision)?,
+                    None => out.write_str("it does not stand")?,
+                }
+                write!(out, "; what differs: {}", differs.join(", "))
+            }
+            Self::Missing => out.write_str("there is no such object"),
+            Self::PlatformOut(why) => write!(out, "not accepted, the platform is out: {why}"),
+            Self::Unknown(why) => write!(out, "it may have been accepted: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/crates/sardinepin/src/control/watcher.rs
@@ -0,0 +1,132 @@
+//! Follows the configuration in the platform's store while this node is one of its zone's watchers.
+
+use std::sync::Arc;
+
+use rand::Rng as _;
+use sardinepin_common::{Millis, Revision};
+use sardinepin_config::{Entry, Offer};
+use sardinepin_membership::{Input, Listed};
+use sardinepin_platform::{Instance, InstanceState, Listing, Object, Store, StoreError};
+
+use super::hub::Hub;
+
+/// The prefix of the configuration's keys in the store.
+pub(super) const PREFIX: &str = "config/";
+
+/// The shortest and the longest wait after the store could not be read.
+const PAUSES: (Millis, Millis) = (Millis(200), Millis(2_000));
+
+/// Reads the configuration once, then follows it whenever this node is chosen to.
+pub(super) async fn follow(hub: Arc<Hub>) {
+    let Some(store) = hub.store().map(Arc::clone) else {
+        return;
+    };
+    let mut watching = hub.watching();
+    loop {
+        if watching.wait_for(|chosen| *chosen).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            () = watch(&hub, store.as_ref()) => {}
+            () = instances(&hub) => {}
+            _ = watching.wait_for(|chosen| !*chosen) => {}
+        }
+    }
+}
+
+/// Reads the whole configuration once.
+pub(super) async fn read(hub: &Arc<Hub>, store: &dyn Store) -> Result<(), StoreError> {
+    let listing = store.list(PREFIX).await?;
+    hub.publish("platform", &whole(listing));
+    hub.note_read();
+    Ok(())
+}
+
+async fn watch(hub: &Arc<Hub>, store: &dyn Store) {
+    let mut pause = PAUSES.0;
+    loop {
+        match step(hub, store).await {
+            Ok(()) => pause = PAUSES.0,
+            Err(error) => {
+                log::warn!(event = "platform_out", error:% = error; "the configuration cannot be read");
+                let jitter = rand::rng().random_range(0..=pause.0 / 2);
+                tokio::time::sleep((pause + Millis(jitter)).duration()).await;
+                pause = (pause + pause).min(PAUSES.1);
+            }
+        }
+    }
+}
+
+/// Reads all that there is, or waits for what is newer.
+async fn step(hub: &Arc<Hub>, store: &dyn Store) -> Result<(), StoreError> {
+    if !hub.has_read() {
+        return read(hub, store).await;
+    }
+    let after = hub.revision();
+    let wait = Millis(hub.settings.platform.watch_ms);
+    let listing = store.watch(PREFIX, after, wait).await?;
+    if listing.objects.is_empty() && listing.revision >= after {
+        return Ok(());
+    }
+    hub.publish("platform", &newer(listing));
+    Ok(())
+}
+
+/// Reads the instance list from time to time.
+async fn instances(hub: &Arc<Hub>) {
+    loop {
+        read_instances(hub).await;
+        let pause = Millis(hub.settings.platform.instances_ms);
+        tokio::time::sleep(pause.duration()).await;
+    }
+}
+
+/// Reads the instance list once; if it cannot be read, the last one stays.
+pub(super) async fn read_instances(hub: &Arc<Hub>) {
+    let Some(store) = hub.store() else { return };
+    if let Ok(instances) = store.instances().await {
+        let listed = instances.into_iter().filter_map(listed).collect();
+        hub.input(Input::Listed(listed));
+    }
+}
+
+fn listed(instance: Instance) -> Option<Listed> {
+    if instance.state != InstanceState::Live {
+        return None;
+    }
+    Some(Listed {
+        address: instance.address.parse().ok()?,
+        name: instance.name,
+        role: instance.role,
+        zone: instance.zone,
+    })
+}
+
+/// A listing shows no deletions, so what it lacks is gone.
+pub(super) fn whole(listing: Listing) -> Offer {
+    Offer {
+        revision: listing.revision,
+        whole: true,
+        entries: listing.objects.into_iter().map(entry).collect(),
+    }
+}
+
+/// The store's revision also counts writes under other prefixes, of which the other nodes need not
+/// hear: so the last write of the configuration gives the revision.
+fn newer(listing: Listing) -> Offer {
+    let last = listing.objects.iter().map(|object| object.revision).max();
+    Offer {
+        revision: last.unwrap_or(listing.revision),
+        whole: false,
+        entries: listing.objects.into_iter().map(entry).collect(),
+    }
+}
+
+fn entry(object: Object) -> Entry {
+    let key = object.key.strip_prefix(PREFIX).unwrap_or(&object.key);
+    Entry {
+        key: key.to_owned(),
+        revision: Revision(object.revision.0),
+        value: object.value,
+    }
+}
--- a/crates/sardinepin/src/options.rs
+++ b/crates/sardinepin/src/options.rs
@@ -13,8 +13,8 @@
 pub use faults::{FileFault, FileFaults};
 pub use load::{default_yaml, load_settings, parse_settings};
 pub use settings::{
-    AgentSettings, ClusterSettings, EntrySettings, KeySetting, LogSettings, PlatformSettings,
-    Settings, StopSettings,
+    AgentSettings, ClusterFaults, ClusterSettings, EntrySettings, KeySetting, LogSettings,
+    PlatformSettings, Settings, StopSettings,
 };
 
 #[cfg(test)]
--- a/crates/sardinepin/src/options/fields.rs
+++ b/crates/sardinepin/src/options/fields.rs
@@ -123,6 +123,18 @@
     ),
     field("cluster.keys[].secret", Allowed::Text { min: SECRET_MIN }),
     field("cluster.round_ms", span()),
+    field("cluster.peers", number(1, 100, "peers")),
+    field(
+        "cluster.peer_choice",
+        Allowed::OneOf(&["uniform", "long_links"]),
+    ),
+    field("cluster.across_milli", number(0, 1_000, "thousandths")),
+    field("cluster.faults", MAPPING),
+    field("cluster.faults.loss_milli", number(0, 1_000, "thousandths")),
+    field(
+        "cluster.faults.cut_file",
+        Allowed::Shape("the path of a file, or null"),
+    ),
     field("log", MAPPING),
     field("log.level", Allowed::OneOf(LEVELS)),
     field("stop", MAPPING),
--- a/crates/sardinepin/src/options/settings.rs
+++ b/crates/sardinepin/src/options/settings.rs
@@ -162,6 +162,24 @@
     pub keys: Vec<KeySetting>,
     /// The time between two rounds of digests, in milliseconds.
     pub round_ms: u64,
+    /// How many peers a round speaks to.
+    pub peers: usize,
+    /// How they are chosen: `uniform` or `long_links`.
+    pub peer_choice: String,
+    /// The share of them that is chosen in other zones, in thousandths.
+    pub across_milli: u32,
+    /// Faults to be shown at the sockets, for tests and trials only.
+    pub faults: ClusterFaults,
+}
+
+/// Faults at the sockets between nodes, for tests and trials only.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ClusterFaults {
+    /// The share of datagrams that is lost on sending, in thousandths.
+    pub loss_milli: u32,
+    /// A file of the nodes' addresses, one a line, with which nothing is exchanged.
+    pub cut_file: Option<PathBuf>,
 }
 
 impl Default for ClusterSettings {
@@ -171,6 +189,10 @@
             seeds: Vec::new(),
             keys: Vec::new(),
             round_ms: 500,
+            peers: 3,
+            peer_choice: "uniform".to_owned(),
+            across_milli: 200,
+            faults: ClusterFaults::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/sardinepin/tests/control/nodes.rs
@@ -0,0 +1,200 @@
+//! Nodes of one process for the tests of configuration and membership.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use sardinepin::control::{Control, ControlSettings};
+use sardinepin::options::{ClusterFaults, ClusterSettings, KeySetting, PlatformSettings};
+use sardinepin_common::{Clock, Incarnation, Millis, Revision};
+use sardinepin_config::Snapshot;
+use sardinepin_membership::{Row, Standing};
+use sardinepin_platform::{Change, Expect, Instance, InstanceState, MemoryStore, Store};
+use sardinepin_protocol::Role;
+
+/// The key of the upstream that tests change.
+pub const UPSTREAM: &str = "config/upstreams/u";
+
+/// Far beyond what any of the tests needs.
+const BOUND: Millis = Millis(120_000);
+
+pub struct Node {
+    pub control: Control,
+    pub name: String,
+    zone: usize,
+    cut_file: PathBuf,
+}
+
+pub struct Fleet {
+    pub store: Arc<MemoryStore>,
+    pub nodes: Vec<Node>,
+}
+
+impl Node {
+    pub async fn start(
+        id: usize,
+        zones: usize,
+        seeds: Vec<SocketAddr>,
+        store: &Arc<MemoryStore>,
+    ) -> Self {
+        Self::start_with(id, zones, seeds, store, |_| {}).await
+    }
+
+    pub async fn start_with(
+        id: usize,
+        zones: usize,
+        seeds: Vec<SocketAddr>,
+        store: &Arc<MemoryStore>,
+        change: impl FnOnce(&mut ControlSettings),
+    ) -> Self {
+        let incarnation = Incarnation(rand::random());
+        let cut_file = std::env::temp_dir().join(format!("sardinepin-cut-{incarnation}"));
+        let mut settings = ControlSettings {
+            name: format!("node-{id}"),
+            zone: format!("zone-{}", id % zones),
+            role: Role::Entry,
+            cluster: ClusterSettings {
+                listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+                seeds,
+                keys: vec![KeySetting {
+                    number: 1,
+                    secret: "a secret of the tests".to_owned(),
+                }],
+                round_ms: 100,
+                faults: ClusterFaults {
+                    loss_milli: 50,
+                    cut_file: Some(cut_file.clone()),
+                },
+                ..ClusterSettings::default()
+            },
+            platform: PlatformSettings {
+                watch_ms: 500,
+                ..PlatformSettings::default()
+            },
+        };
+        change(&mut settings);
+        let store: Arc<dyn Store> = Arc::<MemoryStore>::clone(store);
+        let name = settings.name.clone();
+        let control = Control::start(settings, Some(store), Clock::start(), incarnation)
+            .await
+            .unwrap();
+        Self {
+            control,
+            name,
+            zone: id % zones,
+            cut_file,
+        }
+    }
+
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.control.snapshot().borrow())
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.snapshot().revision()
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.control
+            .members()
+            .into_iter()
+            .find(|row| row.name == self.name)
+            .unwrap()
+            .address
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.cut_file);
+    }
+}
+
+impl Fleet {
+    /// Starts nodes beside a store that holds one service.
+    pub async fn start(count: usize, zones: usize) -> Self {
+        let store = Arc::new(MemoryStore::new());
+        let service = Change {
+            key: "config/services/opptak",
+            expect: Expect::Absent,
+            write_id: "first",
+            value: Some(r#"{"name":"opptak"}"#),
+        };
+        store.put(service).await.unwrap();
+        let mut nodes: Vec<Node> = Vec::new();
+        for id in 0..count {
+            let seeds = nodes.first().map(Node::address).into_iter().collect();
+            nodes.push(Node::start(id, zones, seeds, &store).await);
+        }
+        let fleet = Self { store, nodes };
+        until("all are ready", || {
+            fleet
+                .nodes
+                .iter()
+                .all(|node| *node.control.ready().borrow())
+        })
+        .await;
+        fleet
+    }
+
+    /// Starts one more node in the first zone.
+    pub async fn add(&self, id: usize) -> Node {
+        Node::start(id, 1, vec![self.nodes[0].address()], &self.store).await
+    }
+
+    pub async fn all_know_all(&self) {
+        until("all know all", || {
+            self.nodes.iter().all(|node| {
+                count_where(node, |row| row.standing == Standing::Alive) == self.nodes.len()
+            })
+        })
+        .await;
+    }
+
+    pub fn list_instance(&self, name: &str, address: &str) {
+        self.store.set_instances(vec![Instance {
+            name: name.to_owned(),
+            role: Role::Agent,
+            zone: "zone-0".to_owned(),
+            address: address.to_owned(),
+            state: InstanceState::Live,
+        }]);
+    }
+
+    /// Cuts all links between a zone and the others.
+    pub async fn cut_zone(&self, zone: usize) {
+        for node in &self.nodes {
+            let others = self
+                .nodes
+                .iter()
+                .filter(|other| (other.zone == zone) != (node.zone == zone));
+            let lines: Vec<String> = others.map(|other| other.address().to_string()).collect();
+            tokio::fs::write(&node.cut_file, lines.join("\n"))
+                .await
+                .unwrap();
+        }
+    }
+
+    pub async fn heal(&self) {
+        for node in &self.nodes {
+            tokio::fs::remove_file(&node.cut_file).await.unwrap();
+        }
+    }
+}
+
+pub fn count_where(node: &Node, test: impl Fn(&Row) -> bool) -> usize {
+    node.control
+        .members()
+        .iter()
+        .filter(|row| test(row))
+        .count()
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, done: impl Fn() -> bool) {
+    let clock = Clock::start();
+    while !done() {
+        assert!(clock.now() < BOUND, "never: {what}");
+        tokio::time::sleep(Millis(20).duration()).await;
+    }
+}
