--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,9 +1,12 @@
 //! Stand-ins for the systems around sardinepin, a load client, and deployments on loopback.
 
 pub mod engine;
+pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod relay;
 pub mod tokens;
 
 mod query;
