Run entries and agents on the control part, with health, status and shared quarantine

Cause: the roles still followed the platform by a loop of their own, showed nothing to operators, and kept quarantines to themselves. Ruled out: a gossip message of its own for quarantines; they are rare, and as objects of the configuration they spread and are lifted like any other change. Change: node.rs (identity, control, administration API) for both roles, live view of links and loads, quarantine objects, readiness by the control part; the entry's own watcher is gone. Conclusion: one way of following the configuration is left.

--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -138,6 +138,14 @@
             .collect()
     }
 
+    /// Returns every entry whose key begins with `prefix`, deletions included.
+    pub fn entries_under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries
+            .range(prefix.to_owned()..)
+            .map(|(_, entry)| entry.as_ref())
+            .take_while(move |entry| entry.key.starts_with(prefix))
+    }
+
     /// Returns the entry under `key`, if it stands.
     #[must_use]
     pub fn entry(&self, key: &str) -> Option<&Entry> {
--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -13,11 +13,11 @@
 use std::sync::Arc;
 
 use anyhow::Context;
-use sardinepin_common::{Clock, Millis};
+use sardinepin_common::Millis;
 use sardinepin_protocol::Role;
 use tokio::net::TcpListener;
 
-use crate::link::Identity;
+use crate::node::Node;
 use crate::options::Settings;
 use crate::stop::{self, Signals};
 use state::Agent;
@@ -36,9 +36,14 @@
         .await
         .with_context(|| format!("agent.listen: cannot listen on {}", settings.agent.listen))?;
     let address = listener.local_addr()?;
-    let identity = Identity::new(Role::Agent, &settings.name, &settings.zone);
-    let agent = Arc::new(Agent::new(settings, identity, Clock::start(), address));
-    log::info!(event = "listening", role = "agent", address:% = address; "listening");
+    let node = Node::start(&settings, Role::Agent).await?;
+    let agent = Arc::new(Agent::new(settings, &node, address));
+    let admin = node.serve_admin(agent.clone(), None).await?;
+    log::info!(
+        event = "listening", role = "agent", address:% = address, admin:% = admin,
+        cluster = node.cluster_address().as_str();
+        "listening"
+    );
 
     tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
     tokio::spawn(sweep(Arc::clone(&agent)));
@@ -46,6 +51,7 @@
 
     log::info!(event = "leaving"; "no new work is taken");
     agent.leave();
+    node.control.leave();
     let finished = stop::until_done(&mut signals, || agent.is_idle()).await;
     Ok(stop::exit_code(finished, agent.open()))
 }
--- a/crates/sardinepin/src/agent/keys.rs
+++ b/crates/sardinepin/src/agent/keys.rs
@@ -5,10 +5,11 @@
 
 use sardinepin_common::{Incarnation, Millis};
 use sardinepin_decisions::{ClaimSettings, Claims, KeyEvent};
-use sardinepin_platform::{HttpSettings, HttpStore, Store};
+use sardinepin_platform::Store;
 use sardinepin_protocol::{ClaimKey, ClaimState};
 use tokio::sync::Notify;
 
+use crate::node::Node;
 use crate::options::Settings;
 
 /// The keys of an agent and the store of their claims.
@@ -24,17 +25,17 @@
 
 impl Keys {
     /// Makes an empty table.
-    pub(crate) fn new(settings: &Settings, own: Incarnation, address: SocketAddr) -> Self {
+    pub(crate) fn new(settings: &Settings, node: &Node, address: SocketAddr) -> Self {
         let claims = Claims::new(
             ClaimSettings {
                 keep_ms: settings.agent.keep_ms,
                 ..ClaimSettings::default()
             },
-            own,
+            node.identity.incarnation,
         );
         Self {
             address,
-            store: store(settings),
+            store: node.store.clone(),
             claims: Mutex::new(claims),
             changed: Notify::new(),
         }
@@ -66,12 +67,3 @@
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn store(settings: &Settings) -> Option<Arc<dyn Store>> {
-    let store = HttpStore::new(HttpSettings {
-        address: settings.platform.address?,
-        timeout: Millis(settings.platform.timeout_ms),
-        ..HttpSettings::default()
-    });
-    Some(Arc::new(store))
-}
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -11,11 +11,13 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use crate::admin::Health;
 use crate::agent::answer::{Answer, AnswerEnd, ToLink};
 use crate::agent::keys::Keys;
 use crate::agent::load::Gauge;
 use crate::agent::upstream::UpstreamClient;
 use crate::link::Identity;
+use crate::node::Node;
 use crate::options::Settings;
 
 /// One agent.
@@ -57,12 +59,7 @@
 
 impl Agent {
     /// Makes an agent without attempts.
-    pub(crate) fn new(
-        settings: Settings,
-        identity: Identity,
-        clock: Clock,
-        address: SocketAddr,
-    ) -> Self {
+    pub(crate) fn new(settings: Settings, node: &Node, address: SocketAddr) -> Self {
         let attempts = Attempts::new(AttemptSettings {
             keep_ms: settings.agent.keep_ms,
             ..AttemptSettings::default()
@@ -71,10 +68,10 @@
             slots: Semaphore::new(settings.agent.slots),
             gauge: Gauge::default(),
             upstream: UpstreamClient::new(settings.agent.upstream),
-            keys: Keys::new(&settings, identity.incarnation, address),
+            keys: Keys::new(&settings, node, address),
             settings,
-            identity,
-            clock,
+            identity: node.identity.clone(),
+            clock: node.clock,
             table: Mutex::new(Table {
                 attempts,
                 answers: Map::default(),
@@ -281,6 +278,14 @@
     }
 }
 
+impl Health for Agent {
+    fn waiting(&self) -> Option<String> {
+        self.table()
+            .leaving
+            .then(|| "this upstream is leaving".to_owned())
+    }
+}
+
 impl Table {
     fn drop_if_over(&mut self, id: AttemptId) {
         if self.answers.get(&id).is_some_and(Answer::is_over) {
--- a/crates/sardinepin/src/entry.rs
+++ b/crates/sardinepin/src/entry.rs
@@ -7,23 +7,27 @@
 mod flight;
 mod follow;
 mod links;
+mod live;
+mod quarantine;
 mod server;
 mod sse;
 mod uplink;
-mod watcher;
 
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use anyhow::Context;
-use sardinepin_common::Clock;
+use sardinepin_common::Millis;
 use sardinepin_protocol::Role;
 use tokio::net::TcpListener;
 
+use crate::admin::{self, Backend, StoreBackend};
 use crate::entry::core::Core;
 use crate::entry::links::Links;
+use crate::entry::live::EntryLive;
+use crate::entry::quarantine::Quarantine;
 use crate::entry::server::Entry;
-use crate::link::Identity;
+use crate::node::Node;
 use crate::options::Settings;
 use crate::stop::{self, Signals};
 
@@ -38,24 +42,35 @@
         .await
         .with_context(|| format!("entry.listen: cannot listen on {}", settings.entry.listen))?;
     let address = listener.local_addr()?;
-    let clock = Clock::start();
-    let identity = Identity::new(Role::Entry, &settings.name, &settings.zone);
-
-    let snapshot = watcher::start(&settings.platform);
-    let core = Core::start(&settings, &identity, clock);
-    let links = Links::start(identity.clone(), core.clone(), snapshot.clone());
-    let entry = Arc::new(Entry::new(settings, identity, clock, core, links, snapshot));
-    log::info!(event = "listening", role = "entry", address:% = address; "listening");
+    let node = Node::start(&settings, Role::Entry).await?;
+    let snapshots = node.control.snapshot();
+    let (core, quarantined) = Core::start(&settings, &node.identity, node.clock);
+    let quarantine = Quarantine::start(
+        core.clone(),
+        node.store.clone(),
+        quarantined,
+        snapshots.clone(),
+    );
+    let links = Links::start(node.identity.clone(), core.clone(), snapshots.clone());
+    let entry = Arc::new(Entry::new(settings, &node, core, links));
+    let live = Arc::new(EntryLive {
+        entry: Arc::clone(&entry),
+        quarantine,
+    });
+    let admin = node.serve_admin(live.clone(), backend(&node, live)).await?;
+    log::info!(
+        event = "listening", role = "entry", address:% = address, admin:% = admin,
+        cluster = node.cluster_address().as_str();
+        "listening"
+    );
 
     let server = tokio::spawn(server::serve(Arc::clone(&entry), listener));
     signals.first().await;
     log::info!(event = "leaving"; "not ready; new requests are still taken for a while");
     entry.leave();
+    node.control.leave();
     let drained = async {
-        tokio::time::sleep(std::time::Duration::from_millis(
-            entry.settings.stop.grace_ms,
-        ))
-        .await;
+        tokio::time::sleep(Millis(entry.settings.stop.grace_ms).duration()).await;
         entry.close();
         let _ = server.await;
     };
@@ -65,3 +80,15 @@
     };
     Ok(stop::exit_code(finished, entry.open()))
 }
+
+/// Returns what operators can do at this entry; without a platform, nothing can be changed.
+fn backend(node: &Node, live: Arc<EntryLive>) -> Option<Arc<dyn Backend>> {
+    let store = node.store.clone()?;
+    let identity = admin::Node {
+        name: node.identity.name.clone(),
+        zone: node.identity.zone.clone(),
+        role: Role::Entry,
+    };
+    let backend = StoreBackend::new(identity, store, node.control.snapshot(), live);
+    Some(Arc::new(backend))
+}
--- a/crates/sardinepin/src/entry/core.rs
+++ b/crates/sardinepin/src/entry/core.rs
@@ -4,7 +4,7 @@
 use sardinepin_decisions::{
     Arrival, Balancer, Effect, Event, Settings as BalancerSettings, Ticket, UpstreamId,
 };
-use sardinepin_protocol::ErrorKind;
+use sardinepin_protocol::{Digest, ErrorKind};
 use tokio::sync::mpsc;
 
 use crate::link::Identity;
@@ -44,7 +44,13 @@
 
 impl Core {
     /// Starts the loop.
-    pub(crate) fn start(settings: &Settings, identity: &Identity, clock: Clock) -> Self {
+    ///
+    /// Digests that the balancer puts into quarantine come out at the receiver.
+    pub(crate) fn start(
+        settings: &Settings,
+        identity: &Identity,
+        clock: Clock,
+    ) -> (Self, mpsc::UnboundedReceiver<(Digest, Millis)>) {
         let (inputs, receiver) = mpsc::unbounded_channel();
         let balancer = Balancer::new(BalancerSettings {
             policy: settings.entry.policy.parse().unwrap_or_default(),
@@ -54,14 +60,16 @@
             ..BalancerSettings::default()
         });
         let tick = Millis(BalancerSettings::default().tick_ms);
+        let (quarantine, quarantined) = mpsc::unbounded_channel();
         let state = CoreLoop {
+            quarantine,
             balancer,
             clock,
             orders: Map::default(),
             effects: Vec::new(),
         };
         tokio::spawn(state.run(receiver, tick));
-        Self { inputs }
+        (Self { inputs }, quarantined)
     }
 
     /// Hands a request to the balancer; its orders go to `orders`.
@@ -77,6 +85,7 @@
 
 #[derive(Debug)]
 struct CoreLoop {
+    quarantine: mpsc::UnboundedSender<(Digest, Millis)>,
     balancer: Balancer,
     clock: Clock,
     orders: Map<Ticket, mpsc::UnboundedSender<Order>>,
@@ -151,8 +160,9 @@
                     let _ = orders.send(Order::GiveUp { kind, retry_after });
                 }
             }
-            // TODO: share quarantined digests with the other entries.
-            Effect::Quarantine { .. } => {}
+            Effect::Quarantine { digest, left } => {
+                let _ = self.quarantine.send((digest, left));
+            }
         }
     }
 }
--- a/crates/sardinepin/src/entry/links.rs
+++ b/crates/sardinepin/src/entry/links.rs
@@ -11,7 +11,7 @@
 
 use crate::entry::core::Core;
 use crate::entry::directory::Directory;
-use crate::entry::uplink::Uplink;
+use crate::entry::uplink::{Sight, Uplink};
 use crate::link::Identity;
 
 /// The links of an entry.
@@ -40,6 +40,14 @@
         links
     }
 
+    /// Returns what the link to an upstream's agent shows, by the upstream's name.
+    pub(crate) fn sight(&self, name: &str) -> Option<Sight> {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        open.values()
+            .find(|link| link.name() == name)
+            .map(Uplink::sight)
+    }
+
     /// Returns the link to an upstream's agent.
     pub(crate) fn get(&self, upstream: UpstreamId) -> Option<Uplink> {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
@@ -77,22 +85,24 @@
             .open
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        let mut wanted: Map<UpstreamId, SocketAddr> = Map::default();
+        let mut wanted: Map<UpstreamId, (SocketAddr, Arc<str>)> = Map::default();
         for info in &infos {
             if let Some(address) = address_of(snapshot, info) {
-                wanted.insert(info.id, address);
+                wanted.insert(info.id, (address, Arc::clone(&info.name)));
             }
         }
         open.retain(|id, link| {
-            let keep = wanted.get(id) == Some(&link.address());
+            let keep = wanted
+                .get(id)
+                .is_some_and(|(address, _)| *address == link.address());
             if !keep {
                 link.close_when_idle();
             }
             keep
         });
-        for (id, address) in wanted {
+        for (id, (address, name)) in wanted {
             open.entry(id).or_insert_with(|| {
-                Uplink::start(id, address, self.identity.clone(), self.core.clone())
+                Uplink::start(id, &name, address, self.identity.clone(), self.core.clone())
             });
         }
     }
--- /dev/null
+++ b/crates/sardinepin/src/entry/live.rs
@@ -0,0 +1,68 @@
+//! What an entry shows of itself in the administration API.
+
+use std::sync::Arc;
+
+use sardinepin_platform::BoxFuture;
+use sardinepin_protocol::Digest;
+
+use crate::admin::{Health, Live, LoadView, NodeView, QuarantineView, UpstreamLoad};
+use crate::entry::quarantine::Quarantine;
+use crate::entry::server::Entry;
+use crate::node::node_view;
+
+/// The running entry.
+#[derive(Debug)]
+pub(crate) struct EntryLive {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) quarantine: Quarantine,
+}
+
+impl Health for EntryLive {
+    fn waiting(&self) -> Option<String> {
+        self.entry.waiting()
+    }
+}
+
+impl Live for EntryLive {
+    fn nodes(&self) -> BoxFuture<'_, Vec<NodeView>> {
+        let rows = self.entry.control.members();
+        Box::pin(async move { rows.into_iter().map(node_view).collect() })
+    }
+
+    fn loads(&self) -> BoxFuture<'_, Vec<UpstreamLoad>> {
+        let snapshot = self.entry.snapshot();
+        let load = |name: &str| self.entry.links.sight(name);
+        let loads = snapshot
+            .upstreams()
+            .filter_map(|upstream| {
+                let sight = load(&upstream.name)?;
+                Some(UpstreamLoad {
+                    name: upstream.name.clone(),
+                    linked: sight.linked,
+                    leaving: sight.leaving,
+                    load: sight.load.map(|(since, load)| LoadView {
+                        load,
+                        since_ms: since.0,
+                    }),
+                })
+            })
+            .collect();
+        Box::pin(async move { loads })
+    }
+
+    fn quarantine(&self) -> BoxFuture<'_, Vec<QuarantineView>> {
+        let held = self.quarantine.held();
+        Box::pin(async move {
+            held.into_iter()
+                .map(|(digest, left)| QuarantineView {
+                    digest: digest.to_string(),
+                    left_ms: left.0,
+                })
+                .collect()
+        })
+    }
+
+    fn lift(&self, digest: Digest) -> BoxFuture<'_, bool> {
+        Box::pin(self.quarantine.lift(digest))
+    }
+}
--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -20,12 +20,14 @@
 use tokio::sync::{oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::control::Control;
 use crate::entry::answers::{Body, Outbound, problem};
 use crate::entry::call::Call;
 use crate::entry::core::Core;
 use crate::entry::follow::Follow;
 use crate::entry::links::Links;
 use crate::link::Identity;
+use crate::node::Node;
 use crate::options::Settings;
 use crate::telemetry::count_refusal;
 
@@ -52,7 +54,9 @@
     pub(crate) core: Core,
     pub(crate) links: Links,
     identity: Identity,
-    snapshot: watch::Receiver<Arc<Snapshot>>,
+    pub(crate) control: Arc<Control>,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    ready: watch::Receiver<bool>,
     numbers: AtomicU64,
     open: AtomicUsize,
     leaving: AtomicBool,
@@ -61,21 +65,16 @@
 
 impl Entry {
     /// Makes an entry that has served nothing.
-    pub(crate) fn new(
-        settings: Settings,
-        identity: Identity,
-        clock: Clock,
-        core: Core,
-        links: Links,
-        snapshot: watch::Receiver<Arc<Snapshot>>,
-    ) -> Self {
+    pub(crate) fn new(settings: Settings, node: &Node, core: Core, links: Links) -> Self {
         Self {
             settings,
-            clock,
+            clock: node.clock,
             core,
             links,
-            identity,
-            snapshot,
+            identity: node.identity.clone(),
+            control: Arc::clone(&node.control),
+            snapshots: node.control.snapshot(),
+            ready: node.control.ready(),
             numbers: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
@@ -111,9 +110,20 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// Returns whether callers should be sent here.
-    pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Acquire) && self.snapshot.borrow().revision().0 > 0
+    /// Returns the configuration in force.
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshots.borrow())
+    }
+
+    /// Says why callers should not be sent here, if they should not.
+    pub(crate) fn waiting(&self) -> Option<String> {
+        if self.leaving.load(Ordering::Acquire) {
+            return Some("this instance is stopping".to_owned());
+        }
+        if !*self.ready.borrow() {
+            return Some("the newest configuration is not known yet".to_owned());
+        }
+        None
     }
 
     async fn answer(self: Arc<Self>, peer: IpAddr, request: Request<Incoming>) -> Response<Body> {
@@ -140,10 +150,10 @@
 
     async fn read(&self, peer: IpAddr, parts: &Parts, body: Incoming) -> Result<Call, ErrorKind> {
         let organisation = self.organisation(peer, parts)?;
-        let snapshot = Arc::clone(&self.snapshot.borrow());
-        if snapshot.revision().0 == 0 {
+        if !*self.ready.borrow() {
             return Err(ErrorKind::NotReady);
         }
+        let snapshot = self.snapshot();
         let body = read_body(body, self.settings.entry.body_max).await?;
         Call::read(&snapshot, &organisation, parts, body)
     }
--- a/crates/sardinepin/src/entry/uplink.rs
+++ b/crates/sardinepin/src/entry/uplink.rs
@@ -1,11 +1,11 @@
 //! The link to one agent: connected again whenever it is lost.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use sardinepin_common::{AttemptId, Clock, Incarnation, Millis};
 use sardinepin_decisions::{Event, UpstreamId};
-use sardinepin_protocol::{Attempt, FrameReader, FrameWriter, ToAgent, ToEntry};
+use sardinepin_protocol::{Attempt, FrameReader, FrameWriter, Load, ToAgent, ToEntry};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -26,6 +26,22 @@
 /// The time between two looks at whether a link is silent.
 const SILENCE_POLL: Millis = Millis(250);
 
+/// What a link shows of its upstream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sight {
+    pub(crate) linked: bool,
+    pub(crate) leaving: bool,
+    /// The last load report and the time since it came.
+    pub(crate) load: Option<(Millis, Load)>,
+}
+
+/// What an agent has said of its upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    leaving: bool,
+    load: Option<(Millis, Load)>,
+}
+
 /// The link to one agent.
 #[derive(Debug, Clone)]
 pub(crate) struct Uplink {
@@ -36,12 +52,14 @@
 #[derive(Debug)]
 struct Shared {
     upstream: UpstreamId,
+    name: String,
     address: SocketAddr,
     identity: Identity,
     core: Core,
     clock: Clock,
     flights: Flights,
     agent: Mutex<Option<Incarnation>>,
+    seen: Mutex<Seen>,
     closed: CancellationToken,
 }
 
@@ -49,6 +67,7 @@
     /// Starts connecting to the agent at `address`.
     pub(crate) fn start(
         upstream: UpstreamId,
+        name: &str,
         address: SocketAddr,
         identity: Identity,
         core: Core,
@@ -56,18 +75,36 @@
         let (commands, receiver) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared {
             upstream,
+            name: name.to_owned(),
             address,
             identity,
             core,
             clock: Clock::start(),
             flights: Flights::default(),
             agent: Mutex::new(None),
+            seen: Mutex::default(),
             closed: CancellationToken::new(),
         });
         tokio::spawn(keep_up(Arc::clone(&shared), receiver));
         Self { shared, commands }
     }
 
+    /// Returns the upstream's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.shared.name
+    }
+
+    /// Returns what the link shows.
+    pub(crate) fn sight(&self) -> Sight {
+        let seen = *self.shared.seen();
+        let now = self.shared.clock.now();
+        Sight {
+            linked: self.shared.agent().is_some(),
+            leaving: seen.leaving,
+            load: seen.load.map(|(at, load)| (now.since(at), load)),
+        }
+    }
+
     /// Returns the agent's address.
     pub(crate) fn address(&self) -> SocketAddr {
         self.shared.address
@@ -89,12 +126,7 @@
         &self,
         attempt: Attempt,
     ) -> Option<(Incarnation, mpsc::UnboundedReceiver<FromLink>)> {
-        let agent = *self
-            .shared
-            .agent
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let agent = agent?;
+        let agent = self.shared.agent()?;
         let receiver = self.shared.flights.enter(attempt.id);
         let _ = self.commands.send(ToAgent::Run(Box::new(attempt)));
         Some((agent, receiver))
@@ -138,6 +170,7 @@
 async fn serve(shared: &Shared, commands: &mut mpsc::UnboundedReceiver<ToAgent>, link: Link) {
     let agent = link.peer.incarnation;
     shared.set_agent(Some(agent));
+    shared.seen().leaving = false;
     shared.flights.up(agent);
     shared.core.tell(Event::Link {
         upstream: shared.upstream,
@@ -256,10 +289,18 @@
 }
 
 impl Shared {
+    fn agent(&self) -> Option<Incarnation> {
+        *self.agent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn set_agent(&self, agent: Option<Incarnation>) {
         *self.agent.lock().unwrap_or_else(PoisonError::into_inner) = agent;
     }
 
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn look(&self, heard: &Heard, asked: bool) -> Look {
         let silence = heard.silent_for(self.clock.now());
         if silence < SILENCE_MAX || !self.flights.any_sent() {
@@ -305,8 +346,14 @@
             ToEntry::End { id, chunks } => self.flights.hand(id, FromLink::End { chunks }),
             ToEntry::Broken { id, kind } => self.flights.hand(id, FromLink::Broken(kind)),
             ToEntry::Settled { id, state } => self.flights.hand(id, FromLink::Settled(state)),
-            ToEntry::Leaving => self.core.tell(Event::Leaving(upstream)),
-            ToEntry::Load(load) => self.core.tell(Event::Load { upstream, load }),
+            ToEntry::Leaving => {
+                self.seen().leaving = true;
+                self.core.tell(Event::Leaving(upstream));
+            }
+            ToEntry::Load(load) => {
+                self.seen().load = Some((self.clock.now(), load));
+                self.core.tell(Event::Load { upstream, load });
+            }
             ToEntry::Hello(_) | ToEntry::Pong | ToEntry::Claim { .. } | ToEntry::Group { .. } => {}
         }
     }
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 mod link;
 pub mod logs;
+mod node;
 pub mod options;
 mod stop;
 pub mod telemetry;
