Model-check attempts and claims, and end the wait of two agents for each other

Cause: with 4 requests, 3 lost writes and 2 crashes the check of the claims found a stuck state: each agent asks the other about an older claim, and both answer 'running' while both only claim. In the processes both attempts would have waited out their deadlines. Ruled out: a lower timeout (the wait would only be shorter); a tie-break by name (the claim that stands in the store decides already). Change: a process that only claims says so, and the asker reads the claim again; specs over the product's machines with a shared explorer, and the cases without a safeguard that must break. Conclusion: at most once and not run hold in every state of these cases.

--- a/crates/decisions/src/attempts.rs
+++ b/crates/decisions/src/attempts.rs
@@ -47,7 +47,7 @@
 }
 
 /// The attempts that reached an agent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempts {
     settings: AttemptSettings,
     records: Map<AttemptId, AttemptMachine>,
--- a/crates/decisions/src/claims.rs
+++ b/crates/decisions/src/claims.rs
@@ -70,6 +70,8 @@
     TakeOver(Revision),
     /// Ask the claiming process what became of the call.
     Ask,
+    /// Read the claim again, after a pause: it is changing hands.
+    Look,
     /// Wait until another attempt of the key has ended here, then open again.
     Wait,
     /// Run the call; the key is marked as running.
@@ -83,7 +85,7 @@
 }
 
 /// The keys that reached an agent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Claims {
     settings: ClaimSettings,
     own: Incarnation,
@@ -91,7 +93,7 @@
     ended: VecDeque<(Millis, ClaimKey)>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Record {
     digest: Digest,
     machine: KeyMachine,
@@ -169,6 +171,7 @@
         match state {
             ClaimState::Released => ClaimStep::TakeOver(revision),
             ClaimState::Running => ClaimStep::Ask,
+            ClaimState::Claiming => ClaimStep::Look,
             ClaimState::Done {
                 status,
                 headers,
@@ -200,7 +203,8 @@
         };
         record.machine.handle(KeyEvent::Release);
         match record.machine.state() {
-            KeyState::Claiming {} | KeyState::Running {} => ClaimState::Running,
+            KeyState::Claiming {} => ClaimState::Claiming,
+            KeyState::Running {} => ClaimState::Running,
             KeyState::Idle {} => ClaimState::Released,
             KeyState::Done { answer } => ClaimState::Done {
                 status: answer.status,
@@ -223,6 +227,12 @@
         }
     }
 
+    /// Returns the machine of a key, if it is remembered.
+    #[must_use]
+    pub fn machine(&self, key: &ClaimKey) -> Option<&KeyMachine> {
+        self.keys.get(key).map(|record| &record.machine)
+    }
+
     /// Returns how many keys are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/decisions/src/claims/machine.rs
+++ b/crates/decisions/src/claims/machine.rs
@@ -5,6 +5,8 @@
     reason = "the state machine macro writes items without comments"
 )]
 
+use std::hash::{Hash, Hasher};
+
 use statig::prelude::*;
 
 use crate::claims::KeptAnswer;
@@ -78,6 +80,13 @@
     }
 }
 
+impl Hash for KeyMachine {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state().hash(hasher);
+        Key::hash(&self.inner, hasher);
+    }
+}
+
 impl Default for KeyMachine {
     fn default() -> Self {
         Self::new()
@@ -98,7 +107,7 @@
     }
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct Key {
     /// The nonces of claims that never ran and that no other process was told of.
     unused: Vec<u64>,
--- a/crates/decisions/src/claims/tests.rs
+++ b/crates/decisions/src/claims/tests.rs
@@ -118,7 +118,7 @@
 #[test]
 fn at_most_once_running_key_is_not_released() {
     let mut claims = claiming(NONCE);
-    assert_eq!(claims.asked(&key(), OWN), ClaimState::Running);
+    assert_eq!(claims.asked(&key(), OWN), ClaimState::Claiming);
     claims.claimed(&key());
     assert_eq!(claims.asked(&key(), OWN), ClaimState::Running);
     claims.handle(Millis::ZERO, &key(), KeyEvent::Lose);
--- a/crates/decisions/src/follow.rs
+++ b/crates/decisions/src/follow.rs
@@ -8,6 +8,8 @@
 #[cfg(test)]
 mod tests;
 
+use std::hash::{Hash, Hasher};
+
 use sardinepin_common::{Incarnation, Millis};
 use sardinepin_protocol::{ErrorKind, Settled};
 use statig::prelude::*;
@@ -73,7 +75,7 @@
 }
 
 /// One attempt as its entry follows it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FollowMachine {
     inner: InitializedStateMachine<Follow>,
 }
@@ -108,7 +110,14 @@
     }
 }
 
-#[derive(Debug, Clone)]
+impl Hash for FollowMachine {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.inner.state().hash(hasher);
+        Follow::hash(&self.inner, hasher);
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Follow {
     agent: Incarnation,
     head: bool,
@@ -134,7 +143,7 @@
 
 #[state_machine(
     initial = "FollowState::linked()",
-    state(name = "FollowState", derive(Debug, Clone, PartialEq, Eq))
+    state(name = "FollowState", derive(Debug, Clone, PartialEq, Eq, Hash))
 )]
 impl Follow {
     /// The link stands and the answer comes in.
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -94,7 +94,7 @@
 }
 
 /// What an agent says of an attempt after a link was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Settled {
     /// It has not run and never will.
     NotRun,
@@ -109,6 +109,8 @@
 pub enum ClaimState {
     /// The call has not run here and never will: the asker may take the claim over.
     Released,
+    /// The process is claiming the key itself and has not run the call: read the claim again.
+    Claiming,
     /// The call runs; ask again.
     Running,
     /// The call ran and gave this answer.
--- a/crates/sardinepin/src/agent/claims.rs
+++ b/crates/sardinepin/src/agent/claims.rs
@@ -21,9 +21,6 @@
 /// How long another agent may take to answer a question about a claim.
 const ASK_MAX: Millis = Millis(1_000);
 
-/// How often a claim is tried again when it changes under the agent's hands.
-const TRIES_MAX: u32 = 16;
-
 /// The right to run a keyed call.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Permit {
@@ -41,6 +38,7 @@
     /// Whether this attempt is the one that claims the key here.
     claiming: bool,
     begun: bool,
+    deadline: Millis,
     /// The claim that was found last.
     found: Option<(ClaimRecord, Revision)>,
     revision: Revision,
@@ -53,6 +51,7 @@
         attempt,
         key,
         claiming: false,
+        deadline: agent.clock.now() + Millis(u64::from(attempt.budget_ms)),
         begun: false,
         found: None,
         revision: Revision::default(),
@@ -97,19 +96,20 @@
 impl Claimer<'_> {
     async fn run(&mut self) -> Option<Permit> {
         let mut step = self.open();
-        for _ in 0..TRIES_MAX {
+        while self.agent.clock.now() < self.deadline {
             step = match step {
                 ClaimStep::Run => return self.permit(),
                 ClaimStep::Create => self.write(Expect::Absent).await,
                 ClaimStep::TakeOver(revision) => self.write(Expect::Revision(revision)).await,
                 ClaimStep::Ask => self.ask_until_settled().await,
+                ClaimStep::Look => self.look().await,
                 ClaimStep::Wait => self.wait().await,
                 ClaimStep::Replay(answer) => return self.replay(answer),
                 ClaimStep::Refuse(kind) => return self.refuse(kind),
                 ClaimStep::Unknown(kind) => return self.unknown(kind),
             };
         }
-        self.refuse(ErrorKind::PlatformOut)
+        self.unknown(ErrorKind::DeadlinePassed)
     }
 
     fn open(&mut self) -> ClaimStep {
@@ -164,7 +164,6 @@
         let Some((record, revision)) = &self.found else {
             return ClaimStep::Unknown(ErrorKind::Internal);
         };
-        let deadline = self.agent.clock.now() + Millis(u64::from(self.attempt.budget_ms));
         loop {
             let Some(state) = ask(self.agent, self.key, record.address, record.claimer).await
             else {
@@ -174,13 +173,26 @@
             if step != ClaimStep::Ask {
                 return step;
             }
-            if self.agent.clock.now() >= deadline {
+            if self.agent.clock.now() >= self.deadline {
                 return ClaimStep::Unknown(ErrorKind::DeadlinePassed);
             }
             tokio::time::sleep(ASK_PAUSE.duration()).await;
         }
     }
 
+    /// Reads a claim that is changing hands once more.
+    async fn look(&mut self) -> ClaimStep {
+        tokio::time::sleep(ASK_PAUSE.duration()).await;
+        let Some(store) = &self.agent.keys.store else {
+            return ClaimStep::Refuse(ErrorKind::PlatformOut);
+        };
+        match store.get(&claim_name(self.key)).await {
+            Ok(Some(object)) => self.found(&object),
+            Ok(None) => ClaimStep::Create,
+            Err(_) => ClaimStep::Refuse(ErrorKind::PlatformOut),
+        }
+    }
+
     /// Reads the claim once more: its claimer is gone, but may have left the answer behind it.
     async fn look_again(&self) -> ClaimStep {
         let gone = ClaimStep::Unknown(ErrorKind::ClaimerGone);
@@ -201,13 +213,12 @@
         if !self.begin() {
             return ClaimStep::Refuse(ErrorKind::Tombstoned);
         }
-        let deadline = self.agent.clock.now() + Millis(u64::from(self.attempt.budget_ms));
         loop {
             let step = self.open();
             if step != ClaimStep::Wait {
                 return step;
             }
-            if self.agent.clock.now() >= deadline {
+            if self.agent.clock.now() >= self.deadline {
                 return ClaimStep::Unknown(ErrorKind::DeadlinePassed);
             }
             self.agent.keys.changed(ASK_PAUSE).await;
--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Model checks of the core protocols, over the product's own state machines.
+
+pub mod attempt;
+pub mod claims;
+pub mod explore;
