--- a/crates/sardinepin/tests/outcomes/not_run.rs
+++ b/crates/sardinepin/tests/outcomes/not_run.rs
@@ -74,3 +74,28 @@
     assert_eq!(runs(&fleet, "k").await?, 1);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_is_not_said_after_the_agent_was_replaced() -> Result<()> {
+    let mut fleet = start(app(), 1, 1, json!({})).await?;
+    upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    // A call without a key: nothing but the entry's own rules stands between it and a second run.
+    let caller = fleet.caller.clone();
+    let entry = fleet.entries[0].address();
+    let call = tokio::spawn(async move {
+        let headers = [("x-organisation", "o1"), ("x-request-id", "once")];
+        let body = bytes::Bytes::from_static(b"seat");
+        caller
+            .call(http::Method::POST, entry, "/other", &headers, body)
+            .await
+    });
+    wait_held(&fleet).await?;
+    fleet.restart_agent(0).await?;
+    assert_eq!(outcome(&call.await??), "unknown");
+    release(&fleet).await;
+    until("the call has run", async || {
+        let runs = counts(&fleet, 0).await?.requests;
+        Ok(runs.get("once").copied() == Some(1))
+    })
+    .await
+}
