Find the service of a call in one place, and show how nodes stand

Cause: the entry takes the service by path and model, while rules test went by path only, and the samples' model services had no path, so that no call would have reached them. Ruled out: a second copy of the entry's search in the administration API. Conclusion: what check accepts can be called.

--- a/crates/sardinepin/src/admin/explain.rs
+++ b/crates/sardinepin/src/admin/explain.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use sardinepin_config::{Decision, Facts, RuleList, Snapshot, decide, explain, tags_of};
+use sardinepin_config::{
+    Decision, Facts, RuleList, Snapshot, decide, explain, find_service, tags_of,
+};
 
 use super::views::{MatchView, TestAnswer, TestRequest};
 
@@ -18,7 +20,13 @@
     let known = tags_of(organisation.map(Arc::as_ref));
     let service = match &request.service {
         Some(service) => service.clone(),
-        None => service_of(snapshot, &request.path),
+        None => {
+            let model = request.model.as_deref().unwrap_or_default();
+            let found = find_service(snapshot, &request.path, model);
+            found
+                .map(|service| service.name.clone())
+                .unwrap_or_default()
+        }
     };
     let facts = Facts {
         organisation: &request.organisation,
@@ -55,14 +63,3 @@
         rules,
     }
 }
-
-/// Returns the service whose path prefix is the longest, or no name.
-fn service_of(snapshot: &Snapshot, path: &str) -> String {
-    snapshot
-        .services()
-        .flat_map(|service| service.paths.iter().map(move |prefix| (prefix, service)))
-        .filter(|(prefix, _)| path.starts_with(prefix.as_str()))
-        .max_by_key(|(prefix, _)| prefix.len())
-        .map(|(_, service)| service.name.clone())
-        .unwrap_or_default()
-}
--- a/crates/sardinepin/src/admin/store_backend.rs
+++ b/crates/sardinepin/src/admin/store_backend.rs
@@ -6,6 +6,7 @@
 use sardinepin_config::{
     Entry, Group, RuleList, Snapshot, Upstream, check_rules, check_snapshot, object_key,
 };
+use sardinepin_membership::Standing;
 use sardinepin_platform::{Change, Expect, Object, Store, StoreError, write_settled};
 use sardinepin_protocol::{Digest, ErrorKind, Role, UpstreamState};
 use serde::Serialize;
@@ -180,8 +181,9 @@
             name: self.node.name.clone(),
             role: self.node.role,
             zone: self.node.zone.clone(),
-            revision: self.snapshot().revision(),
+            standing: Standing::Alive,
             live: true,
+            revision: Some(self.snapshot().revision()),
             age_ms: 0,
         }
     }
--- a/crates/sardinepin/src/admin/views.rs
+++ b/crates/sardinepin/src/admin/views.rs
@@ -2,6 +2,7 @@
 
 use sardinepin_common::Revision;
 use sardinepin_config::{Limit, Rule};
+use sardinepin_membership::{Row, Standing};
 use sardinepin_protocol::{Load, Role, UpstreamState};
 use serde::{Deserialize, Serialize};
 
@@ -29,8 +30,10 @@
     pub organisation: String,
     /// The organisation's tags; those of the configuration, if left out.
     pub tags: Option<Vec<String>>,
-    /// The service; the one whose path prefix is the longest, if left out.
+    /// The service; the one that takes the path and model, if left out.
     pub service: Option<String>,
+    /// The model that the call names, if it names one.
+    pub model: Option<String>,
     /// The method.
     pub method: String,
     /// The path.
@@ -117,14 +120,30 @@
     pub role: Role,
     /// Its availability zone.
     pub zone: String,
-    /// The revision of the configuration that it has in force.
-    pub revision: Revision,
-    /// Whether it counts as live.
+    /// How it stands.
+    pub standing: Standing,
+    /// Whether a change is only in force everywhere once it is in force here.
     pub live: bool,
-    /// The time since it was last heard of, in milliseconds; 0 for the asked node.
+    /// The revision of the configuration that it last said it has, if it said so.
+    pub revision: Option<Revision>,
+    /// The time since it said so, in milliseconds; 0 for the asked node.
     pub age_ms: u64,
 }
 
+impl From<&Row> for NodeView {
+    fn from(row: &Row) -> Self {
+        Self {
+            name: row.name.clone(),
+            role: row.role,
+            zone: row.zone.clone(),
+            standing: row.standing,
+            live: row.must_hold(),
+            revision: row.revision,
+            age_ms: row.said.unwrap_or(row.age).0,
+        }
+    }
+}
+
 /// What a node knows of the deployment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StatusView {
--- a/crates/sardinepin/src/check/references.rs
+++ b/crates/sardinepin/src/check/references.rs
@@ -1,7 +1,7 @@
 //! Checks that the parts of a deployment file fit together.
 
 use sardinepin_common::{Map, Set};
-use sardinepin_config::{Fault, Group, Upstream};
+use sardinepin_config::{Fault, Group, Service, Upstream};
 
 use super::deployment::Deployment;
 
@@ -17,26 +17,13 @@
 /// A call must lead to one service, and a service must be reached by some call.
 fn service_faults(deployment: &Deployment) -> Vec<Fault> {
     let mut faults = Vec::new();
-    let mut paths = Map::default();
-    let mut models = Map::default();
     for (at, service) in deployment.services.iter().enumerate() {
         let field = format!("services[{at}]");
-        if service.paths.is_empty() && service.models.is_empty() {
-            faults.push(fault(
-                &field,
-                "no call leads here; paths or models is needed",
-            ));
+        if service.paths.is_empty() {
+            faults.push(fault(&field, "no call leads here; paths is needed"));
         }
-        faults.extend(taken_faults(
-            &format!("{field}.paths"),
-            &service.paths,
-            &mut paths,
-        ));
-        faults.extend(taken_faults(
-            &format!("{field}.models"),
-            &service.models,
-            &mut models,
-        ));
+        let before = &deployment.services[..at];
+        faults.extend(shared_faults(&field, service, before));
         faults.extend(path_faults(&format!("{field}.paths"), &service.paths));
         for (number, keyed) in service.keyed_paths.iter().enumerate() {
             if !service.paths.iter().any(|path| keyed.starts_with(path)) {
@@ -50,18 +37,24 @@
     faults
 }
 
-fn taken_faults<'a>(
-    field: &str,
-    values: &'a [String],
-    taken: &mut Map<&'a str, String>,
-) -> Vec<Fault> {
+/// Two services may share a path only if the model of a call tells them apart.
+fn shared_faults(field: &str, service: &Service, before: &[Service]) -> Vec<Fault> {
     let mut faults = Vec::new();
-    for (number, value) in values.iter().enumerate() {
-        let place = format!("{field}[{number}]");
-        match taken.get(value.as_str()) {
-            Some(other) => faults.push(fault(&place, &format!("'{value}' stands at {other} too"))),
-            None => {
-                taken.insert(value, place);
+    for (other_at, other) in before.iter().enumerate() {
+        let apart = !service.models.is_empty()
+            && !other.models.is_empty()
+            && service
+                .models
+                .iter()
+                .all(|model| !other.models.contains(model));
+        for (number, path) in service.paths.iter().enumerate() {
+            if !apart && other.paths.contains(path) {
+                faults.push(fault(
+                    &format!("{field}.paths[{number}]"),
+                    &format!(
+                        "'{path}' leads to services[{other_at}] too, and no model tells them apart"
+                    ),
+                ));
             }
         }
     }
--- a/crates/sardinepin/src/check/tests.rs
+++ b/crates/sardinepin/src/check/tests.rs
@@ -109,11 +109,11 @@
         [
             "d.yaml:2: services[0].keyed_paths[0]: '/other' is under none of the service's paths",
             "d.yaml:3: services[1].name: 'app' is the name of services[0] too; names are unique",
-            "d.yaml:3: services[1].paths[0]: '/app' stands at services[0].paths[0] too",
+            "d.yaml:3: services[1].paths[0]: '/app' leads to services[0] too, and no model tells them apart",
             "d.yaml:3: services[1].paths[1]: 'bare'; a path begins with /",
             "d.yaml:3: services[1].retry_milli: 1001, \
              expected a number of retries in a thousand sends, 0 to 1000",
-            "d.yaml:4: services[2]: no call leads here; paths or models is needed",
+            "d.yaml:4: services[2]: no call leads here; paths is needed",
             "d.yaml:7: upstreams[1].name: 'up/2'; letters, digits, '-', '_' and '.' are allowed",
             "d.yaml:7: upstreams[1].address: 10.0.0.1:7000 is the address of upstreams[0] too",
             "d.yaml:7: upstreams[1].service: 'none' is no service",
@@ -130,3 +130,19 @@
         ]
     );
 }
+
+#[test]
+fn services_may_share_a_path_if_their_models_differ() {
+    let text = "\
+services:
+  - { name: one, kind: model, paths: [/v1/], models: [a] }
+  - { name: two, kind: model, paths: [/v1/], models: [b] }
+  - { name: three, kind: model, paths: [/v1/], models: [c, a] }
+";
+    assert_eq!(
+        deployment(text),
+        [
+            "d.yaml:4: services[2].paths[0]: '/v1/' leads to services[0] too, and no model tells them apart"
+        ]
+    );
+}
--- a/crates/sardinepin/src/ctl/command.rs
+++ b/crates/sardinepin/src/ctl/command.rs
@@ -124,8 +124,9 @@
         .arg(text(
             "service",
             "NAME",
-            "The service; by its path, if left out",
+            "The service; by path and model, if left out",
         ))
+        .arg(text("model", "NAME", "The model that the call names"))
         .arg(many("tag", "TAG", "A tag, in place of those configured"))
         .arg(many("header", "NAME: VALUE", "A header field"))
         .arg(
--- a/crates/sardinepin/src/ctl/order.rs
+++ b/crates/sardinepin/src/ctl/order.rs
@@ -212,6 +212,7 @@
         organisation: word_of(given, "organisation"),
         tags,
         service: given.get_one::<String>("service").cloned(),
+        model: given.get_one::<String>("model").cloned(),
         method: word_of(given, "method"),
         path: word_of(given, "path"),
         headers,
--- a/crates/sardinepin/src/ctl/show.rs
+++ b/crates/sardinepin/src/ctl/show.rs
@@ -1,6 +1,7 @@
 //! Answers as text for people.
 
 use sardinepin_config::{Limit, RuleList};
+use sardinepin_membership::Standing;
 use sardinepin_protocol::{Role, UpstreamState};
 use serde::Serialize;
 use serde_json::Value;
@@ -77,7 +78,9 @@
     let node = format!("{} at revision {}, {ready}\n\n", view.node, view.revision);
     let nodes = view.nodes.iter().map(node_row);
     let nodes = table(
-        &["NODE", "ROLE", "ZONE", "REVISION", "LIVE", "HEARD"],
+        &[
+            "NODE", "ROLE", "ZONE", "REVISION", "STANDING", "COUNTS", "HEARD",
+        ],
         nodes,
     );
     format!("{node}{nodes}\n{}", upstreams(&view.upstreams))
@@ -92,12 +95,23 @@
         node.name.clone(),
         role.to_owned(),
         node.zone.clone(),
-        node.revision.to_string(),
+        node.revision.map_or_else(dash, |at| at.to_string()),
+        standing(node.standing).to_owned(),
         yes(node.live),
         format!("{} ms ago", node.age_ms),
     ]
 }
 
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Unheard => "unheard",
+        Standing::Alive => "alive",
+        Standing::Suspected => "suspected",
+        Standing::Leaving => "leaving",
+        Standing::Gone => "gone",
+    }
+}
+
 fn upstreams(views: &[UpstreamView]) -> String {
     let rows = views.iter().map(|view| {
         vec![
--- a/crates/sardinepin/src/ctl/tests.rs
+++ b/crates/sardinepin/src/ctl/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of what `ctl` makes of arguments and answers.
 
 use sardinepin_common::{Millis, Revision};
+use sardinepin_membership::Standing;
 use sardinepin_protocol::Role;
 use serde_json::json;
 
@@ -79,21 +80,23 @@
 
 #[test]
 fn only_live_nodes_with_an_older_revision_are_behind() {
-    let node = |name: &str, revision, live| NodeView {
+    let node = |name: &str, revision: Option<u64>, live| NodeView {
         name: name.to_owned(),
         role: Role::Entry,
         zone: "a".to_owned(),
-        revision: Revision(revision),
+        revision: revision.map(Revision),
+        standing: Standing::Alive,
         live,
         age_ms: 0,
     };
     let nodes = [
-        node("a", 4, true),
-        node("b", 3, true),
-        node("c", 3, false),
-        node("d", 5, true),
+        node("a", Some(4), true),
+        node("b", Some(3), true),
+        node("c", Some(3), false),
+        node("d", Some(5), true),
+        node("e", None, true),
     ];
-    assert_eq!(behind_of(&nodes, Revision(4)), ["b"]);
+    assert_eq!(behind_of(&nodes, Revision(4)), ["b", "e"]);
 }
 
 #[test]
--- a/crates/sardinepin/src/ctl/wait.rs
+++ b/crates/sardinepin/src/ctl/wait.rs
@@ -43,11 +43,11 @@
     }
 }
 
-/// Returns the names of the live nodes that report an older revision.
+/// Returns the names of the live nodes that report an older revision or none.
 pub(crate) fn behind_of(nodes: &[NodeView], revision: Revision) -> Vec<String> {
     nodes
         .iter()
-        .filter(|node| node.live && node.revision < revision)
+        .filter(|node| node.live && node.revision < Some(revision))
         .map(|node| node.name.clone())
         .collect()
 }
--- a/crates/sardinepin/src/entry/call.rs
+++ b/crates/sardinepin/src/entry/call.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use sardinepin_config::{Decision, Facts, Service, ServiceKind, Snapshot, decide, tags_of};
+use sardinepin_config::{
+    Decision, Facts, Service, ServiceKind, Snapshot, decide, find_service, longest_prefix, tags_of,
+};
 use sardinepin_protocol::{CallBody, ClaimKey, Digest, ErrorKind, Field};
 use serde::Deserialize;
 
@@ -62,7 +64,8 @@
     ) -> Result<Self, ErrorKind> {
         let path = parts.uri.path();
         let chat = Chat::read(&body);
-        let service = find_service(snapshot, path, chat.as_ref()).ok_or(ErrorKind::NoService)?;
+        let model_name = chat.as_ref().map_or("", |chat| chat.model.as_str());
+        let service = find_service(snapshot, path, model_name).ok_or(ErrorKind::NoService)?;
         let headers = text_headers(parts);
         let known = snapshot.organisation(organisation);
         let facts = Facts {
@@ -133,31 +136,6 @@
     }
 }
 
-/// Returns the service with the longest matching path; a named model must be one of its own.
-fn find_service<'a>(
-    snapshot: &'a Snapshot,
-    path: &str,
-    chat: Option<&Chat>,
-) -> Option<&'a Arc<Service>> {
-    let model = chat.map_or("", |chat| chat.model.as_str());
-    snapshot
-        .services()
-        .filter(|service| {
-            service.models.is_empty() || service.models.iter().any(|name| name == model)
-        })
-        .filter_map(|service| Some((longest_prefix(&service.paths, path)?, service)))
-        .max_by(|a, b| a.0.cmp(&b.0).then_with(|| b.1.name.cmp(&a.1.name)))
-        .map(|(_, service)| service)
-}
-
-fn longest_prefix(prefixes: &[String], path: &str) -> Option<usize> {
-    prefixes
-        .iter()
-        .filter(|prefix| path.starts_with(prefix.as_str()))
-        .map(String::len)
-        .max()
-}
-
 fn is_keyed(service: &Service, parts: &Parts) -> bool {
     !parts.method.is_safe() && longest_prefix(&service.keyed_paths, parts.uri.path()).is_some()
 }
--- a/crates/sardinepin/tests/integration/admin_server.rs
+++ b/crates/sardinepin/tests/integration/admin_server.rs
@@ -16,6 +16,7 @@
 use sardinepin::telemetry::Telemetry;
 use sardinepin_common::{Millis, Revision};
 use sardinepin_config::{Entry, Snapshot};
+use sardinepin_membership::Standing;
 use sardinepin_platform::{BoxFuture, MemoryStore, Store};
 use sardinepin_protocol::{Digest, Load, Role};
 use serde_json::Value;
@@ -235,8 +236,9 @@
         name: name.to_owned(),
         role: Role::Entry,
         zone: "forde".to_owned(),
-        revision,
+        standing: Standing::Alive,
         live,
+        revision: Some(revision),
         age_ms: 100,
     }
 }
