--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -2,13 +2,29 @@
 //!
 //! A [`Balancer`] takes [`Event`]s and the time and returns [`Effect`]s; the entry drives it.
 
+mod affinity;
 mod attempts;
 mod balancer;
 mod baseline;
+mod bucket;
+mod budget;
 mod claims;
+mod classes;
+mod estimate;
 mod events;
+mod fair;
+mod fleet;
 mod follow;
+mod groups;
+mod health;
+mod limiter;
+mod pending;
+mod pool;
+mod routing;
+mod scheduler;
 mod settings;
+mod slot;
+mod suspects;
 
 pub use attempts::{AttemptEvent, AttemptMachine, AttemptSettings, AttemptState, Attempts, Taken};
 pub use balancer::Balancer;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,8 +3,10 @@
 pub mod engine;
 pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod relay;
 pub mod tokens;
 
 mod query;
