Stand the administration API on the operations of configuration and membership

Cause: the operators' changes exist once now, with checks, conflicts that show what differs, and an audit line; the API had its own. Ruled out: keeping the store's version beside it, which would be the same logic twice; waiting by polling status from the terminal, since the node asks its peers for what they hold when it waits itself. Change: ControlBackend in place of StoreBackend; POST /v1/behind waits until a change is in force and names the nodes that lag, listed but unheard ones among them; tokens bear an operator's name for the log.

--- a/crates/sardinepin/src/admin.rs
+++ b/crates/sardinepin/src/admin.rs
@@ -5,21 +5,21 @@
 mod apply;
 mod backend;
 mod calls;
+mod control_backend;
 mod explain;
 mod problem;
 mod routes;
 mod server;
-mod store_backend;
 mod views;
 
 pub use access::Access;
 pub use backend::{Backend, Health, Live, Reply, UpstreamLoad};
+pub use control_backend::ControlBackend;
 pub use problem::{Problem, ProblemBody};
 pub use server::{Admin, serve};
-pub use store_backend::{Node, StoreBackend};
 pub use views::{
     AppliedView, GroupView, LoadView, MatchView, NodeView, QuarantineView, RulesView, StatusView,
-    TestAnswer, TestRequest, UpstreamView, WrittenView,
+    TestAnswer, TestRequest, UpstreamView, WaitRequest, WrittenView,
 };
 
 #[cfg(test)]
--- a/crates/sardinepin/src/admin/access.rs
+++ b/crates/sardinepin/src/admin/access.rs
@@ -37,55 +37,74 @@
     }
 }
 
+/// Who calls, as the tokens file has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Caller {
+    /// What the caller may do.
+    pub(crate) access: Access,
+    /// The caller's name, for the log.
+    pub(crate) name: String,
+}
+
 /// The tokens of a file, as digests.
 #[derive(Debug, Default)]
 pub(crate) struct Tokens {
-    digests: Vec<(Access, blake3::Hash)>,
+    rows: Vec<(blake3::Hash, Caller)>,
 }
 
 impl Tokens {
-    /// Reads the lines `ROLE TOKEN`; empty lines and those that begin with `#` are passed over.
+    /// Reads the lines `ROLE TOKEN NAME`, of which the name may be left out; empty lines and those
+    /// that begin with `#` are passed over.
     ///
     /// A line that is not in order is left out and named in the log by its number only.
     pub(crate) fn parse(text: &str) -> Self {
-        let mut digests = Vec::new();
+        let mut rows = Vec::new();
         for (number, line) in (1_usize..).zip(text.lines()) {
             let line = line.trim();
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
             match parse_line(line) {
-                Some(row) => digests.push(row),
+                Some(row) => rows.push(row),
                 None => log::warn!(
                     event = "token_line", line = number;
-                    "expected read-only or operator and a token of at least {TOKEN_MIN} bytes"
+                    "expected read-only or operator, a token of at least {TOKEN_MIN} bytes and a name"
                 ),
             }
         }
-        Self { digests }
+        Self { rows }
     }
 
-    /// Returns what `token` allows; the time that it takes does not depend on the tokens.
-    pub(crate) fn access(&self, token: &str) -> Option<Access> {
+    /// Returns whose `token` is; the time that it takes does not depend on the tokens.
+    pub(crate) fn caller(&self, token: &str) -> Option<Caller> {
         let given = blake3::hash(token.as_bytes());
         // The comparison of blake3::Hash takes the same time whatever the bytes.
-        self.digests
+        self.rows
             .iter()
-            .filter(|(_, digest)| *digest == given)
-            .map(|(access, _)| *access)
-            .max()
+            .filter(|(digest, _)| *digest == given)
+            .map(|(_, caller)| caller)
+            .max_by_key(|caller| caller.access)
+            .cloned()
     }
 }
 
-fn parse_line(line: &str) -> Option<(Access, blake3::Hash)> {
-    let (word, token) = line.split_once(char::is_whitespace)?;
-    let token = token.trim();
+fn parse_line(line: &str) -> Option<(blake3::Hash, Caller)> {
+    let mut words = line.split_whitespace();
+    let word = words.next()?;
+    let token = words.next().filter(|token| token.len() >= TOKEN_MIN)?;
     let access = Access::parse(word)?;
-    (token.len() >= TOKEN_MIN).then(|| (access, blake3::hash(token.as_bytes())))
+    let caller = Caller {
+        access,
+        name: words.next().unwrap_or(word).to_owned(),
+    };
+    words
+        .next()
+        .is_none()
+        .then(|| (blake3::hash(token.as_bytes()), caller))
 }
 
-/// Returns what the call's token allows; the file is read each time, so that a change counts at once.
-pub(crate) async fn access_of(file: Option<&Path>, headers: &HeaderMap) -> Result<Access, Problem> {
+/// Returns whose the call's token is; the file is read each time, so that a change counts at once.
+pub(crate) async fn caller_of(file: Option<&Path>, headers: &HeaderMap) -> Result<Caller, Problem> {
     let token = headers
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
@@ -99,7 +118,7 @@
         denied("the tokens file of this instance cannot be read")
     })?;
     Tokens::parse(&text)
-        .access(token)
+        .caller(token)
         .ok_or_else(|| denied("the token is unknown here"))
 }
 
--- a/crates/sardinepin/src/admin/answers.rs
+++ b/crates/sardinepin/src/admin/answers.rs
@@ -5,7 +5,6 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use sardinepin_common::Revision;
-use sardinepin_platform::Expect;
 use sardinepin_protocol::ErrorKind;
 use serde::Serialize;
 
@@ -68,8 +67,9 @@
     }
 }
 
-/// Returns the condition that `If-Match` or `If-None-Match` sets.
-pub(crate) fn condition(headers: &HeaderMap) -> Result<Option<Expect>, Problem> {
+/// Returns the condition that `If-Match` or `If-None-Match` sets, if one does: the revision at which
+/// the object stands, or `None` for one that is not there.
+pub(crate) fn condition(headers: &HeaderMap) -> Result<Option<Option<Revision>>, Problem> {
     let given = |name: &str| {
         headers
             .get(name)
@@ -77,8 +77,8 @@
     };
     match (given("if-match"), given("if-none-match")) {
         (None, None) => Ok(None),
-        (None, Some("*")) => Ok(Some(Expect::Absent)),
-        (Some(tag), None) => revision(tag).map(|revision| Some(Expect::Revision(revision))),
+        (None, Some("*")) => Ok(Some(None)),
+        (Some(tag), None) => revision(tag).map(|revision| Some(Some(revision))),
         _ => Err(Problem::new(
             ErrorKind::BadRequest,
             "expected either 'if-match: \"REVISION\"' or 'if-none-match: *'",
--- a/crates/sardinepin/src/admin/backend.rs
+++ b/crates/sardinepin/src/admin/backend.rs
@@ -2,9 +2,9 @@
 
 use std::fmt::Debug;
 
-use sardinepin_common::Revision;
+use sardinepin_common::{Millis, Revision};
 use sardinepin_config::{RuleList, Upstream};
-use sardinepin_platform::{BoxFuture, Expect};
+use sardinepin_platform::BoxFuture;
 use sardinepin_protocol::{Digest, UpstreamState};
 
 use super::problem::Problem;
@@ -23,13 +23,19 @@
     fn waiting(&self) -> Option<String>;
 }
 
-/// What operators see and change through a node.
+/// What operators see and change through a node; `who` is the operator, for the log.
 pub trait Backend: Debug + Send + Sync {
     /// Returns the rule list as it stands.
     fn rules(&self) -> Reply<'_, RulesView>;
 
-    /// Replaces the rule list if `expect` holds, and returns the revision of the write.
-    fn put_rules<'a>(&'a self, list: &'a RuleList, expect: Expect) -> Reply<'a, Revision>;
+    /// Replaces the rule list if the one that stands has the revision `expect`, or if none stands
+    /// and `expect` is `None`, and returns the revision of the write.
+    fn put_rules<'a>(
+        &'a self,
+        who: &'a str,
+        list: &'a RuleList,
+        expect: Option<Revision>,
+    ) -> Reply<'a, Revision>;
 
     /// Says which rule a described request meets, and why the earlier ones did not match.
     fn test(&self, request: &TestRequest) -> TestAnswer;
@@ -37,18 +43,33 @@
     /// Returns what this node knows of the deployment.
     fn status(&self) -> Reply<'_, StatusView>;
 
+    /// Waits, for at most `limit`, until every live node reports `revision`, and returns those that
+    /// do not.
+    fn behind(&self, revision: Revision, limit: Millis) -> Reply<'_, Vec<NodeView>>;
+
     /// Returns all upstreams.
     fn upstreams(&self) -> Reply<'_, Vec<UpstreamView>>;
 
-    /// Adds or replaces an upstream if `expect` holds, and returns the revision of the write.
+    /// Replaces an upstream that stands at `expect`, or adds one if that is `None`, and returns the
+    /// revision from which it is in force.
     ///
     /// Adding an upstream that stands just so is no change and succeeds.
-    fn put_upstream<'a>(&'a self, upstream: &'a Upstream, expect: Expect) -> Reply<'a, Revision>;
-
-    /// Sets the state that operators want, and returns the revision from which it is in force.
+    fn put_upstream<'a>(
+        &'a self,
+        who: &'a str,
+        upstream: &'a Upstream,
+        expect: Option<Revision>,
+    ) -> Reply<'a, Revision>;
+
+    /// Drains or retires an upstream, and returns the revision from which that is in force.
     ///
-    /// Setting it twice is one change.
-    fn set_state<'a>(&'a self, name: &'a str, state: UpstreamState) -> Reply<'a, Revision>;
+    /// Draining twice is one drain.
+    fn set_state<'a>(
+        &'a self,
+        who: &'a str,
+        name: &'a str,
+        state: UpstreamState,
+    ) -> Reply<'a, Revision>;
 
     /// Returns the digests that are held back.
     fn quarantine(&self) -> Reply<'_, Vec<QuarantineView>>;
@@ -60,10 +81,11 @@
     fn groups(&self) -> Reply<'_, Vec<GroupView>>;
 
     /// Holds or releases the rebalancing of a group, and returns the revision of the change.
-    fn hold<'a>(&'a self, name: &'a str, held: bool) -> Reply<'a, Revision>;
+    fn hold<'a>(&'a self, who: &'a str, name: &'a str, held: bool) -> Reply<'a, Revision>;
 
     /// Writes what differs of a whole deployment; the state of upstreams that stand is kept.
-    fn apply<'a>(&'a self, deployment: &'a Deployment) -> Reply<'a, Vec<AppliedView>>;
+    fn apply<'a>(&'a self, who: &'a str, deployment: &'a Deployment)
+    -> Reply<'a, Vec<AppliedView>>;
 }
 
 /// What a node sees of an upstream.
@@ -79,11 +101,8 @@
     pub load: Option<LoadView>,
 }
 
-/// What the running process knows beside the configuration.
+/// What the running process knows beside configuration and membership.
 pub trait Live: Health {
-    /// Returns the other nodes that this one knows of.
-    fn nodes(&self) -> BoxFuture<'_, Vec<NodeView>>;
-
     /// Returns what this node sees of the upstreams that it keeps links to.
     fn loads(&self) -> BoxFuture<'_, Vec<UpstreamLoad>>;
 
--- a/crates/sardinepin/src/admin/calls.rs
+++ b/crates/sardinepin/src/admin/calls.rs
@@ -2,9 +2,8 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
-use sardinepin_common::Revision;
+use sardinepin_common::{Millis, Revision};
 use sardinepin_config::{RuleList, Upstream};
-use sardinepin_platform::Expect;
 use sardinepin_protocol::{Digest, ErrorKind};
 use serde::de::DeserializeOwned;
 
@@ -12,11 +11,16 @@
 use super::backend::Backend;
 use super::problem::Problem;
 use super::routes::Call;
-use super::views::WrittenView;
+use super::views::{WaitRequest, WrittenView};
+
+/// The longest wait of one call.
+const WAIT_MAX: Millis = Millis(30_000);
 
 /// What a call brings with it.
 #[derive(Debug)]
 pub(crate) struct Given<'a> {
+    /// The operator, for the log.
+    pub(crate) who: &'a str,
     /// The header fields.
     pub(crate) headers: &'a HeaderMap,
     /// The whole body.
@@ -40,9 +44,18 @@
             Ok(answers::json(&answer, None))
         }
         Call::Status => Ok(answers::json(&backend.status().await?, None)),
+        Call::Behind => {
+            let wait: WaitRequest = read(given.body)?;
+            let limit = Millis(wait.wait_ms).min(WAIT_MAX);
+            let behind = backend.behind(wait.revision, limit).await?;
+            Ok(answers::json(&behind, None))
+        }
         Call::Upstreams => Ok(answers::json(&backend.upstreams().await?, None)),
         Call::PutUpstream(name) => put_upstream(backend, name, given).await,
-        Call::SetState(name, state) => Ok(written(backend.set_state(name, *state).await?)),
+        Call::SetState(name, state) => {
+            let revision = backend.set_state(given.who, name, *state).await?;
+            Ok(written(revision))
+        }
         Call::Quarantine => Ok(answers::json(&backend.quarantine().await?, None)),
         Call::Lift(digest) => {
             let digest = Digest::parse(digest)
@@ -51,9 +64,9 @@
             Ok(answers::json(&serde_json::json!({}), None))
         }
         Call::Groups => Ok(answers::json(&backend.groups().await?, None)),
-        Call::Hold(name, held) => Ok(written(backend.hold(name, *held).await?)),
+        Call::Hold(name, held) => Ok(written(backend.hold(given.who, name, *held).await?)),
         Call::Apply => {
-            let applied = backend.apply(&read(given.body)?).await?;
+            let applied = backend.apply(given.who, &read(given.body)?).await?;
             Ok(answers::json(&applied, None))
         }
     }
@@ -65,12 +78,9 @@
         bad("'if-match: \"REVISION\"' is needed, or 'if-none-match: *' for the first list")
     })?;
     // Revision 0 is what GET shows while there is no list.
-    let expect = match expect {
-        Expect::Revision(Revision(0)) => Expect::Absent,
-        other => other,
-    };
+    let expect = expect.filter(|revision| *revision != Revision::default());
     let list: RuleList = read(given.body)?;
-    Ok(written(backend.put_rules(&list, expect).await?))
+    Ok(written(backend.put_rules(given.who, &list, expect).await?))
 }
 
 async fn put_upstream(
@@ -78,13 +88,15 @@
     name: &str,
     given: Given<'_>,
 ) -> Result<Answer, Problem> {
-    let expect = condition(given.headers)?.unwrap_or(Expect::Absent);
+    let expect = condition(given.headers)?.flatten();
     let upstream: Upstream = read(given.body)?;
     if upstream.name != name {
         let detail = format!("the body names '{}' and the path '{name}'", upstream.name);
         return Err(bad(detail));
     }
-    Ok(written(backend.put_upstream(&upstream, expect).await?))
+    Ok(written(
+        backend.put_upstream(given.who, &upstream, expect).await?,
+    ))
 }
 
 fn written(revision: Revision) -> Answer {
--- a/crates/sardinepin/src/admin/problem.rs
+++ b/crates/sardinepin/src/admin/problem.rs
@@ -2,7 +2,7 @@
 
 use sardinepin_common::Revision;
 use sardinepin_config::Fault;
-use sardinepin_platform::{Object, StoreError};
+use sardinepin_platform::Object;
 use sardinepin_protocol::{ErrorKind, RetryAdvice};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -52,28 +52,6 @@
         Self::new(ErrorKind::NotFound, format!("there is no {what} '{name}'"))
     }
 
-    /// Makes the problem of a read that failed.
-    #[must_use]
-    pub fn of_read(error: StoreError) -> Self {
-        Self::new(ErrorKind::PlatformOut, error.to_string())
-    }
-
-    /// Makes the problem of a write that failed or may have failed.
-    #[must_use]
-    pub fn of_write(error: StoreError) -> Self {
-        let detail = error.to_string();
-        match error {
-            StoreError::Conflict(current) => Self {
-                current: current.map(Box::new),
-                ..Self::new(ErrorKind::Conflict, detail)
-            },
-            StoreError::Refused(_) => Self::new(ErrorKind::PlatformOut, detail),
-            StoreError::Lost(_) | StoreError::Malformed(_) => {
-                Self::new(ErrorKind::Unsettled, detail)
-            }
-        }
-    }
-
     /// Returns the seconds after which coming back makes sense, if it does.
     pub(crate) fn retry_after(&self) -> Option<u64> {
         (self.kind.answer().retry == RetryAdvice::Later).then_some(RETRY_AFTER_S)
--- a/crates/sardinepin/src/admin/routes.rs
+++ b/crates/sardinepin/src/admin/routes.rs
@@ -25,6 +25,7 @@
     PutRules,
     TestRules,
     Status,
+    Behind,
     Upstreams,
     PutUpstream(String),
     SetState(String, UpstreamState),
@@ -42,6 +43,7 @@
             Self::GetRules
             | Self::TestRules
             | Self::Status
+            | Self::Behind
             | Self::Upstreams
             | Self::Quarantine
             | Self::Groups => Access::ReadOnly,
@@ -75,6 +77,7 @@
         ("PUT", ["rules"]) => Some(Call::PutRules),
         ("POST", ["rules", "test"]) => Some(Call::TestRules),
         ("GET", ["status"]) => Some(Call::Status),
+        ("POST", ["behind"]) => Some(Call::Behind),
         ("GET", ["upstreams"]) => Some(Call::Upstreams),
         ("PUT", ["upstreams", name]) => Some(Call::PutUpstream((*name).to_owned())),
         ("POST", ["upstreams", name, "drain"]) => {
--- a/crates/sardinepin/src/admin/server.rs
+++ b/crates/sardinepin/src/admin/server.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use super::access::access_of;
+use super::access::{Access, Caller, caller_of};
 use super::answers::{self, Answer, METRICS_TYPE, TEXT_TYPE};
 use super::backend::{Backend, Health};
 use super::calls::{Given, carry_out};
@@ -119,22 +119,40 @@
     }
 
     async fn call(&self, call: &Call, request: Request<Incoming>) -> Answer {
-        let result = self.try_call(call, request).await;
-        let label = result
-            .as_ref()
-            .err()
-            .map(|problem| problem.kind.answer().label);
-        if call.needs() > super::Access::ReadOnly {
-            let result = label.unwrap_or("accepted");
-            log::info!(event = "admin_call", call:? = call, result = result; "an operator's call");
-        }
+        let tokens = self.tokens_file.as_deref();
+        let result = match caller_of(tokens, request.headers()).await {
+            Ok(caller) => self.call_as(&caller, call, request).await,
+            Err(problem) => Err(problem),
+        };
         result.unwrap_or_else(|problem| answers::problem(&problem))
     }
 
-    async fn try_call(&self, call: &Call, request: Request<Incoming>) -> Result<Answer, Problem> {
-        let access = access_of(self.tokens_file.as_deref(), request.headers()).await?;
-        if access < call.needs() {
-            let detail = format!("the token is for the role '{}'", access.word());
+    async fn call_as(
+        &self,
+        caller: &Caller,
+        call: &Call,
+        request: Request<Incoming>,
+    ) -> Result<Answer, Problem> {
+        let result = self.try_call(caller, call, request).await;
+        if call.needs() == Access::Operator {
+            let problem = result.as_ref().err();
+            let result = problem.map_or("accepted", |problem| problem.kind.answer().label);
+            log::info!(
+                event = "admin_call", who = caller.name.as_str(), call:? = call, result = result;
+                "an operator's call"
+            );
+        }
+        result
+    }
+
+    async fn try_call(
+        &self,
+        caller: &Caller,
+        call: &Call,
+        request: Request<Incoming>,
+    ) -> Result<Answer, Problem> {
+        if caller.access < call.needs() {
+            let detail = format!("the token is for the role '{}'", caller.access.word());
             return Err(Problem::new(ErrorKind::Forbidden, detail));
         }
         let Some(backend) = &self.backend else {
@@ -142,6 +160,7 @@
         };
         let (head, body) = request.into_parts();
         let given = Given {
+            who: &caller.name,
             headers: &head.headers,
             body: &whole(body).await?,
         };
--- a/crates/sardinepin/src/admin/views.rs
+++ b/crates/sardinepin/src/admin/views.rs
@@ -22,6 +22,16 @@
     pub revision: Revision,
 }
 
+/// A question whether a change is in force everywhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WaitRequest {
+    /// The revision that every live node should report.
+    pub revision: Revision,
+    /// How long to wait for it, in milliseconds; 30 seconds at most.
+    pub wait_ms: u64,
+}
+
 /// A request as an operator describes it, to see which rule it meets.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/sardinepin/src/control/operations.rs
+++ b/crates/sardinepin/src/control/operations.rs
@@ -107,7 +107,7 @@
     }
 
     /// Reads an object from the platform; if that fails, nothing is accepted.
-    async fn read(&self, key: &str) -> Result<Option<Object>, Refusal> {
+    pub(crate) async fn read(&self, key: &str) -> Result<Option<Object>, Refusal> {
         let store = self.platform()?;
         store
             .get(&stored(key))
--- a/crates/sardinepin/src/ctl/order.rs
+++ b/crates/sardinepin/src/ctl/order.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::failure::Failure;
-use crate::admin::TestRequest;
+use crate::admin::{TestRequest, WaitRequest};
 use crate::check::{Deployment, load_deployment, load_rules};
 
 /// What an operator orders.
@@ -124,6 +124,14 @@
     }
 }
 
+/// Returns the call that waits for a change to be in force.
+pub(crate) fn behind(wait: &WaitRequest) -> Result<Call, Failure> {
+    Ok(Call {
+        method: Method::POST,
+        ..put("/v1/behind".to_owned(), wait)?
+    })
+}
+
 fn get(path: &str) -> Call {
     Call {
         method: Method::GET,
--- a/crates/sardinepin/src/ctl/wait.rs
+++ b/crates/sardinepin/src/ctl/wait.rs
@@ -4,11 +4,14 @@
 
 use super::client::{Client, read};
 use super::failure::Failure;
-use super::order::Order;
-use crate::admin::{NodeView, StatusView};
+use super::order::behind;
+use crate::admin::{NodeView, WaitRequest};
 
-/// The time between two looks.
-const POLL: Millis = Millis(200);
+/// The longest wait that is asked for at once, so that a call ends well within its bound.
+const STEP: Millis = Millis(2_000);
+
+/// The pause after the administration API did not answer.
+const PAUSE: Millis = Millis(200);
 
 /// Waits until every live node reports `revision` or a later one, for at most `limit`.
 pub(crate) async fn wait_for(
@@ -18,36 +21,32 @@
     json: bool,
 ) -> Result<(), Failure> {
     let clock = Clock::start();
-    let call = Order::Status.call()?;
-    let mut behind = Vec::new();
+    let mut lagging = Vec::new();
     loop {
+        let left = limit - clock.now();
+        let call = behind(&WaitRequest {
+            revision,
+            wait_ms: left.min(STEP).0,
+        })?;
         // An instance that does not answer now may do so at the next look.
-        if let Ok(answer) = client.call(&call).await {
-            let status: StatusView = read(answer)?;
-            behind = behind_of(&status.nodes, revision);
-            if behind.is_empty() {
-                if !json {
-                    let live = status.nodes.iter().filter(|node| node.live).count();
-                    println!("in force at {live} live nodes");
+        match client.call(&call).await {
+            Ok(answer) => {
+                let nodes: Vec<NodeView> = read(answer)?;
+                if nodes.is_empty() {
+                    if !json {
+                        println!("in force at every live node");
+                    }
+                    return Ok(());
                 }
-                return Ok(());
+                lagging = nodes.into_iter().map(|node| node.name).collect();
             }
+            Err(_) => tokio::time::sleep(PAUSE.duration()).await,
         }
-        if clock.now() + POLL > limit {
+        if clock.now() >= limit {
             return Err(Failure::Behind {
                 revision,
-                nodes: behind,
+                nodes: lagging,
             });
         }
-        tokio::time::sleep(POLL.duration()).await;
     }
 }
-
-/// Returns the names of the live nodes that report an older revision or none.
-pub(crate) fn behind_of(nodes: &[NodeView], revision: Revision) -> Vec<String> {
-    nodes
-        .iter()
-        .filter(|node| node.live && node.revision < Some(revision))
-        .map(|node| node.name.clone())
-        .collect()
-}
