Add the pages for operators and developers, kept in step by tests

Cause: operators need every field, command and counter in one place; pages drift from the code unless something compares them. Ruled out: generating the pages in the build, since what a field means is written by hand. Change: SETTINGS, OPERATIONS, GLOSSARY, CONTRIBUTING, CHANGELOG; tests ask for a row for every field, default, range and error kind. entry.headers_max starts at 8192 now: the HTTP library panics below.

--- a/crates/sardinepin/src/check/tests.rs
+++ b/crates/sardinepin/src/check/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of rule lists and deployment files.
 
 use super::deployment::read_deployment;
+use super::fields::fields;
 use super::rules::read_rules;
 use super::{FileKind, kind_of};
 use crate::options::FileFaults;
@@ -146,3 +147,15 @@
         ]
     );
 }
+
+#[test]
+fn the_page_of_settings_has_every_field_of_a_deployment() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let missing: Vec<String> = fields()
+        .iter()
+        .map(|rule| format!("| `{}` | {} |", rule.path, rule.allowed.words()))
+        .filter(|row| !page.lines().any(|line| line.starts_with(row.as_str())))
+        .collect();
+    assert!(missing.is_empty(), "{}", missing.join("\n"));
+}
--- a/crates/sardinepin/src/options/fields.rs
+++ b/crates/sardinepin/src/options/fields.rs
@@ -8,6 +8,9 @@
 /// The largest request, headers and body together, in bytes.
 pub(crate) const REQUEST_MAX: usize = FRAME_LIMIT - FRAME_RESERVE;
 
+/// The least room for the head of a request that the HTTP library takes, in bytes.
+const HEADERS_MIN: u64 = 8_192;
+
 /// The longest span of time that a field takes, in milliseconds.
 const SPAN_MAX_MS: u64 = 3_600_000;
 
@@ -76,7 +79,7 @@
     field("entry.body_max", number(1, REQUEST_MAX as u64, "bytes")),
     field(
         "entry.headers_max",
-        number(1_024, REQUEST_MAX as u64, "bytes"),
+        number(HEADERS_MIN, REQUEST_MAX as u64, "bytes"),
     ),
     field("entry.open_max", number(1, 1_000_000, "requests")),
     field("entry.attempts_max", number(1, 10, "attempts")),
--- a/crates/sardinepin/src/options/tests.rs
+++ b/crates/sardinepin/src/options/tests.rs
@@ -185,3 +185,34 @@
     assert_eq!(line_of(text, "b.x"), Some(2));
     assert_eq!(line_of(text, "z"), None);
 }
+
+/// Returns the start of the row that the page of settings has for each field but the sections.
+fn rows_of_the_page() -> Vec<String> {
+    let defaults = serde_yaml_ng::to_value(Settings::default()).unwrap();
+    FIELDS
+        .iter()
+        .filter(|rule| !at(&defaults, rule.path).is_some_and(serde_yaml_ng::Value::is_mapping))
+        .map(|rule| {
+            let default = match at(&defaults, rule.path) {
+                Some(value) => format!("`{}`", serde_json::to_string(value).unwrap()),
+                None => "-".to_owned(),
+            };
+            format!("| `{}` | {default} | {} |", rule.path, rule.allowed.words())
+        })
+        .collect()
+}
+
+fn at<'a>(root: &'a serde_yaml_ng::Value, path: &str) -> Option<&'a serde_yaml_ng::Value> {
+    path.split('.').try_fold(root, |value, key| value.get(key))
+}
+
+#[test]
+fn the_page_of_settings_has_every_field() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let missing: Vec<String> = rows_of_the_page()
+        .into_iter()
+        .filter(|row| !page.lines().any(|line| line.starts_with(row.as_str())))
+        .collect();
+    assert!(missing.is_empty(), "{}", missing.join("\n"));
+}
--- a/crates/sardinepin/src/telemetry/tests.rs
+++ b/crates/sardinepin/src/telemetry/tests.rs
@@ -30,3 +30,15 @@
     let (now, then) = grown(RETRIES, ErrorKind::Leaving).unwrap();
     assert!(now > then);
 }
+
+#[test]
+fn the_page_of_operations_has_every_reason() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    for &kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        let (label, status) = (answer.label, answer.status);
+        let row = format!("| `{label}` | {status} | {} |", answer.outcome.label());
+        assert!(page.lines().any(|line| line.starts_with(&row)), "{row}");
+    }
+}
