Give the entry's operators the operations of the control part

Cause: the entry was put on the administration API's own backend while that gave way to the control part's operations. Ruled out: keeping both backends. Change: the entry builds ControlBackend, also without a platform (changes are then refused as such); Live no longer lists nodes, the membership does.

--- a/crates/sardinepin/src/entry.rs
+++ b/crates/sardinepin/src/entry.rs
@@ -21,7 +21,7 @@
 use sardinepin_protocol::Role;
 use tokio::net::TcpListener;
 
-use crate::admin::{self, Backend, StoreBackend};
+use crate::admin::ControlBackend;
 use crate::entry::core::Core;
 use crate::entry::links::Links;
 use crate::entry::live::EntryLive;
@@ -57,7 +57,9 @@
         entry: Arc::clone(&entry),
         quarantine,
     });
-    let admin = node.serve_admin(live.clone(), backend(&node, live)).await?;
+    let control = Arc::clone(&node.control);
+    let backend = ControlBackend::new(&node.identity.name, control, live.clone());
+    let admin = node.serve_admin(live, Some(Arc::new(backend))).await?;
     log::info!(
         event = "listening", role = "entry", address:% = address, admin:% = admin,
         cluster = node.cluster_address().as_str();
@@ -80,15 +82,3 @@
     };
     Ok(stop::exit_code(finished, entry.open()))
 }
-
-/// Returns what operators can do at this entry; without a platform, nothing can be changed.
-fn backend(node: &Node, live: Arc<EntryLive>) -> Option<Arc<dyn Backend>> {
-    let store = node.store.clone()?;
-    let identity = admin::Node {
-        name: node.identity.name.clone(),
-        zone: node.identity.zone.clone(),
-        role: Role::Entry,
-    };
-    let backend = StoreBackend::new(identity, store, node.control.snapshot(), live);
-    Some(Arc::new(backend))
-}
--- a/crates/sardinepin/src/entry/live.rs
+++ b/crates/sardinepin/src/entry/live.rs
@@ -5,10 +5,9 @@
 use sardinepin_platform::BoxFuture;
 use sardinepin_protocol::Digest;
 
-use crate::admin::{Health, Live, LoadView, NodeView, QuarantineView, UpstreamLoad};
+use crate::admin::{Health, Live, LoadView, QuarantineView, UpstreamLoad};
 use crate::entry::quarantine::Quarantine;
 use crate::entry::server::Entry;
-use crate::node::node_view;
 
 /// The running entry.
 #[derive(Debug)]
@@ -24,11 +23,6 @@
 }
 
 impl Live for EntryLive {
-    fn nodes(&self) -> BoxFuture<'_, Vec<NodeView>> {
-        let rows = self.entry.control.members();
-        Box::pin(async move { rows.into_iter().map(node_view).collect() })
-    }
-
     fn loads(&self) -> BoxFuture<'_, Vec<UpstreamLoad>> {
         let snapshot = self.entry.snapshot();
         let load = |name: &str| self.entry.links.sight(name);
--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -20,7 +20,6 @@
 use tokio::sync::{oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::control::Control;
 use crate::entry::answers::{Body, Outbound, problem};
 use crate::entry::call::Call;
 use crate::entry::core::Core;
@@ -54,7 +53,6 @@
     pub(crate) core: Core,
     pub(crate) links: Links,
     identity: Identity,
-    pub(crate) control: Arc<Control>,
     snapshots: watch::Receiver<Arc<Snapshot>>,
     ready: watch::Receiver<bool>,
     numbers: AtomicU64,
@@ -72,7 +70,6 @@
             core,
             links,
             identity: node.identity.clone(),
-            control: Arc::clone(&node.control),
             snapshots: node.control.snapshot(),
             ready: node.control.ready(),
             numbers: AtomicU64::new(0),
--- a/crates/sardinepin/src/node.rs
+++ b/crates/sardinepin/src/node.rs
@@ -6,12 +6,12 @@
 
 use anyhow::Context;
 use sardinepin_common::{Clock, Millis};
-use sardinepin_membership::{Row, Standing};
+use sardinepin_membership::Row;
 use sardinepin_platform::{HttpSettings, HttpStore, Store};
 use sardinepin_protocol::Role;
 use tokio::net::TcpListener;
 
-use crate::admin::{self, Admin, Backend, Health, NodeView};
+use crate::admin::{self, Admin, Backend, Health};
 use crate::control::{Control, ControlSettings};
 use crate::link::Identity;
 use crate::options::{PlatformSettings, Settings};
@@ -79,18 +79,6 @@
     }
 }
 
-/// Returns how a node shows in the administration API.
-pub(crate) fn node_view(row: Row) -> NodeView {
-    NodeView {
-        live: matches!(row.standing, Standing::Alive | Standing::Suspected),
-        age_ms: row.said.unwrap_or(Millis::ZERO).0,
-        revision: row.revision.unwrap_or_default(),
-        name: row.name,
-        role: row.role,
-        zone: row.zone,
-    }
-}
-
 fn store(settings: &PlatformSettings) -> Option<Arc<dyn Store>> {
     let store = HttpStore::new(HttpSettings {
         address: settings.address?,
