--- a/crates/sardinepin/tests/integration/main.rs
+++ b/crates/sardinepin/tests/integration/main.rs
@@ -6,4 +6,5 @@
 mod admin;
 mod admin_server;
 mod ctl;
+mod operators;
 mod samples;
--- /dev/null
+++ b/crates/sardinepin/tests/integration/operators.rs
@@ -0,0 +1,221 @@
+//! Operators at work on a deployment of real processes.
+
+use std::path::PathBuf;
+use std::process::Output;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http::Method;
+use sardinepin_config::Service;
+use sardinepin_standins::fleet::{Deployment, Fleet, Plan};
+use sardinepin_standins::http::Answer;
+use sardinepin_standins::plain::Counts;
+use serde_json::{Value, json};
+
+use crate::admin_server::{OPERATOR_TOKEN, scratch};
+
+/// How long `--wait` may take before it counts as in vain, in milliseconds.
+const WAIT_MS: &str = "60000";
+
+/// How often `status` is asked for what comes by itself.
+const LOOKS: usize = 6_000;
+
+async fn start(name: &str) -> Result<Fleet> {
+    let tokens = scratch(&format!("fleet-{name}-tokens"));
+    std::fs::write(&tokens, format!("operator {OPERATOR_TOKEN} anna\n"))?;
+    let service = Service {
+        name: "app".to_owned(),
+        paths: vec!["/".to_owned()],
+        ..Service::default()
+    };
+    Fleet::start(Plan {
+        deployment: Deployment::default().with_service(service, 2, &["zone-a", "zone-b"]),
+        entries: 2,
+        settings: json!({
+            "tokens_file": tokens,
+            "cluster": {
+                "round_ms": 50,
+                "keys": [{ "number": 1, "secret": "a-secret-for-this-test" }],
+            },
+        }),
+        ..Plan::default()
+    })
+    .await
+}
+
+async fn ctl(fleet: &Fleet, entry: usize, words: &[&str]) -> Result<Output> {
+    let admin = fleet.entries[entry].admin().context("no address")?;
+    let token = scratch(&format!("fleet-token-{}", fleet.platform.pid()));
+    std::fs::write(&token, OPERATOR_TOKEN)?;
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_sardinepin"));
+    command
+        .args(["ctl", "--address", &admin.to_string(), "--token-file"])
+        .arg(&token)
+        .args(words);
+    Ok(command.output().await?)
+}
+
+fn text(output: &Output) -> String {
+    let both = [output.stdout.as_slice(), output.stderr.as_slice()].concat();
+    String::from_utf8_lossy(&both).into_owned()
+}
+
+async fn put_rules(fleet: &Fleet, entry: usize, rules: &str, more: &[&str]) -> Result<Output> {
+    let file: PathBuf = scratch(&format!("fleet-rules-{}.yaml", fleet.platform.pid()));
+    std::fs::write(&file, rules)?;
+    let file = file.to_str().context("a path that is no text")?;
+    let words = [&["rules", "put", file], more].concat();
+    ctl(fleet, entry, &words).await
+}
+
+async fn call(fleet: &Fleet, entry: usize, path: &str) -> Result<Answer> {
+    let headers = [("x-organisation", "voss")];
+    let entry = fleet.entries[entry].address();
+    let caller = &fleet.caller;
+    caller
+        .call(Method::GET, entry, path, &headers, Bytes::new())
+        .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_at_every_node_once_wait_returns() -> Result<()> {
+    let fleet = start("in-force").await?;
+    let refusing =
+        "rules:\n  - name: closed\n    when: { paths: [/closed] }\n    then: { refuse: true }\n";
+    let put = put_rules(&fleet, 0, refusing, &["--wait", "--wait-ms", WAIT_MS]).await?;
+    assert_eq!(
+        put.status.code(),
+        Some(0),
+        "{}\n{}",
+        text(&put),
+        fleet.output()
+    );
+    for entry in 0..fleet.entries.len() {
+        let answer = call(&fleet, entry, "/closed").await?;
+        let body: Value = answer.json()?;
+        assert_eq!(body["type"], "urn:sardinepin:refused_by_rule");
+    }
+
+    let status = ctl(&fleet, 1, &["status", "--json"]).await?;
+    let status: Value = serde_json::from_slice(&status.stdout)?;
+    let nodes = status["nodes"].as_array().context("no nodes")?;
+    let mut names: Vec<&str> = nodes
+        .iter()
+        .filter_map(|node| node["name"].as_str())
+        .collect();
+    names.sort_unstable();
+    assert_eq!(names, ["app-1", "app-2", "entry-1", "entry-2"]);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_edits_of_one_version_one_is_shown_the_other() -> Result<()> {
+    let fleet = start("two-edits").await?;
+    let got = ctl(&fleet, 0, &["rules", "get"]).await?;
+    let first = text(&got);
+    let revision = first
+        .lines()
+        .next()
+        .and_then(|line| line.strip_prefix("# revision "));
+    let revision = revision.context("no revision")?.to_owned();
+    let rules = |weight| format!("rules:\n  - {{ name: a, then: {{ weight: {weight} }} }}\n");
+    let expect = ["--if-match", revision.as_str()];
+    let one = put_rules(&fleet, 0, &rules(2), &expect).await?;
+    let two = put_rules(&fleet, 1, &rules(3), &expect).await?;
+    assert_eq!(
+        (one.status.code(), two.status.code()),
+        (Some(0), Some(3)),
+        "{}",
+        text(&two)
+    );
+    assert!(text(&two).contains("weight: 2"), "{}", text(&two));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_upstream_gets_no_new_work_once_wait_returns() -> Result<()> {
+    let fleet = start("drain").await?;
+    let words = ["upstream", "drain", "app-1", "--wait", "--wait-ms", WAIT_MS];
+    let drained = ctl(&fleet, 0, &words).await?;
+    assert_eq!(
+        drained.status.code(),
+        Some(0),
+        "{}\n{}",
+        text(&drained),
+        fleet.output()
+    );
+    let again = ctl(&fleet, 1, &words).await?;
+    assert_eq!(text(&again).lines().next(), text(&drained).lines().next());
+
+    // An entry acts on a configuration a moment after it holds it, and has no link at first.
+    let upstream = fleet.upstreams[0].address();
+    let mut looks = 0;
+    loop {
+        let before: Counts = fleet.caller.get(upstream, "/counts").await?;
+        let mut answered = 0;
+        for number in 0..20 {
+            let answer = call(&fleet, number % fleet.entries.len(), "/x").await?;
+            answered += u32::from(answer.status.is_success());
+        }
+        let after: Counts = fleet.caller.get(upstream, "/counts").await?;
+        if answered == 20 && after.arrived == before.arrived {
+            break;
+        }
+        looks += 1;
+        assert!(looks < LOOKS, "{}", fleet.output());
+    }
+    let listed = text(&ctl(&fleet, 1, &["upstream", "list"]).await?);
+    let row = listed.lines().find(|line| line.starts_with("app-1 "));
+    assert!(row.context("no row")?.contains(" draining "), "{listed}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_platform_out_changes_are_refused_and_calls_go_on() -> Result<()> {
+    let fleet = start("platform-out").await?;
+    let mut looks = 0;
+    while !call(&fleet, 0, "/x").await?.status.is_success() {
+        looks += 1;
+        assert!(looks < LOOKS, "{}", fleet.output());
+    }
+    fleet
+        .faults(&fleet.platform, &json!({ "down": true }))
+        .await?;
+    let rules = "rules:\n  - { name: a, then: { weight: 2 } }\n";
+    let put = put_rules(&fleet, 0, rules, &["--if-match", "1"]).await?;
+    assert_eq!(put.status.code(), Some(1), "{}", text(&put));
+    let shown = text(&ctl(&fleet, 0, &["upstream", "list"]).await?);
+    assert_eq!(shown.lines().count(), 3, "{shown}");
+    assert!(call(&fleet, 0, "/x").await?.status.is_success());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_role_serves_health_and_metrics() -> Result<()> {
+    let fleet = start("health").await?;
+    for node in fleet.entries.iter().chain(&fleet.agents) {
+        let admin = node.admin().context("no address")?;
+        for path in ["/livez", "/readyz"] {
+            let get = fleet
+                .caller
+                .call(Method::GET, admin, path, &[], Bytes::new());
+            assert!(get.await?.status.is_success(), "{} {path}", node.name());
+        }
+        let get = fleet
+            .caller
+            .call(Method::GET, admin, "/metrics", &[], Bytes::new());
+        let metrics = String::from_utf8(get.await?.body.to_vec())?;
+        let wanted = "sardinepin_refusals_total{reason=\"queue_full\"}";
+        assert!(metrics.contains(wanted), "{}", node.name());
+        let rules = fleet
+            .caller
+            .call(Method::GET, admin, "/v1/rules", &[], Bytes::new());
+        assert_eq!(rules.await?.status, 401, "{}", node.name());
+    }
+    let ended = fleet.stop().await?;
+    assert!(
+        ended.iter().all(|(_, status)| status.success()),
+        "{ended:?}"
+    );
+    Ok(())
+}
