Model-check the spread of the configuration

Cause: that no revision goes down and no accepted write is lost must hold in every order of writes, late answers, stale reads and restarts. Change: config_spread explores 2 nodes, 3 writes, 2 answers under way and 1 restart breadth first; each state must hold what the platform held at the node's revision, and come together once all are reached.

--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -66,6 +66,12 @@
         self.revision
     }
 
+    /// Returns the revision up to which deletions are not among the entries.
+    #[must_use]
+    pub fn floor(&self) -> Revision {
+        self.floor
+    }
+
     /// Takes in entries that bring the configuration up to `revision`.
     ///
     /// `entries` must hold every object that changed between this snapshot's revision and
--- /dev/null
+++ b/crates/platform/src/offers.rs
@@ -0,0 +1,44 @@
+//! What the store's answers say of the configuration.
+
+use sardinepin_config::{Entry, Offer};
+
+use crate::store::{Listing, Object};
+
+/// The prefix of the configuration's keys in the store; a snapshot's keys are without it.
+pub const CONFIG_PREFIX: &str = "config/";
+
+/// Reads a listing of all configuration: it shows no deletions, so what it lacks is gone.
+#[must_use]
+pub fn whole_offer(listing: Listing) -> Offer {
+    Offer {
+        revision: listing.revision,
+        whole: true,
+        entries: listing.objects.into_iter().map(entry).collect(),
+    }
+}
+
+/// Reads the answer to a watch.
+///
+/// The store's revision also counts writes under other prefixes, of which the other nodes need not
+/// hear: so the last write of the configuration gives the revision.
+#[must_use]
+pub fn newer_offer(listing: Listing) -> Offer {
+    let last = listing.objects.iter().map(|object| object.revision).max();
+    Offer {
+        revision: last.unwrap_or(listing.revision),
+        whole: false,
+        entries: listing.objects.into_iter().map(entry).collect(),
+    }
+}
+
+fn entry(object: Object) -> Entry {
+    let key = match object.key.strip_prefix(CONFIG_PREFIX) {
+        Some(key) => key.to_owned(),
+        None => object.key,
+    };
+    Entry {
+        key,
+        revision: object.revision,
+        value: object.value,
+    }
+}
--- a/crates/sardinepin/src/control/operations.rs
+++ b/crates/sardinepin/src/control/operations.rs
@@ -10,11 +10,12 @@
 use sardinepin_config::{
     Entry, Fault, RuleList, Snapshot, check_rules, check_snapshot, object_key,
 };
-use sardinepin_platform::{Change, Expect, Object, Store, StoreError, write_settled};
+use sardinepin_platform::{
+    CONFIG_PREFIX, Change, Expect, Object, Store, StoreError, whole_offer, write_settled,
+};
 
 use super::Control;
 use super::hub::Hub;
-use super::watcher::{PREFIX, whole};
 use differences::differences;
 
 pub use intents::Edit;
@@ -160,11 +161,11 @@
         }
         let listing = self
             .platform()?
-            .list(PREFIX)
+            .list(CONFIG_PREFIX)
             .await
             .map_err(|error| Refusal::PlatformOut(error.to_string()))?;
         let mut newest = Snapshot::default();
-        newest.take(&whole(listing));
+        newest.take(&whole_offer(listing));
         match faults_with(newest, key, value) {
             faults if faults.is_empty() => Ok(()),
             faults => Err(Refusal::Faults(faults)),
@@ -191,7 +192,7 @@
 }
 
 fn stored(key: &str) -> String {
-    format!("{PREFIX}{key}")
+    format!("{CONFIG_PREFIX}{key}")
 }
 
 fn conflict(standing: Option<Object>, wanted: Option<&str>) -> Refusal {
--- a/crates/sardinepin/src/control/watcher.rs
+++ b/crates/sardinepin/src/control/watcher.rs
@@ -3,16 +3,14 @@
 use std::sync::Arc;
 
 use rand::Rng as _;
-use sardinepin_common::{Millis, Revision};
-use sardinepin_config::{Entry, Offer};
+use sardinepin_common::Millis;
 use sardinepin_membership::{Input, Listed};
-use sardinepin_platform::{Instance, InstanceState, Listing, Object, Store, StoreError};
+use sardinepin_platform::{
+    CONFIG_PREFIX, Instance, InstanceState, Store, StoreError, newer_offer, whole_offer,
+};
 
 use super::hub::Hub;
 
-/// The prefix of the configuration's keys in the store.
-pub(super) const PREFIX: &str = "config/";
-
 /// The shortest and the longest wait after the store could not be read.
 const PAUSES: (Millis, Millis) = (Millis(200), Millis(2_000));
 
@@ -36,8 +34,8 @@
 
 /// Reads the whole configuration once.
 pub(super) async fn read(hub: &Arc<Hub>, store: &dyn Store) -> Result<(), StoreError> {
-    let listing = store.list(PREFIX).await?;
-    hub.publish("platform", &whole(listing));
+    let listing = store.list(CONFIG_PREFIX).await?;
+    hub.publish("platform", &whole_offer(listing));
     hub.note_read();
     Ok(())
 }
@@ -64,11 +62,11 @@
     }
     let after = hub.revision();
     let wait = Millis(hub.settings.platform.watch_ms);
-    let listing = store.watch(PREFIX, after, wait).await?;
+    let listing = store.watch(CONFIG_PREFIX, after, wait).await?;
     if listing.objects.is_empty() && listing.revision >= after {
         return Ok(());
     }
-    hub.publish("platform", &newer(listing));
+    hub.publish("platform", &newer_offer(listing));
     Ok(())
 }
 
@@ -101,32 +99,3 @@
         zone: instance.zone,
     })
 }
-
-/// A listing shows no deletions, so what it lacks is gone.
-pub(super) fn whole(listing: Listing) -> Offer {
-    Offer {
-        revision: listing.revision,
-        whole: true,
-        entries: listing.objects.into_iter().map(entry).collect(),
-    }
-}
-
-/// The store's revision also counts writes under other prefixes, of which the other nodes need not
-/// hear: so the last write of the configuration gives the revision.
-fn newer(listing: Listing) -> Offer {
-    let last = listing.objects.iter().map(|object| object.revision).max();
-    Offer {
-        revision: last.unwrap_or(listing.revision),
-        whole: false,
-        entries: listing.objects.into_iter().map(entry).collect(),
-    }
-}
-
-fn entry(object: Object) -> Entry {
-    let key = object.key.strip_prefix(PREFIX).unwrap_or(&object.key);
-    Entry {
-        key: key.to_owned(),
-        revision: Revision(object.revision.0),
-        value: object.value,
-    }
-}
--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Model checks of the core protocols, over the product's own state machines.
+
+pub mod config_spread;
