--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -111,6 +111,8 @@
         /// Its state.
         state: State,
     },
+    /// This node was suspected or taken for gone, and has answered that it is there.
+    Doubted,
     /// A node that was suspected or taken for gone has answered that it is there.
     Refuted {
         /// The node.
@@ -207,6 +209,12 @@
             .max(self.revision)
     }
 
+    /// Returns how many nodes are present, this one included.
+    #[must_use]
+    pub fn present_count(&self) -> usize {
+        self.table.size()
+    }
+
     /// Returns how many other nodes have been heard directly.
     #[must_use]
     pub fn heard_count(&self) -> usize {
--- a/crates/membership/src/members/inputs.rs
+++ b/crates/membership/src/members/inputs.rs
@@ -150,7 +150,10 @@
                 self.spread(&update.name);
                 self.report(update, before, out);
             }
-            // Every message bears this node's own statement, so nothing more is needed.
+            // Every message bears this node's own statement, so nothing more is to be sent.
+            Merged::Refuted if update.incarnation == self.table.me.incarnation => {
+                out.push(Output::Doubted);
+            }
             Merged::Refuted | Merged::Nothing | Merged::Full => {}
         }
         merged
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -265,7 +265,7 @@
                 Output::Fetch { from, table } => self.fetch(id, from, table),
                 Output::Watch(watching) => self.nodes[id].watching = watching,
                 Output::Changed { name, state } => self.nodes[id].changes.push((name, state)),
-                Output::Dropped(_) | Output::Refuted { .. } => {}
+                Output::Dropped(_) | Output::Doubted | Output::Refuted { .. } => {}
             }
         }
     }
--- a/crates/sardinepin/src/control/datagrams.rs
+++ b/crates/sardinepin/src/control/datagrams.rs
@@ -56,13 +56,13 @@
     // Nodes that start together do not speak together.
     let offset = rand::rng().random_range(0..round.max(1));
     hub.border.reload().await;
-    hub.input(Input::Tick);
+    hub.tick();
     tokio::time::sleep(Millis(offset).duration()).await;
     let mut due = tokio::time::interval(Millis(round.max(1)).duration());
     due.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         due.tick().await;
         hub.border.reload().await;
-        hub.input(Input::Tick);
+        hub.tick();
     }
 }
--- a/crates/sardinepin/src/control/fetch/server.rs
+++ b/crates/sardinepin/src/control/fetch/server.rs
@@ -17,6 +17,9 @@
 /// How many fetches are answered at once; those over it are closed.
 const ANSWERS: usize = 64;
 
+/// How long a request may take to come; a stranger must not hold a place for long.
+const REQUEST_LIMIT: Millis = Millis(1_000);
+
 /// How long an answer may take.
 const LIMIT: Millis = Millis(10_000);
 
@@ -54,7 +57,9 @@
 
 async fn answer(hub: &Hub, stream: TcpStream) -> anyhow::Result<()> {
     let mut stream = framed(stream);
-    let frame = stream.next().await.context("no request")??;
+    let frame = tokio::time::timeout(REQUEST_LIMIT.duration(), stream.next())
+        .await?
+        .context("no request")??;
     let request: Request = decode(open_frame(&hub.keyring, &frame)?)?;
     let mut parts = match request.ask {
         Ask::Config { after, table } => config(hub, after, table),
--- a/crates/sardinepin/src/control/hub.rs
+++ b/crates/sardinepin/src/control/hub.rs
@@ -92,6 +92,13 @@
         self.members().rows(self.now())
     }
 
+    /// Begins a round.
+    pub(super) fn tick(self: &Arc<Self>) {
+        self.input(Input::Tick);
+        let present = self.members().present_count();
+        metrics::gauge!("sardinepin_members_present").set(present as f64);
+    }
+
     pub(super) fn updates(&self) -> Vec<Update> {
         self.members().updates()
     }
@@ -207,6 +214,10 @@
             Output::Changed { name, state } => {
                 log::info!(event = "member", name = name.as_str(), state:? = state; "a node is seen in another state");
             }
+            Output::Doubted => {
+                metrics::counter!("sardinepin_members_doubted_total").increment(1);
+                log::info!(event = "doubted"; "this node was given up by others, and has said that it is there");
+            }
             Output::Refuted { name } => {
                 metrics::counter!("sardinepin_members_refuted_total").increment(1);
                 log::info!(event = "refuted", name = name.as_str(); "a node that was given up is there");
