Prove configuration and membership on real processes

Change: tests never_reverts, in_force, operators and zone over clusters whose links are cut by a file of FROM TO pairs; a fleet starts nodes with settings of their own; three relays are asked twice before a node is suspected, and not at all if it was heard since.

--- a/crates/membership/src/members/rounds.rs
+++ b/crates/membership/src/members/rounds.rs
@@ -47,19 +47,26 @@
 
     fn judge_probes(&mut self, now: Millis, out: &mut Vec<Output>) {
         for probe in self.probes.expired(now - self.settings.answer) {
-            if let Some(record) = self.table.others.get_mut(&probe.name) {
-                record.note_miss(probe.sent);
-            }
+            let Some(record) = self.table.others.get_mut(&probe.name) else {
+                continue;
+            };
+            record.note_miss(probe.sent);
+            // Whatever came from it since shows that it is there, though the link is not whole.
+            let heard = record.heard.is_some_and(|heard| heard > probe.sent);
             match probe.stage {
-                Stage::Direct => self.ask_others(now, &probe.name, out),
-                Stage::Relayed => self.lose(now, &probe.name, out),
+                _ if heard => {}
+                Stage::Relayed(time) if time >= self.settings.tries => {
+                    self.lose(now, &probe.name, out);
+                }
+                Stage::Relayed(time) => self.ask_others(now, &probe.name, time + 1, out),
+                Stage::Direct => self.ask_others(now, &probe.name, 1, out),
             }
         }
     }
 
     /// Asks a node again, and others to reach it.
-    fn ask_others(&mut self, now: Millis, name: &str, out: &mut Vec<Output>) {
-        self.ping(now, name, Stage::Relayed, out);
+    fn ask_others(&mut self, now: Millis, name: &str, time: u8, out: &mut Vec<Output>) {
+        self.ping(now, name, Stage::Relayed(time), out);
         let relays: Vec<String> = self
             .table
             .others
--- a/crates/membership/src/probes.rs
+++ b/crates/membership/src/probes.rs
@@ -9,8 +9,8 @@
 pub(crate) enum Stage {
     /// It was asked directly.
     Direct,
-    /// It was asked again, and others were asked to reach it.
-    Relayed,
+    /// It was asked again, and others were asked to reach it, for this time.
+    Relayed(u8),
 }
 
 /// A ping that waits for its answer.
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -19,6 +19,8 @@
     pub answer: Millis,
     /// How many others are asked to reach a node that did not answer.
     pub relays: usize,
+    /// How many times they are asked before the node is suspected.
+    pub tries: u8,
     /// How many rounds a suspected node has, times the logarithm of the number of nodes.
     pub suspicion: u32,
     /// How many times a piece of news is sent on, times the logarithm of the number of nodes.
@@ -45,7 +47,8 @@
             choice: PeerChoice::Uniform,
             across_milli: 200,
             answer: Millis(1_000),
-            relays: 2,
+            relays: 3,
+            tries: 2,
             suspicion: 4,
             repeats: 3,
             news_max: 8,
--- a/crates/sardinepin/src/control/border.rs
+++ b/crates/sardinepin/src/control/border.rs
@@ -20,7 +20,8 @@
 #[derive(Debug)]
 struct State {
     rng: Rng,
-    cut: Set<SocketAddr>,
+    /// Pairs of addresses; nothing passes from the first to the second.
+    cut: Set<(SocketAddr, SocketAddr)>,
 }
 
 impl Border {
@@ -35,14 +36,14 @@
         }
     }
 
-    /// Returns whether anything may be exchanged with a node.
-    pub(super) fn passes(&self, peer: SocketAddr) -> bool {
-        self.cut_file.is_none() || !self.state().cut.contains(&peer)
+    /// Returns whether anything passes from one node to another.
+    pub(super) fn passes(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        self.cut_file.is_none() || !self.state().cut.contains(&(from, to))
     }
 
-    /// Returns whether a datagram to a node gets through.
-    pub(super) fn sends(&self, peer: SocketAddr) -> bool {
-        if !self.passes(peer) {
+    /// Returns whether a datagram from one node to another gets through.
+    pub(super) fn sends(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        if !self.passes(from, to) {
             return false;
         }
         let lossless = self.loss_milli == 0;
@@ -53,10 +54,15 @@
     pub(super) async fn reload(&self) {
         let Some(path) = &self.cut_file else { return };
         let text = tokio::fs::read_to_string(path).await.unwrap_or_default();
-        self.state().cut = text.lines().filter_map(|line| line.parse().ok()).collect();
+        self.state().cut = text.lines().filter_map(pair).collect();
     }
 
     fn state(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn pair(line: &str) -> Option<(SocketAddr, SocketAddr)> {
+    let (from, to) = line.split_once(' ')?;
+    Some((from.parse().ok()?, to.parse().ok()?))
+}
--- a/crates/sardinepin/src/control/datagrams.rs
+++ b/crates/sardinepin/src/control/datagrams.rs
@@ -43,7 +43,7 @@
     if message.me.address.ip().is_unspecified() {
         message.me.address.set_ip(from.ip());
     }
-    if !hub.border.passes(message.me.address) {
+    if !hub.border.passes(message.me.address, hub.address) {
         return;
     }
     count("received", datagram.len());
--- a/crates/sardinepin/src/control/fetch/client.rs
+++ b/crates/sardinepin/src/control/fetch/client.rs
@@ -73,7 +73,8 @@
 }
 
 async fn ask(hub: &Hub, from: SocketAddr, ask: Ask) -> anyhow::Result<Vec<Part>> {
-    ensure!(hub.border.passes(from), "the link is cut");
+    let both = hub.border.passes(from, hub.address) && hub.border.passes(hub.address, from);
+    ensure!(both, "the link is cut");
     tokio::time::timeout(LIMIT.duration(), exchange(hub, from, ask))
         .await
         .context("no answer in time")?
--- a/crates/sardinepin/src/control/hub.rs
+++ b/crates/sardinepin/src/control/hub.rs
@@ -25,6 +25,8 @@
     clock: Clock,
     store: Option<Arc<dyn Store>>,
     udp: Option<Arc<UdpSocket>>,
+    /// Where this node takes datagrams and fetches.
+    pub(super) address: SocketAddr,
     members: Mutex<Members>,
     snapshots: watch::Sender<Arc<Snapshot>>,
     watching: watch::Sender<bool>,
@@ -66,6 +68,7 @@
             clock,
             store,
             udp,
+            address,
             members: Mutex::new(members),
             snapshots: watch::Sender::new(Arc::default()),
             watching: watch::Sender::new(false),
@@ -228,7 +231,7 @@
     /// Sends a datagram; one that the socket does not take at once is lost like any other.
     fn send(&self, to: SocketAddr, message: &Message) {
         let Some(socket) = &self.udp else { return };
-        if !self.border.sends(to) {
+        if !self.border.sends(self.address, to) {
             return;
         }
         let datagram = match encode(message).map(|body| seal(&self.keyring, &body)) {
--- a/crates/sardinepin/src/options/settings.rs
+++ b/crates/sardinepin/src/options/settings.rs
@@ -178,7 +178,8 @@
 pub struct ClusterFaults {
     /// The share of datagrams that is lost on sending, in thousandths.
     pub loss_milli: u32,
-    /// A file of the nodes' addresses, one a line, with which nothing is exchanged.
+    /// A file of links that are cut, one `FROM TO` a line, both addresses of nodes as IP number
+    /// and port; it is read again in each round.
     pub cut_file: Option<PathBuf>,
 }
 
--- /dev/null
+++ b/crates/sardinepin/tests/cluster/util.rs
@@ -0,0 +1,313 @@
+//! Clusters of real processes whose links can be cut, and calls of their administration API.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use anyhow::{Context, Result, bail, ensure};
+use bytes::Bytes;
+use http::Method;
+use sardinepin_common::{Clock, Millis, Revision};
+use sardinepin_config::{Service, Upstream};
+use sardinepin_protocol::Role;
+use sardinepin_standins::fleet::{Deployment, Fleet, Node, Plan};
+use sardinepin_standins::http::Answer;
+use sardinepin_standins::relay::Relay;
+use serde_json::{Value, json};
+
+/// How long a condition may take to hold before the test fails.
+const PATIENCE: Millis = Millis(90_000);
+
+/// The time between two looks at a condition.
+const POLL: Millis = Millis(50);
+
+/// The token of the tests.
+const TOKEN: &str = "a-token-of-the-tests-only";
+
+/// The zone that tests cut off; its nodes reach the platform through the relay.
+pub(crate) const CUT_ZONE: &str = "zone-c";
+
+static NUMBER: AtomicU64 = AtomicU64::new(0);
+
+/// Nodes beside a platform. Each zone has one entry and two agents.
+pub(crate) struct Cluster {
+    pub(crate) fleet: Fleet,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) relay: Relay,
+    directory: PathBuf,
+}
+
+impl Cluster {
+    /// Starts a zone of each name and waits until all nodes see each other.
+    pub(crate) async fn start(zones: &[&str]) -> Result<Self> {
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("sardinepin-cluster-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory)?;
+        let tokens = directory.join("tokens");
+        std::fs::write(&tokens, format!("operator {TOKEN}\n"))?;
+        let settings = json!({
+            "tokens_file": tokens,
+            "cluster": {
+                "keys": [{"number": 1, "secret": "a secret of the tests"}],
+                "round_ms": 100,
+                "faults": {"loss_milli": 50, "cut_file": directory.join("cut")},
+            },
+        });
+        let service = Service {
+            name: "app".to_owned(),
+            paths: vec!["/".to_owned()],
+            ..Service::default()
+        };
+        let fleet = Fleet::start(Plan {
+            deployment: Deployment::default().with_service(service, 1, &[zones[0]]),
+            settings,
+            ..Plan::default()
+        })
+        .await?;
+        let relay = Relay::start(fleet.platform.address()).await?;
+        let mut cluster = Self {
+            fleet,
+            nodes: Vec::new(),
+            relay,
+            directory,
+        };
+        for zone in zones {
+            cluster.add(Role::Entry, "entry", zone).await?;
+            cluster.add(Role::Agent, "agent-1", zone).await?;
+            cluster.add(Role::Agent, "agent-2", zone).await?;
+        }
+        cluster.all_see_all().await?;
+        Ok(cluster)
+    }
+
+    async fn add(&mut self, role: Role, name: &str, zone: &str) -> Result<()> {
+        let seeds: Vec<String> = self.nodes.iter().map(cluster_address).collect();
+        let upstream = self.fleet.upstreams[0].address().to_string();
+        let mut settings = json!({
+            "entry": {"listen": "127.0.0.1:0"},
+            "agent": {"listen": "127.0.0.1:0", "upstream": upstream},
+            "cluster": {"seeds": seeds},
+        });
+        if zone == CUT_ZONE {
+            settings["platform"] = json!({"address": self.relay.address().to_string()});
+        }
+        let name = format!("{zone}-{name}");
+        let node = self.fleet.node(role, &name, zone, settings).await?;
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    /// Returns the places of the nodes of a zone.
+    pub(crate) fn zone(&self, zone: &str) -> Vec<usize> {
+        let places = self.nodes.iter().enumerate();
+        places
+            .filter(|(_, node)| node.zone() == zone)
+            .map(|(at, _)| at)
+            .collect()
+    }
+
+    /// Cuts a zone off from all others and from the platform.
+    pub(crate) fn cut(&self, zone: &str) -> Result<()> {
+        let mut lines = String::new();
+        let deployed = self.fleet.agents.iter();
+        let all: Vec<&Node> = self.nodes.iter().chain(deployed).collect();
+        for from in &all {
+            for to in &all {
+                if (from.zone() == zone) != (to.zone() == zone) {
+                    let line = format!("{} {}\n", cluster_address(from), cluster_address(to));
+                    lines.push_str(&line);
+                }
+            }
+        }
+        std::fs::write(self.directory.join("cut"), lines)?;
+        self.relay.change(|flow| flow.refuse = true);
+        self.relay.cut();
+        Ok(())
+    }
+
+    /// Mends all links.
+    pub(crate) fn heal(&self) -> Result<()> {
+        std::fs::remove_file(self.directory.join("cut"))?;
+        self.relay.change(|flow| flow.refuse = false);
+        Ok(())
+    }
+
+    /// Waits until every node sees every other.
+    pub(crate) async fn all_see_all(&self) -> Result<()> {
+        let total = self.nodes.len() + self.fleet.agents.len();
+        self.until("all see all", async || {
+            for at in 0..self.nodes.len() {
+                if self.metric(at, "sardinepin_members_present").await? < total as u64 {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+        .await
+    }
+
+    /// Waits until the nodes at these places hold `revision`.
+    pub(crate) async fn all_hold(&self, places: &[usize], revision: Revision) -> Result<()> {
+        self.until("all hold the revision", async || {
+            for at in places {
+                if self.revision(*at).await? < revision {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+        .await
+    }
+
+    /// Returns the places of all nodes.
+    pub(crate) fn all(&self) -> Vec<usize> {
+        (0..self.nodes.len()).collect()
+    }
+
+    /// Returns the revision that a node has in force.
+    pub(crate) async fn revision(&self, at: usize) -> Result<Revision> {
+        let revision = self.metric(at, "sardinepin_config_revision").await?;
+        Ok(Revision(revision))
+    }
+
+    /// Returns the sum of a metric of a node over its labels.
+    pub(crate) async fn metric(&self, at: usize, name: &str) -> Result<u64> {
+        let answer = self.call(at, Method::GET, "/metrics", &[], None).await?;
+        let text = String::from_utf8_lossy(&answer.body);
+        let sum: f64 = text
+            .lines()
+            .filter_map(|line| line.strip_prefix(name))
+            .filter(|rest| rest.starts_with(['{', ' ']))
+            .filter_map(|rest| rest.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum();
+        Ok(sum as u64)
+    }
+
+    /// Calls the administration API of a node.
+    pub(crate) async fn call(
+        &self,
+        at: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Option<&Value>,
+    ) -> Result<Answer> {
+        let node = &self.nodes[at];
+        let admin = node.admin().context("no administration address")?;
+        let token = format!("Bearer {TOKEN}");
+        let mut headers = headers.to_vec();
+        headers.push(("authorization", &token));
+        headers.push(("content-type", "application/json"));
+        let body = body.map(Value::to_string).unwrap_or_default();
+        self.fleet
+            .caller
+            .call(method, admin, path, &headers, Bytes::from(body))
+            .await
+            .with_context(|| format!("{path}: {}\n{}", node.name(), node.child.output()))
+    }
+
+    /// Replaces the rule list by one rule of that name, against a revision or none.
+    pub(crate) async fn put_rules(
+        &self,
+        at: usize,
+        against: Option<Revision>,
+        name: &str,
+    ) -> Result<Answer> {
+        let list = json!({"rules": [{"name": name, "then": {"class": "urgent"}}]});
+        let tag = against.map(|revision| format!("\"{revision}\""));
+        let condition = match &tag {
+            Some(tag) => ("if-match", tag.as_str()),
+            None => ("if-none-match", "*"),
+        };
+        self.call(at, Method::PUT, "/v1/rules", &[condition], Some(&list))
+            .await
+    }
+
+    /// Replaces the rule list whatever stands, and returns the revision.
+    pub(crate) async fn change_rules(&self, at: usize, name: &str) -> Result<Revision> {
+        let standing = self.rules(at).await?;
+        let revision = revision_of(&standing).filter(|revision| *revision != Revision::default());
+        let answer = self.put_rules(at, revision, name).await?;
+        ensure!(answer.status.is_success(), "{}", said(&answer));
+        revision_of(&answer).context("a write without a revision")
+    }
+
+    /// Reads the rule list.
+    pub(crate) async fn rules(&self, at: usize) -> Result<Answer> {
+        self.call(at, Method::GET, "/v1/rules", &[], None).await
+    }
+
+    /// Adds an upstream of the service.
+    pub(crate) async fn add_upstream(&self, at: usize, name: &str) -> Result<Answer> {
+        let upstream = Upstream {
+            name: name.to_owned(),
+            service: "app".to_owned(),
+            zone: "zone-a".to_owned(),
+            address: "127.0.0.1:9".to_owned(),
+            ..Upstream::default()
+        };
+        let path = format!("/v1/upstreams/{name}");
+        let body = serde_json::to_value(&upstream)?;
+        self.call(
+            at,
+            Method::PUT,
+            &path,
+            &[("if-none-match", "*")],
+            Some(&body),
+        )
+        .await
+    }
+
+    /// Sets the platform's faults.
+    pub(crate) async fn platform(&self, faults: Value) -> Result<()> {
+        self.fleet.faults(&self.fleet.platform, &faults).await
+    }
+
+    /// Looks again and again until `holds` returns true.
+    pub(crate) async fn until(
+        &self,
+        what: &str,
+        mut holds: impl AsyncFnMut() -> Result<bool>,
+    ) -> Result<()> {
+        let clock = Clock::start();
+        while clock.now() < PATIENCE {
+            if holds().await? {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL.duration()).await;
+        }
+        bail!("in vain: {what}\n{}", self.output())
+    }
+
+    fn output(&self) -> String {
+        let nodes = self.nodes.iter();
+        nodes
+            .map(|node| format!("--- {}\n{}", node.name(), node.child.output()))
+            .collect()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // A directory that cannot be removed is no reason to fail.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Returns the revision that an answer bears as its entity tag.
+pub(crate) fn revision_of(answer: &Answer) -> Option<Revision> {
+    let tag = answer.header("etag").trim_matches('"');
+    tag.parse().ok().map(Revision)
+}
+
+/// Returns what an answer says, for the report of a failure.
+pub(crate) fn said(answer: &Answer) -> String {
+    let body = String::from_utf8_lossy(&answer.body);
+    format!("{}: {body}", answer.status)
+}
+
+fn cluster_address(node: &Node) -> String {
+    node.cluster()
+        .map(|address| address.to_string())
+        .unwrap_or_default()
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -261,7 +261,12 @@
         Ok(())
     }
 
-    async fn node(&self, role: Role, name: &str, zone: &str, settings: Value) -> Result<Node> {
+    /// Starts an entry or an agent beside those of the deployment, with settings of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub async fn node(&self, role: Role, name: &str, zone: &str, settings: Value) -> Result<Node> {
         let platform = json!({"platform": {"address": self.platform.address().to_string()}});
         let file = self.directory.file(&format!("{name}.yaml"));
         let layers = [&platform, &self.settings, &settings];
