--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod attempt;
 pub mod claims;
+pub mod config_spread;
 pub mod explore;
