Time the decisions alone and count their memory

Cause: a decision has to take at most 5 us at 200 upstreams, and memory has to be known by slope. Ruled out: an allocator of our own (needs unsafe); RSS differences (pages hide small sizes). Change: trial decide with the counting allocator of the crate peak_alloc.

--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,3 +1,22 @@
-//! Placeholder.
+//! Trials that print one JSON line a run.
 
-fn main() {}
+use clap::Command;
+use peak_alloc::PeakAlloc;
+
+mod decide;
+
+/// Counts the bytes that are allocated.
+#[global_allocator]
+static ALLOCATOR: PeakAlloc = PeakAlloc;
+
+fn main() -> anyhow::Result<()> {
+    let matches = Command::new("sardinepin-trials")
+        .about("Trials that print one JSON line a run")
+        .subcommand_required(true)
+        .subcommand(decide::command())
+        .get_matches();
+    match matches.subcommand() {
+        Some((decide::NAME, args)) => decide::run(args),
+        _ => anyhow::bail!("no such trial"),
+    }
+}
