Dispatch to the upstream that was freed and give back idle memory

A retry that waits for another upstream held up everybody behind it. Ruled out: a heap of free places (limits and health change outside sends and ends). Change: after an end only the upstream of that end is looked at while the others are known to be full; queues and the table of open requests shrink; the first of the queue goes past a blocked retry. Conclusion: no decision under overload grows with the number of upstreams, but for keyed calls.

--- a/crates/decisions/src/fair.rs
+++ b/crates/decisions/src/fair.rs
@@ -27,7 +27,6 @@
     /// Requests that were sent before and go ahead of the others.
     returned: VecDeque<Waiting>,
     flows: Vec<Flow>,
-    free: Vec<u32>,
     names: Map<Arc<str>, u32>,
     /// The start tag of the first request of each organisation that waits.
     order: BTreeSet<(u64, u32)>,
@@ -110,18 +109,23 @@
         self.returned.push_back(waiting);
     }
 
-    /// Returns the request whose turn it is.
-    pub(crate) fn peek(&self) -> Option<Waiting> {
-        if let Some(first) = self.returned.front() {
-            return Some(*first);
-        }
-        let (_, at) = self.order.first()?;
-        self.flows[*at as usize].queue.front().copied()
+    /// Returns the first request that was sent before, and the one whose organisation's turn it is.
+    pub(crate) fn heads(&self) -> [Option<Waiting>; 2] {
+        let fair = self
+            .order
+            .first()
+            .and_then(|(_, at)| self.flows[*at as usize].queue.front());
+        [self.returned.front().copied(), fair.copied()]
     }
 
-    /// Takes out the request whose turn it is and charges its organisation.
-    pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        if let Some(first) = self.returned.pop_front() {
+    /// Takes out a request that [`FairQueue::heads`] has returned and charges its organisation.
+    pub(crate) fn pop(&mut self, ticket: Ticket) -> Option<Waiting> {
+        if self
+            .returned
+            .front()
+            .is_some_and(|one| one.ticket == ticket)
+        {
+            let first = self.returned.pop_front()?;
             self.discount(first.cost);
             return Some(first);
         }
@@ -189,22 +193,23 @@
     /// Forgets the organisations that wait for nothing and owe nothing.
     pub(crate) fn forget(&mut self) {
         let quiet = self.order.is_empty();
-        for (at, flow) in self.flows.iter_mut().enumerate() {
-            let owes = !quiet && flow.finish > self.clock;
-            if flow.queue.is_empty() && !owes && self.names.remove(&flow.name).is_some() {
-                flow.name = Arc::default();
-                flow.queue = VecDeque::new();
-                self.free.push(at as u32);
-            }
+        let clock = self.clock;
+        let idle = |flow: &Flow| flow.queue.is_empty() && (quiet || flow.finish <= clock);
+        if !self.flows.iter().any(idle) {
+            return;
         }
-        if self.names.is_empty() {
-            *self = Self {
-                returned: std::mem::take(&mut self.returned),
-                len: self.len,
-                cost: self.cost,
-                ..Self::default()
-            };
+        let mut kept: Vec<Flow> = std::mem::take(&mut self.flows);
+        kept.retain(|flow| !idle(flow));
+        kept.shrink_to_fit();
+        self.names = Map::default();
+        self.order.clear();
+        for (at, flow) in kept.iter().enumerate() {
+            self.names.insert(Arc::clone(&flow.name), at as u32);
+            if !flow.queue.is_empty() {
+                self.order.insert((flow.start, at as u32));
+            }
         }
+        self.flows = kept;
     }
 
     fn flow_of(&self, name: &str) -> Option<&Flow> {
@@ -223,16 +228,8 @@
             cost: 0,
             queue: VecDeque::new(),
         };
-        let at = match self.free.pop() {
-            Some(at) => {
-                self.flows[at as usize] = flow;
-                at
-            }
-            None => {
-                self.flows.push(flow);
-                self.flows.len() as u32 - 1
-            }
-        };
+        let at = self.flows.len() as u32;
+        self.flows.push(flow);
         self.names.insert(Arc::clone(name), at);
         at
     }
--- a/crates/decisions/src/pool.rs
+++ b/crates/decisions/src/pool.rs
@@ -36,6 +36,8 @@
     pub(crate) affinity: Affinity,
     /// The room that no upstream had when it was last asked for, until something changes.
     pub(crate) full: Option<Room>,
+    /// The upstream that alone may have room since then, because an attempt there has ended.
+    pub(crate) freed: Option<usize>,
     /// Since when no upstream takes work; `None` while one does.
     pub(crate) absent: Option<Millis>,
 }
@@ -113,6 +115,7 @@
             budget: RetryBudget::new(RETRY_MILLI),
             affinity: Affinity::default(),
             full: None,
+            freed: None,
             absent: Some(now),
         }
     }
--- a/crates/decisions/src/routing.rs
+++ b/crates/decisions/src/routing.rs
@@ -75,6 +75,11 @@
             .or_else(|| self.pick_in(&self.pool.far, wish, tried, rng))
     }
 
+    /// Returns whether an upstream can take a request.
+    pub(crate) fn fits(&self, at: usize, wish: &Wish<'_>) -> bool {
+        self.score(at, wish.room, wish.tried).is_some()
+    }
+
     /// Returns the idle or, failing that, least busy upstream for a suspect.
     pub(crate) fn pick_apart(&self, tried: &[UpstreamId]) -> Option<usize> {
         let candidates = |avoid: &[UpstreamId]| {
--- a/crates/decisions/src/scheduler/dispatch.rs
+++ b/crates/decisions/src/scheduler/dispatch.rs
@@ -5,13 +5,14 @@
 
 use super::Scheduler;
 use crate::events::{Effect, Ticket};
+use crate::fair::Waiting;
 use crate::pending::Stage;
 use crate::routing::{Router, Wish};
 use crate::slot::{Attempt, Room};
 
-/// What became of the first request of a class.
+/// What became of a request whose turn it was.
 enum Turn {
-    /// It left the queue, or there was none.
+    /// It left the queue.
     Done,
     /// No upstream has room for it.
     NoRoom,
@@ -41,6 +42,27 @@
         self.pump(now, pool, effects);
     }
 
+    /// Serves the requests of a service after the end of an attempt on the upstream at `freed`.
+    pub(super) fn pump_freed(
+        &mut self,
+        now: Millis,
+        pool: usize,
+        freed: usize,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.pools.list[pool].freed = Some(freed);
+        self.pump(now, pool, effects);
+        let slot = &self.fleet.slots[freed];
+        let weight = self.fleet.weight(slot);
+        let list = &mut self.pools.list[pool];
+        list.freed = None;
+        if slot.room(Room::Plain, weight) {
+            list.full = None;
+        } else if slot.room(Room::Urgent, weight) {
+            list.full = list.full.map(|full| full.min(Room::Plain));
+        }
+    }
+
     /// Serves the requests of a service until no upstream has room.
     pub(super) fn pump(&mut self, now: Millis, pool: usize, effects: &mut Vec<Effect>) {
         if !self.pools.list[pool].waits() || self.pools.list[pool].absent.is_some() {
@@ -70,31 +92,32 @@
         let in_turn = first.is_some_and(|class| self.pools.list[pool].classes.is_urgent(class));
         let over = if in_turn { Room::Urgent } else { Room::Plain };
         [first, second].into_iter().flatten().any(|class| {
-            let urgent = self.pools.list[pool].classes.is_urgent(class);
+            let classes = &mut self.pools.list[pool].classes;
+            let urgent = classes.is_urgent(class);
+            let heads = classes.class(class).queue.heads();
             let room = if urgent { over } else { Room::Plain };
-            matches!(self.turn(now, pool, class, room, effects), Turn::Done)
+            heads.into_iter().flatten().any(|first| {
+                let turn = self.turn(now, class, first, room, effects);
+                matches!(turn, Turn::Done)
+            })
         })
     }
 
-    /// Serves the first request of a class.
+    /// Serves one of the first requests of a class.
     fn turn(
         &mut self,
         now: Millis,
-        pool: usize,
         class: usize,
+        first: Waiting,
         room: Room,
         effects: &mut Vec<Effect>,
     ) -> Turn {
-        let list = &mut self.pools.list[pool];
-        let expected = list.times;
-        let Some(first) = list.classes.class(class).queue.peek() else {
-            return Turn::Done;
-        };
         let Some(one) = self.pending.get(&first.ticket) else {
-            self.pools.list[pool].classes.class(class).queue.pop();
-            return Turn::Done;
+            return Turn::NoRoom;
         };
-        if one.too_late(now, expected.expected(first.cost)) {
+        let pool = one.pool;
+        let expected = self.pools.list[pool].times.expected(first.cost);
+        if one.too_late(now, expected) {
             self.expire(now, first.ticket, effects);
             return Turn::Done;
         }
@@ -103,31 +126,34 @@
             self.pump_apart(now, pool, effects);
             return Turn::Done;
         }
-        let pool_now = &self.pools.list[pool];
-        if one.arrival.key.is_none() && pool_now.lacks(room) {
-            return Turn::NoRoom;
-        }
-        let router = Router {
-            now,
-            fleet: &self.fleet,
-            pool: pool_now,
-            settings: &self.settings.routing,
-        };
         let wish = Wish {
             room,
             tried: &one.tried,
             key: one.arrival.key.as_ref(),
             prefix: one.arrival.prefix.as_ref(),
         };
-        let Some(at) = router.pick(&wish, &mut self.rng) else {
+        let list = &self.pools.list[pool];
+        let router = Router {
+            now,
+            fleet: &self.fleet,
+            pool: list,
+            settings: &self.settings.routing,
+        };
+        let found = if wish.key.is_none() && list.lacks(room) {
+            list.freed.filter(|at| router.fits(*at, &wish))
+        } else {
+            router.pick(&wish, &mut self.rng)
+        };
+        let Some(at) = found else {
             if one.tried.is_empty() {
-                self.pools.list[pool].full = Some(room);
+                let list = &mut self.pools.list[pool];
+                list.full = list.full.max(Some(room));
             }
             return Turn::NoRoom;
         };
         let classes = &mut self.pools.list[pool].classes;
         classes.served(class, first.cost);
-        classes.class(class).queue.pop();
+        classes.class(class).queue.pop(first.ticket);
         self.send(now, first.ticket, at, effects);
         Turn::Done
     }
@@ -162,6 +188,7 @@
                 Place::Now(at) => {
                     self.pools.list[pool].apart.retain(|one| *one != ticket);
                     self.release(ticket);
+                    self.pools.list[pool].full = None;
                     self.fleet.slots[at].held = Some(ticket);
                     self.send(now, ticket, at, effects);
                 }
--- a/crates/decisions/src/scheduler/outcome.rs
+++ b/crates/decisions/src/scheduler/outcome.rs
@@ -63,7 +63,7 @@
         if let Some((at, _)) = attempt
             && let Some(pool) = self.pools.place(&self.fleet.slots[at].info.service)
         {
-            self.pump_anew(now, pool, effects);
+            self.pump_freed(now, pool, at, effects);
         }
     }
 
--- a/crates/decisions/src/scheduler/upkeep.rs
+++ b/crates/decisions/src/scheduler/upkeep.rs
@@ -10,6 +10,9 @@
 /// The time between two looks for idle state.
 const SWEEP: Millis = Millis(1_000);
 
+/// The capacity that the table of open requests always keeps.
+const SPARE_MIN: usize = 1_024;
+
 /// How many times the mean time to the first byte counts as a stall.
 const STALL_FACTOR: f32 = 8.0;
 
@@ -160,6 +163,9 @@
 
     fn sweep(&mut self, now: Millis) {
         self.buckets.forget(now);
+        if self.pending.capacity() > SPARE_MIN + self.pending.len() * 4 {
+            self.pending.shrink_to(self.pending.len() * 2);
+        }
         self.suspects.forget(now);
         for pool in &mut self.pools.list {
             pool.times.fade();
--- a/crates/decisions/tests/balancer/retry.rs
+++ b/crates/decisions/tests/balancer/retry.rs
@@ -50,6 +50,30 @@
     assert_eq!(sent(&effects), [(1, 1 - home)]);
 }
 
+#[test]
+fn retry_that_waits_for_another_upstream_holds_nobody_up() {
+    let mut driver = Driver::of(2, |settings| {
+        settings.limits.initial = 1;
+        settings.limits.max = 1;
+    });
+    for _ in 0..4 {
+        driver.arrive();
+    }
+    let home = driver.flying[&1];
+    let effects = driver.end(1, not_run(ErrorKind::Busy));
+    assert_eq!(
+        sent(&effects),
+        [(3, home)],
+        "the next in line takes the free place"
+    );
+    assert_eq!(sent(&driver.whole(3)), [(4, home)]);
+    assert_eq!(
+        sent(&driver.whole(2)),
+        [(1, 1 - home)],
+        "the retry goes first elsewhere"
+    );
+}
+
 #[test]
 fn retry_of_an_unknown_outcome_only_if_repeatable_and_not_spoiled() {
     let spoiled = End::Unknown {
