--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -1,6 +1,9 @@
 //! The load balancer: its settings and the roles of its one binary.
 
+pub mod admin;
 pub mod agent;
+pub mod check;
+pub mod ctl;
 pub mod entry;
 mod link;
 pub mod logs;
