Bound the wait by the crowd of late and keep fewer requests waiting at upstreams

Organisations that do not wait at the moment come between later, so the estimated wait was too short. A longer first place for idle organisations: no difference. Change: the wait counts the largest sum of shares of late; wait_max 250 ms, or half the service time if longer, and the first in a queue is always taken if its deadline allows; a thirty-second of the slots may wait at an upstream; limits grow by half a place. Outliers count for at most four times the mean: answers of a stalled upstream made 22 later requests look too late. A silent engine's begun answers are withdrawn as well. Conclusion: real processes have to confirm this.

--- a/crates/decisions/src/estimate.rs
+++ b/crates/decisions/src/estimate.rs
@@ -5,6 +5,9 @@
 /// The weight of a new sample in a running mean.
 const SAMPLE_WEIGHT: f32 = 0.1;
 
+/// How many times the mean a sample may count for; the rest of an outlier is cut off.
+const OUTLIER: f32 = 4.0;
+
 /// How many mean deviations the cautious estimate lies above the mean.
 const CAUTION: f32 = 2.0;
 
@@ -43,7 +46,7 @@
             self.sampled = true;
             return;
         }
-        let error = sample - self.mean;
+        let error = sample.min(self.mean.max(1.0) * OUTLIER) - self.mean;
         self.mean += SAMPLE_WEIGHT * error;
         self.deviation += SAMPLE_WEIGHT * (error.abs() - self.deviation);
     }
@@ -102,6 +105,11 @@
         self.first.mean()
     }
 
+    /// Returns the mean for a request, zero before the first sample.
+    pub(crate) fn mean(&self, cost: u32) -> Millis {
+        Millis((self.first.mean() + self.rest.mean() * cost as f32) as u64)
+    }
+
     /// Returns a cautious estimate for a request, zero before the first sample.
     pub(crate) fn expected(&self, cost: u32) -> Millis {
         let rest = self.rest.cautious() * cost as f32;
--- a/crates/decisions/src/fair.rs
+++ b/crates/decisions/src/fair.rs
@@ -10,6 +10,9 @@
 /// Virtual time for one unit of cost at a share of one.
 const SCALE: u64 = 1 << 10;
 
+/// What is left of the largest sum of shares after a tick, as a factor.
+const CROWD_FADE: f32 = 0.98;
+
 /// A request that waits.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Waiting {
@@ -34,6 +37,8 @@
     clock: u64,
     len: usize,
     cost: u64,
+    /// The largest sum of shares of late.
+    crowd: f32,
     /// The sum of the shares of the organisations that wait.
     shares: u64,
 }
@@ -79,11 +84,12 @@
     }
 
     /// Returns the cost that is served before a new request of an organisation is.
+    ///
+    /// Organisations that do not wait right now will come between, so those of late count as well.
     pub(crate) fn ahead(&self, name: &str, share: u32, cost: u32) -> f32 {
         let own = self.flow_of(name).map_or(0, |flow| flow.cost) + u64::from(cost);
         let rounds = own as f32 / share.max(1) as f32;
-        let others = self.shares as f32;
-        (rounds * others).min(self.cost as f32)
+        rounds * self.crowd.max(self.shares as f32)
     }
 
     /// Adds a request at the end of its organisation's line.
@@ -171,6 +177,11 @@
         self.discount(gone.cost);
     }
 
+    /// Lets the largest sum of shares fade to the present one.
+    pub(crate) fn tick(&mut self) {
+        self.crowd = (self.crowd * CROWD_FADE).max(self.shares as f32);
+    }
+
     /// Calls `visit` with each request that waits and the cost that is served before it is done.
     pub(crate) fn each(&self, mut visit: impl FnMut(&Waiting, f32)) {
         let mut ahead = 0.0;
--- a/crates/decisions/src/limiter.rs
+++ b/crates/decisions/src/limiter.rs
@@ -13,7 +13,7 @@
 const AFTER_CONGESTION: f32 = 0.9;
 
 /// The growth of the limit in a window in which it was reached.
-const GROWTH: f32 = 1.0;
+const GROWTH: f32 = 0.5;
 
 /// The factor in such a window during slow start.
 const START_GROWTH: f32 = 2.0;
@@ -22,7 +22,7 @@
 const REACHED: f32 = 0.9;
 
 /// The share of an upstream's slots that may wait there, so that it never runs dry.
-const WAITING_SHARE: u32 = 16;
+const WAITING_SHARE: u32 = 32;
 
 /// How many times the shortest time to the first byte counts as slow.
 const SLOW: f32 = 2.0;
--- a/crates/decisions/src/scheduler/admission.rs
+++ b/crates/decisions/src/scheduler/admission.rs
@@ -72,6 +72,7 @@
         let settings = &self.settings.queue;
         let pool = &mut self.pools.list[one.pool];
         let expected = pool.times.expected(arrival.cost);
+        let wait_max = settings.wait_max.0.max(pool.times.mean(arrival.cost).0 / 2);
         let apart = pool.apart.len();
         let class = pool.classes.class(one.class);
         let organisation: &Arc<str> = &arrival.organisation;
@@ -79,6 +80,7 @@
             .queue
             .places(organisation, arrival.share, settings.class_max)
             .clamp(PLACES_MIN, settings.organisation_max.max(PLACES_MIN));
+        let waits = class.queue.len() > 0;
         let full = class.queue.len() >= settings.class_max
             || class.queue.len_of(organisation) >= places
             || apart >= settings.class_max;
@@ -86,7 +88,7 @@
         let wait = class.drain.time_for(ahead).unwrap_or_default();
         let kind = if one.too_late(now, wait + expected) {
             ErrorKind::TooLate
-        } else if full || wait > settings.wait_max {
+        } else if full || waits && wait.0 > wait_max {
             ErrorKind::QueueFull
         } else {
             return Ok(());
--- a/crates/decisions/src/scheduler/upkeep.rs
+++ b/crates/decisions/src/scheduler/upkeep.rs
@@ -34,6 +34,7 @@
         for pool in 0..self.pools.list.len() {
             for class in self.pools.list[pool].classes.all() {
                 class.drain.roll(now, class.queue.len() > 0);
+                class.queue.tick();
             }
             if self.pools.list[pool].waits() {
                 self.expire_late(now, pool, effects);
@@ -61,7 +62,8 @@
             bounds.stall_max
         };
         let stuck = slot.stuck(now);
-        let stalled = stuck >= bound || slot.engine_silent(bounds.stall_max);
+        let silent = slot.engine_silent(bounds.stall_max);
+        let stalled = stuck >= bound || silent;
         let suspected = stalled || stuck.0 * 2 >= bound.0;
         let slot = &mut self.fleet.slots[at];
         slot.health.suspect(suspected);
@@ -75,11 +77,12 @@
         if !out {
             self.eject(now, at);
         }
-        self.withdraw(pool, at, effects);
+        self.withdraw(pool, at, silent, effects);
     }
 
-    /// Withdraws the repeatable requests that wait on a stalled upstream, within the budget.
-    fn withdraw(&mut self, pool: usize, at: usize, effects: &mut Vec<Effect>) {
+    /// Withdraws the repeatable requests that wait on a stalled upstream, within the budget, and if
+    /// its engine is silent also those whose answers have begun.
+    fn withdraw(&mut self, pool: usize, at: usize, silent: bool, effects: &mut Vec<Effect>) {
         let pool = &self.pools.list[pool];
         let others = pool
             .members()
@@ -99,7 +102,7 @@
                 && one.arrival.key.is_none()
                 && !one.withdrawn
                 && one.tried.len() < attempts_max;
-            if attempt.began.is_none() && may && left > 0 {
+            if (silent || attempt.began.is_none()) && may && left > 0 {
                 left -= 1;
                 attempt.withdrawn = true;
                 one.withdrawn = true;
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -95,7 +95,7 @@
     pub class_max: usize,
     /// The most requests of one organisation that wait in one class.
     pub organisation_max: usize,
-    /// The longest wait that a request is queued for.
+    /// The longest wait that a request is queued for, unless half its service time is longer.
     pub wait_max: Millis,
     /// How many urgent requests go ahead of others before one of those has its turn.
     pub urgent_run: u32,
@@ -108,7 +108,7 @@
         Self {
             class_max: 4_096,
             organisation_max: 512,
-            wait_max: Millis(1_500),
+            wait_max: Millis(250),
             urgent_run: 8,
             absence_max: Millis(500),
         }
