--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -138,6 +138,14 @@
             .collect()
     }
 
+    /// Returns every entry whose key begins with `prefix`, deletions included.
+    pub fn entries_under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries
+            .range(prefix.to_owned()..)
+            .map(|(_, entry)| entry.as_ref())
+            .take_while(move |entry| entry.key.starts_with(prefix))
+    }
+
     /// Returns the entry under `key`, if it stands.
     #[must_use]
     pub fn entry(&self, key: &str) -> Option<&Entry> {
@@ -147,6 +155,12 @@
             .filter(|entry| entry.value.is_some())
     }
 
+    /// Returns whether `value` could be in force under `key`.
+    #[must_use]
+    pub fn takes(key: &str, value: &str) -> bool {
+        Index::default().put(key, value)
+    }
+
     /// Returns the rule list in force.
     #[must_use]
     pub fn rules(&self) -> Arc<RuleList> {
@@ -195,7 +209,9 @@
             return;
         }
         match &entry.value {
-            Some(value) => self.index.put(&entry.key, value),
+            Some(value) => {
+                self.index.put(&entry.key, value);
+            }
             None => self.index.remove(&entry.key),
         }
         self.entries
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod admin;
 pub mod agent;
 pub mod check;
+pub mod control;
 pub mod ctl;
 pub mod entry;
 mod link;
 pub mod logs;
+mod node;
 pub mod options;
 mod stop;
 pub mod telemetry;
