Free the place of a caller that hangs up, and measure idle organisations alone

Cause: an order to send may cross with the caller's hang-up; then no end ever comes, and the place and later the whole upstream would count as stuck. The trial's bytes of idle organisations held the table of open requests. Ruled out: asking the entry for an end in every case; the order may never reach the caller's task. Change: HungUp ends the attempt for the balancer, in all policies; an end after it is ignored.

--- a/crates/decisions/src/baseline.rs
+++ b/crates/decisions/src/baseline.rs
@@ -49,6 +49,8 @@
     arrival: Arrival,
     attempts: u32,
     last: Option<UpstreamId>,
+    /// Where it is in flight.
+    flying: Option<UpstreamId>,
     /// Why the last attempt failed.
     cause: Option<ErrorKind>,
     /// The first reason for which it may have run.
@@ -75,6 +77,7 @@
             arrival,
             attempts: 0,
             last: None,
+            flying: None,
             cause: None,
             unknown: None,
         };
@@ -162,6 +165,7 @@
         slot.in_flight += 1;
         request.attempts += 1;
         request.last = Some(slot.info.id);
+        request.flying = Some(slot.info.id);
         effects.push(Effect::Send {
             ticket,
             upstream: slot.info.id,
@@ -177,9 +181,12 @@
         end: End,
         effects: &mut Vec<Effect>,
     ) {
-        self.on_slot(upstream, |slot| {
-            slot.in_flight = slot.in_flight.saturating_sub(1);
-        });
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.flying = None;
+            self.on_slot(upstream, |slot| {
+                slot.in_flight = slot.in_flight.saturating_sub(1);
+            });
+        }
         match end {
             End::Whole => {
                 self.requests.remove(&ticket);
@@ -196,6 +203,17 @@
         self.pump_all(now, effects);
     }
 
+    fn hung_up(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.remove(&ticket) else {
+            return;
+        };
+        if let Some(upstream) = request.flying {
+            self.on_slot(upstream, |slot| {
+                slot.in_flight = slot.in_flight.saturating_sub(1);
+            });
+        }
+    }
+
     fn retry(&mut self, ticket: Ticket, kind: ErrorKind, again: bool, effects: &mut Vec<Effect>) {
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
@@ -263,9 +281,7 @@
     fn handle(&mut self, now: Millis, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Arrived(arrival) => self.arrived(now, arrival, effects),
-            Event::HungUp(ticket) => {
-                self.requests.remove(&ticket);
-            }
+            Event::HungUp(ticket) => self.hung_up(ticket),
             Event::Ended {
                 ticket,
                 upstream,
--- a/crates/decisions/src/events.rs
+++ b/crates/decisions/src/events.rs
@@ -99,7 +99,7 @@
 pub enum Event {
     /// A request came.
     Arrived(Arrival),
-    /// The caller of a request hung up.
+    /// The caller of a request hung up; its attempt, if there is one, counts as over.
     HungUp(Ticket),
     /// The first byte of an attempt's answer came.
     Began {
@@ -108,8 +108,8 @@
         /// The upstream.
         upstream: UpstreamId,
     },
-    /// An attempt ended. Each [`Effect::Send`] is followed by exactly one of these, also after
-    /// [`Event::HungUp`] and [`Effect::Withdraw`].
+    /// An attempt ended. Each [`Effect::Send`] is followed by one of these, also after
+    /// [`Effect::Withdraw`]; after [`Event::HungUp`] it may be left out.
     Ended {
         /// The request.
         ticket: Ticket,
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -161,9 +161,16 @@
 
     fn hung_up(&mut self, now: Millis, ticket: Ticket, effects: &mut Vec<Effect>) {
         self.leave_queue(ticket);
-        if let Some(gone) = self.pending.remove(&ticket) {
-            self.pump_anew(now, gone.pool, effects);
+        let Some(gone) = self.pending.remove(&ticket) else {
+            return;
+        };
+        // The order to send may not have reached the caller's task, so no end may ever come.
+        if gone.stage == Stage::Sent
+            && let Some(slot) = gone.tried.last().and_then(|last| self.fleet.slot(*last))
+        {
+            slot.ended(ticket);
         }
+        self.pump_anew(now, gone.pool, effects);
     }
 
     /// Takes a request that waits out of where it waits.
--- a/crates/decisions/tests/balancer/overload.rs
+++ b/crates/decisions/tests/balancer/overload.rs
@@ -2,7 +2,7 @@
 
 use sardinepin_common::Millis;
 use sardinepin_config::Limit;
-use sardinepin_decisions::{Arrival, Effect, Event, Settings, Ticket, UpstreamId};
+use sardinepin_decisions::{Arrival, Effect, Event, Policy, Settings, Ticket, UpstreamId};
 use sardinepin_protocol::ErrorKind;
 
 use crate::driver::{Driver, name, sent};
@@ -318,6 +318,24 @@
     assert_eq!(driver.given_up().len(), 1, "the places were free again");
 }
 
+#[test]
+fn overload_caller_that_hangs_up_frees_its_place_even_if_no_end_comes() {
+    for policy in [Policy::Sardinepin, Policy::LeastInFlight] {
+        let mut driver = narrow(|settings| {
+            settings.policy = policy;
+            settings.limits.baseline = 1;
+        });
+        for ticket in 1..=50 {
+            driver.arrive();
+            assert!(driver.flying.contains_key(&ticket), "{policy:?}");
+            driver.feed(Event::HungUp(Ticket(ticket)));
+            if ticket % 2 == 0 {
+                driver.whole(ticket);
+            }
+        }
+    }
+}
+
 #[test]
 fn overload_rule_limit_holds_each_organisation_to_its_rate() {
     let mut driver = Driver::of(1, |settings| settings.limits.initial = 64);
--- a/trials/src/decide.rs
+++ b/trials/src/decide.rs
@@ -6,6 +6,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use sardinepin_common::Clock;
+use sardinepin_config::Limit;
 use sardinepin_decisions::{Event, Settings, Ticket, UpstreamId};
 use serde::Serialize;
 
@@ -28,6 +29,9 @@
 /// How many balancers the bytes of one are the mean of.
 const COPIES: usize = 8;
 
+/// The number of the first request after those that fill the upstreams.
+const WARM_UP: u64 = 1_000;
+
 /// The prefixes that are remembered while routing by prefix is timed.
 const PREFIXES: u64 = 1_000;
 
@@ -72,7 +76,7 @@
     tick_us: f64,
     /// The allocated bytes by the number of organisations, each with one request that waits.
     bytes_waiting: f64,
-    /// The same for organisations that have just become idle.
+    /// The same for organisations that are idle and owe or are limited.
     bytes_per_organisation: f64,
     /// The same once idle organisations have been forgotten.
     bytes_forgotten: f64,
@@ -275,14 +279,9 @@
 }
 
 fn by_organisations(seed: u64, count: u32) -> ByOrganisations {
-    let mut fakes = Fakes::new(full(seed));
-    fakes.link(16);
-    for number in 0..64 {
-        fakes.feed(Event::Arrived(arrival(number, fakes.now, u32::MAX)));
-    }
-    fakes.effects = Vec::new();
+    let mut fakes = backlogged(seed);
     let before = ALLOCATOR.current_usage();
-    let first = 1_000;
+    let first = WARM_UP;
     let last = first + u64::from(count);
     for number in first..last {
         let organisation = (number - first) as u32;
@@ -290,30 +289,61 @@
     }
     fakes.effects = Vec::new();
     let waiting = ALLOCATOR.current_usage().saturating_sub(before);
-    let admit_us = admit(&mut fakes, last, count);
-    let refuse_us = refuse(&mut fakes, last);
-    let tick_us = fakes.mean_tick();
-    for number in first..last {
+    let idle = bytes_of_idle(seed, count);
+    let share = |bytes: usize| bytes as f64 / f64::from(count);
+    ByOrganisations {
+        organisations: count,
+        admit_us: admit(&mut fakes, last, count),
+        refuse_us: refuse(&mut fakes, last),
+        tick_us: fakes.mean_tick(),
+        bytes_waiting: share(waiting),
+        bytes_per_organisation: share(idle.remembered),
+        bytes_forgotten: share(idle.forgotten),
+    }
+}
+
+/// The allocated bytes of organisations that wait for nothing.
+struct Idle {
+    remembered: usize,
+    forgotten: usize,
+}
+
+/// Lets each organisation come and go, under a rule that limits it, while others wait.
+fn bytes_of_idle(seed: u64, count: u32) -> Idle {
+    let mut fakes = backlogged(seed);
+    let before = ALLOCATOR.current_usage();
+    for organisation in 0..count {
+        let number = WARM_UP + u64::from(organisation);
+        let mut one = arrival(number, fakes.now, organisation);
+        one.limit = Some(Limit {
+            per_second: 1,
+            burst: 2,
+        });
+        fakes.feed(Event::Arrived(one));
         fakes.feed(Event::HungUp(Ticket(number)));
     }
     fakes.effects = Vec::new();
-    let idle = ALLOCATOR.current_usage().saturating_sub(before);
-    fakes.now += 1_000;
+    let remembered = ALLOCATOR.current_usage().saturating_sub(before);
+    fakes.now += 2_000;
     fakes.feed(Event::Tick);
     fakes.effects = Vec::new();
-    let forgotten = ALLOCATOR.current_usage().saturating_sub(before);
-    let share = |bytes: usize| bytes as f64 / f64::from(count);
-    ByOrganisations {
-        organisations: count,
-        admit_us,
-        refuse_us,
-        tick_us,
-        bytes_waiting: share(waiting),
-        bytes_per_organisation: share(idle),
-        bytes_forgotten: share(forgotten),
+    Idle {
+        remembered,
+        forgotten: ALLOCATOR.current_usage().saturating_sub(before),
     }
 }
 
+/// Makes a balancer whose upstreams are all full and where one organisation waits.
+fn backlogged(seed: u64) -> Fakes {
+    let mut fakes = Fakes::new(full(seed));
+    fakes.link(16);
+    for number in 0..64 {
+        fakes.feed(Event::Arrived(arrival(number, fakes.now, u32::MAX)));
+    }
+    fakes.effects = Vec::new();
+    fakes
+}
+
 /// Returns the mean time of an arrival that is queued; it hangs up again.
 fn admit(fakes: &mut Fakes, first: u64, organisations: u32) -> f64 {
     let clock = Clock::start();
