Leave an upstream alone that refuses at the lowest limit

Cause: with more entries than an upstream has places, each entry kept one attempt there and was refused again at once. Halving a limit far above what was in flight changed nothing. The mean time to the first byte of calls that differ much lowered limits without any congestion. A fresh entry took 5 s to use rank groups whose links came up one by one. Ruled out: heeding only reports (an upstream may queue inside); a lower floor of the limit (0 needs a probe of its own). Change: pauses from 25 ms to 1 s at the lowest limit; a refusal halves what was in flight; an upstream is slow when the shortest of eight times is; a group that was never whole starts at once. Conclusion: a small upstream under many entries is asked at most once a second by each.

--- a/crates/decisions/src/groups.rs
+++ b/crates/decisions/src/groups.rs
@@ -19,6 +19,8 @@
     members: Vec<u32>,
     /// From [`STOPPED`] to 1.
     weight: f32,
+    /// Whether it has ever been able to advance, as far as is known here.
+    seen: bool,
 }
 
 impl Groups {
@@ -35,6 +37,7 @@
             self.list.push(Group {
                 members: Vec::new(),
                 weight: 1.0,
+                seen: false,
             });
             self.list.len() as u32 - 1
         });
@@ -55,7 +58,7 @@
         }
     }
 
-    /// Lets each group come back gradually; `bearable` judges a member, from 0 to 1.
+    /// Lets each group come back gradually, and a new one at once; `bearable` judges a member, from 0 to 1.
     pub(crate) fn tick(&mut self, tick: Millis, ramp: Millis, bearable: impl Fn(u32) -> f32) {
         let gain = tick.as_f64() as f32 / ramp.0.max(1) as f32;
         for group in &mut self.list {
@@ -64,7 +67,9 @@
                 .iter()
                 .map(|member| bearable(*member))
                 .fold(1.0, f32::min);
-            group.weight = (group.weight + gain).min(worst.max(STOPPED));
+            let back = if group.seen { group.weight + gain } else { 1.0 };
+            group.weight = back.min(worst.max(STOPPED));
+            group.seen |= worst > STOPPED;
         }
     }
 }
--- a/crates/decisions/src/limiter.rs
+++ b/crates/decisions/src/limiter.rs
@@ -33,19 +33,32 @@
 /// What is added to that, in milliseconds.
 const SLOW_SLACK: f32 = 10.0;
 
-/// The fewest samples by which a window counts as slow.
-const SAMPLES_MIN: u32 = 3;
+/// The samples by whose shortest an upstream counts as slow.
+const SAMPLES: u32 = 8;
 
-/// How fast the shortest time is forgotten, as a factor for each window.
+/// How fast the shortest time of all is forgotten, as a factor for as many samples.
 const FLOOR_DRIFT: f32 = 1.002;
 
+/// The first pause after a refusal at the lowest limit; each further one lasts twice as long.
+const PAUSE: Millis = Millis(25);
+
+/// The longest pause.
+const PAUSE_MAX: Millis = Millis(1_000);
+
 /// The limit on one upstream.
 #[derive(Debug)]
 pub(crate) struct Limiter {
     limit: f32,
     starting: bool,
-    /// The shortest mean time to the first byte, in milliseconds; 0 before the first window.
+    /// The shortest time to the first byte, in milliseconds; 0 before the first.
     floor: f32,
+    /// The shortest time to the first byte of the last samples, in milliseconds.
+    shortest: f32,
+    samples: u32,
+    /// The length of the last pause, zero after an answer.
+    pause: Millis,
+    /// When the pause ends, if there is one.
+    paused: Option<Millis>,
     window: Window,
 }
 
@@ -53,8 +66,6 @@
 #[derive(Debug, Default)]
 struct Window {
     ends: Millis,
-    first_sum: f32,
-    samples: u32,
     reached: bool,
     refused: bool,
     /// The fewest waiting attempts of all reports, and how many may wait.
@@ -74,6 +85,10 @@
             limit: settings.initial as f32,
             starting: true,
             floor: 0.0,
+            shortest: f32::MAX,
+            samples: 0,
+            pause: Millis::ZERO,
+            paused: None,
             window: Window::default(),
         }
     }
@@ -82,9 +97,16 @@
     pub(crate) fn restart(&mut self, settings: &LimitSettings) {
         self.limit = settings.initial as f32;
         self.starting = true;
+        self.pause = Millis::ZERO;
+        self.paused = None;
         self.window = Window::default();
     }
 
+    /// Returns whether nothing is to be sent for now.
+    pub(crate) fn pauses(&self) -> bool {
+        self.paused.is_some()
+    }
+
     /// Returns the limit, at least 1.
     pub(crate) fn value(&self) -> f32 {
         self.limit
@@ -97,8 +119,9 @@
 
     /// Notes a time to the first byte.
     pub(crate) fn began(&mut self, time: Millis) {
-        self.window.first_sum += time.0 as f32;
-        self.window.samples += 1;
+        self.shortest = self.shortest.min(time.0 as f32);
+        self.samples += 1;
+        self.pause = Millis::ZERO;
     }
 
     /// Notes a load report.
@@ -113,12 +136,18 @@
         });
     }
 
-    /// Lowers the limit after a refusal, once in each window.
-    pub(crate) fn refused(&mut self, now: Millis, settings: &LimitSettings) {
+    /// Lowers the limit after a refusal, once in each window; at the lowest limit, pauses.
+    ///
+    /// `in_flight` counts the attempt that was refused.
+    pub(crate) fn refused(&mut self, now: Millis, in_flight: usize, settings: &LimitSettings) {
+        if self.limit <= 1.0 {
+            self.pause = Millis(self.pause.0 * 2).clamp(PAUSE, PAUSE_MAX);
+            self.paused = Some(now + self.pause);
+        }
         if self.window.refused {
             return;
         }
-        self.limit = (self.limit * AFTER_REFUSAL).max(1.0);
+        self.limit = (self.limit.min(in_flight as f32) * AFTER_REFUSAL).max(1.0);
         self.starting = false;
         self.window = Window {
             refused: true,
@@ -129,6 +158,7 @@
 
     /// Changes the limit by what the window has shown, if the window is over.
     pub(crate) fn roll(&mut self, now: Millis, settings: &LimitSettings) {
+        self.paused = self.paused.filter(|until| *until > now);
         if now < self.window.ends {
             return;
         }
@@ -154,20 +184,22 @@
         };
     }
 
+    /// Returns whether even the shortest of the last times to the first byte was long.
     fn slow(&mut self) -> bool {
-        if self.window.samples < SAMPLES_MIN {
+        if self.samples < SAMPLES {
             return false;
         }
-        let mean = self.window.first_sum / self.window.samples as f32;
+        let shortest = std::mem::replace(&mut self.shortest, f32::MAX);
+        self.samples = 0;
         if self.floor == 0.0 {
-            self.floor = mean;
+            self.floor = shortest;
         }
-        self.floor = mean.min(self.floor * FLOOR_DRIFT).max(1.0);
+        self.floor = shortest.min(self.floor * FLOOR_DRIFT).max(1.0);
         let factor = if self.window.waiting.is_some() {
             SLOW_BUT_FREE
         } else {
             SLOW
         };
-        mean > self.floor * factor + SLOW_SLACK
+        shortest > self.floor * factor + SLOW_SLACK
     }
 }
--- a/crates/decisions/src/scheduler/outcome.rs
+++ b/crates/decisions/src/scheduler/outcome.rs
@@ -116,7 +116,8 @@
         match kind {
             ErrorKind::Busy => {
                 slot.progress = now;
-                slot.limiter.refused(now, &self.settings.limits);
+                let in_flight = slot.attempts.len() + 1;
+                slot.limiter.refused(now, in_flight, &self.settings.limits);
             }
             ErrorKind::Leaving | ErrorKind::ShuttingDown => {
                 slot.leaving = true;
--- a/crates/decisions/src/slot.rs
+++ b/crates/decisions/src/slot.rs
@@ -122,7 +122,7 @@
 
     /// Returns whether one more attempt fits; `weight` is that of its rank group.
     pub(crate) fn room(&self, room: Room, weight: f32) -> bool {
-        if !self.live() {
+        if !self.live() || self.limiter.pauses() {
             return false;
         }
         let own = self.attempts.len() as f32;
