--- a/crates/sardinepin/src/options.rs
+++ b/crates/sardinepin/src/options.rs
@@ -1,20 +1,20 @@
 //! Arguments and settings, apart from what the roles do with them.
 
 mod arguments;
-mod document;
+pub(crate) mod document;
 mod faults;
-mod fields;
+pub(crate) mod fields;
 mod load;
 mod locate;
 mod settings;
-mod validate;
+pub(crate) mod validate;
 
 pub use arguments::{Invocation, RoleArguments, command, parse_arguments};
 pub use faults::{FileFault, FileFaults};
 pub use load::{default_yaml, load_settings, parse_settings};
 pub use settings::{
-    AgentSettings, ClusterSettings, EntrySettings, KeySetting, LogSettings, PlatformSettings,
-    Settings, StopSettings,
+    AgentSettings, ClusterFaults, ClusterSettings, EntrySettings, KeySetting, LogSettings,
+    PlatformSettings, Settings, StopSettings,
 };
 
 #[cfg(test)]
--- a/crates/sardinepin/src/options/fields.rs
+++ b/crates/sardinepin/src/options/fields.rs
@@ -123,6 +123,18 @@
     ),
     field("cluster.keys[].secret", Allowed::Text { min: SECRET_MIN }),
     field("cluster.round_ms", span()),
+    field("cluster.peers", number(1, 100, "peers")),
+    field(
+        "cluster.peer_choice",
+        Allowed::OneOf(&["uniform", "long_links"]),
+    ),
+    field("cluster.across_milli", number(0, 1_000, "thousandths")),
+    field("cluster.faults", MAPPING),
+    field("cluster.faults.loss_milli", number(0, 1_000, "thousandths")),
+    field(
+        "cluster.faults.cut_file",
+        Allowed::Shape("the path of a file, or null"),
+    ),
     field("log", MAPPING),
     field("log.level", Allowed::OneOf(LEVELS)),
     field("stop", MAPPING),
@@ -132,10 +144,15 @@
 /// The levels of the log, least talkative first.
 pub(crate) const LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
 
-/// Returns what the field at `path` allows; list positions such as `[3]` count as `[]`.
+/// Returns what the field at `path` of the settings allows.
 pub(crate) fn allowed_at(path: &str) -> Option<Allowed> {
+    find_allowed(FIELDS, path)
+}
+
+/// Returns what the field at `path` allows by `table`; list positions such as `[3]` count as `[]`.
+pub(crate) fn find_allowed(table: &[FieldRule], path: &str) -> Option<Allowed> {
     let pattern = pattern_of(path);
-    FIELDS
+    table
         .iter()
         .find(|rule| rule.path == pattern)
         .map(|rule| rule.allowed)
--- /dev/null
+++ b/crates/sardinepin/tests/integration/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the package as its users see it.
+
+// Helpers outside the test functions unwrap too.
+#![allow(clippy::unwrap_used)]
+
+mod admin;
+mod admin_server;
+mod ctl;
+mod samples;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod relay;
 pub mod tokens;
 
 mod query;
