Let engines step together and keep a gate for their expert map

Cause: one map in every step needs ranks as processes of their own, whose records tell which step ran on which map. Ruled out: a gate written anew for the stand-in; the packages would drift apart, so it keeps the Gate of the groups package, and the record of steps is the witness. Change: a barrier over datagrams, orders over HTTP with and without a check of the fencing number, orders held or answered with nothing, a weight store with a rate, a gate kept over a restart, /steps and /ranks/state. Conclusion: a switch can be driven against processes.

--- a/standins/src/arguments.rs
+++ b/standins/src/arguments.rs
@@ -5,11 +5,12 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use sardinepin_groups::Fencing;
 use sardinepin_standins::engine;
 use sardinepin_standins::load::{self, Mix};
 
 /// Numbers that set the engine.
-const ENGINE_NUMBERS: [(&str, &str); 5] = [
+const ENGINE_NUMBERS: [(&str, &str); 8] = [
     ("slots", "The most requests in one step"),
     ("step-us", "The time of a step, in microseconds"),
     (
@@ -21,6 +22,18 @@
         "The time that a kibibyte of a new prompt adds, in microseconds",
     ),
     ("cache-entries", "How many prefixes the cache holds"),
+    (
+        "idle-ms",
+        "The wait of ranks before a step without requests, in milliseconds",
+    ),
+    (
+        "map-bytes",
+        "How many bytes the weight store is asked for by a new map",
+    ),
+    (
+        "weights-rate",
+        "How many bytes the weight store gives each second",
+    ),
 ];
 
 /// Numbers that set the load.
@@ -80,6 +93,15 @@
         batch_micros: number(matches, "batch-us", default.batch_micros),
         prefill_micros: number(matches, "prefill-us", default.prefill_micros),
         cache_entries: size(matches, "cache-entries", default.cache_entries)?,
+        ranked: matches.get_flag("ranked"),
+        idle_ms: number(matches, "idle-ms", default.idle_ms),
+        fencing: match given(matches, "check-fence")? {
+            true => Fencing::Enforced,
+            false => Fencing::Ignored,
+        },
+        gate_file: matches.get_one("gate-file").cloned(),
+        map_bytes: number(matches, "map-bytes", default.map_bytes),
+        weights_rate: number(matches, "weights-rate", default.weights_rate),
     })
 }
 
@@ -138,7 +160,22 @@
 }
 
 fn engine_command() -> Command {
-    served("engine", "A model engine that advances in steps").args(numbers(&ENGINE_NUMBERS))
+    let ranked = Arg::new("ranked")
+        .long("ranked")
+        .help("Steps only together with the other ranks of a group")
+        .action(ArgAction::SetTrue);
+    let check_fence = Arg::new("check-fence")
+        .long("check-fence")
+        .help("Whether orders with an old fencing number are refused")
+        .default_value("true")
+        .value_parser(value_parser!(bool));
+    let gate_file = Arg::new("gate-file")
+        .long("gate-file")
+        .help("A file that keeps the gate over a restart")
+        .value_parser(value_parser!(PathBuf));
+    served("engine", "A model engine that advances in steps")
+        .args(numbers(&ENGINE_NUMBERS))
+        .args([ranked, check_fence, gate_file])
 }
 
 fn load_command() -> Command {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -4,10 +4,15 @@
 mod cache;
 mod chat;
 mod faults;
+mod lock_step;
+mod map_switch;
+mod orders;
 mod reports;
 mod settings;
 mod stepper;
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -19,6 +24,8 @@
 
 pub use cache::{CacheEvent, CacheEvents, CacheKind};
 pub use faults::Faults;
+pub use lock_step::Ranks;
+pub use map_switch::{Fenced, StepRange};
 pub use settings::Settings;
 
 use crate::http::{Handler, Reply, json, text};
@@ -26,6 +33,8 @@
 use batch::{Batch, Job};
 use cache::PrefixCache;
 use chat::Chat;
+use lock_step::LockStep;
+use map_switch::MapSwitch;
 use reports::Reports;
 
 /// What the engine has done.
@@ -41,6 +50,10 @@
     pub tokens: u64,
     /// Steps that were begun.
     pub steps: u64,
+    /// Orders that have arrived.
+    pub orders: u64,
+    /// Orders that are held.
+    pub held_orders: u64,
 }
 
 /// The engine.
@@ -49,7 +62,10 @@
     clock: Clock,
     settings: Settings,
     faults: watch::Sender<Faults>,
-    arrivals: Notify,
+    /// Told of new requests and orders.
+    wake: Notify,
+    /// The other ranks, if the engine has any.
+    lock_step: Option<Arc<LockStep>>,
     core: Mutex<Core>,
 }
 
@@ -58,28 +74,45 @@
     batch: Batch,
     cache: PrefixCache,
     reports: Reports,
+    switch: MapSwitch,
     counts: Counts,
 }
 
 impl Engine {
     /// Starts an engine, whose steps go on until the runtime ends.
-    #[must_use]
-    pub fn start(settings: Settings) -> Arc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a rank of a group cannot open its socket.
+    pub async fn start(settings: Settings) -> io::Result<Arc<Self>> {
+        let lock_step = match settings.ranked {
+            true => Some(LockStep::start().await?),
+            false => None,
+        };
         let core = Core {
             batch: Batch::default(),
             cache: PrefixCache::new(settings.cache_entries),
             reports: Reports::default(),
+            switch: MapSwitch::new(settings.fencing, settings.gate_file.clone()),
             counts: Counts::default(),
         };
         let engine = Arc::new(Self {
             clock: Clock::start(),
             settings,
             faults: watch::Sender::new(Faults::default()),
-            arrivals: Notify::new(),
+            wake: Notify::new(),
+            lock_step,
             core: Mutex::new(core),
         });
+        engine.resume_loading();
         tokio::spawn(stepper::run(Arc::clone(&engine)));
-        engine
+        Ok(engine)
+    }
+
+    /// Returns where a rank of a group announces its steps.
+    #[must_use]
+    pub fn rank_address(&self) -> Option<SocketAddr> {
+        self.lock_step.as_ref()?.address().ok()
     }
 
     fn core(&self) -> MutexGuard<'_, Core> {
@@ -110,7 +143,7 @@
         let cached = core.cache.touch(now, job.prefix);
         job.prefill = self.settings.prefill_micros(job.body.len(), cached);
         core.batch.enqueue(job);
-        self.arrivals.notify_one();
+        self.wake.notify_one();
     }
 
     fn cancel(&self, id: &str) -> Reply {
@@ -131,7 +164,10 @@
     }
 
     fn release(&self) -> Reply {
-        self.faults.send_modify(|faults| faults.stall = false);
+        self.faults.send_modify(|faults| {
+            faults.stall = false;
+            faults.hold_orders = false;
+        });
         json(StatusCode::OK, &*self.faults.borrow())
     }
 
@@ -161,6 +197,10 @@
                 ("GET", "/load") => self.load(),
                 ("GET", "/cache-events") => self.cache_events(&request),
                 ("GET", "/counts") => json(StatusCode::OK, &self.core().counts),
+                ("GET", "/steps") => json(StatusCode::OK, &self.core().switch.ranges()),
+                ("GET", "/ranks/state") => self.rank_state(),
+                ("POST", "/ranks/peers") => self.set_peers(request.body()),
+                ("POST", "/orders") => self.order(request.body()).await,
                 ("POST", "/faults") => self.set_faults(request.body()),
                 ("POST", "/release") => self.release(),
                 ("POST", path) if path.starts_with("/cancel/") => {
--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -139,6 +139,11 @@
         &self.running
     }
 
+    /// Returns whether no request is there.
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
     /// Returns how many requests wait.
     pub(super) fn waiting(&self) -> usize {
         self.waiting.len()
--- a/standins/src/engine/faults.rs
+++ b/standins/src/engine/faults.rs
@@ -22,6 +22,12 @@
     pub cache_lag_ms: u64,
     /// Each cache event whose number is a multiple of this is never shown; 0 for none.
     pub cache_gap: u64,
+    /// Orders wait, with or without their caller, until `POST /release`.
+    pub hold_orders: bool,
+    /// Orders are carried out but not answered.
+    pub lose_orders: bool,
+    /// The weight store is out: maps that are being loaded do not get ready.
+    pub weights_out: bool,
     /// How old load reports are, in milliseconds.
     pub load_lag_ms: u64,
 }
--- /dev/null
+++ b/standins/src/engine/lock_step.rs
@@ -0,0 +1,151 @@
+//! Lock-step over processes: a step begins once every rank is ready for it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use sardinepin_common::{Map, Millis};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, watch};
+
+/// The time between two announcements of the same state, in case one is lost.
+const REPEAT: Millis = Millis(10);
+
+/// The longest announcement, in bytes.
+const DATAGRAM_MAX: usize = 512;
+
+/// The ranks of a group, told to each of its engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ranks {
+    /// The rank of the engine that is told.
+    pub rank: u16,
+    /// Where the ranks announce their steps, in the order of ranks.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// What a rank announces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+struct Announcement {
+    rank: u16,
+    /// The step that it is ready to begin, or that it has begun; `None` until it has joined.
+    ready: Option<u64>,
+    /// Whether it has requests.
+    busy: bool,
+}
+
+/// What a rank hears of the others.
+#[derive(Debug)]
+pub(super) struct LockStep {
+    socket: UdpSocket,
+    ranks: watch::Sender<Option<Ranks>>,
+    own: watch::Sender<Announcement>,
+    heard: Mutex<Map<u16, Announcement>>,
+    changed: Notify,
+}
+
+impl LockStep {
+    /// Opens the socket and begins to announce and to listen.
+    pub(super) async fn start() -> std::io::Result<Arc<Self>> {
+        let lock_step = Arc::new(Self {
+            socket: UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?,
+            ranks: watch::Sender::new(None),
+            own: watch::Sender::new(Announcement::default()),
+            heard: Mutex::default(),
+            changed: Notify::new(),
+        });
+        tokio::spawn(Arc::clone(&lock_step).announce());
+        tokio::spawn(Arc::clone(&lock_step).listen());
+        Ok(lock_step)
+    }
+
+    /// Returns where it listens.
+    pub(super) fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Tells it who the others are.
+    pub(super) fn set(&self, ranks: Ranks) {
+        self.own.send_modify(|own| own.rank = ranks.rank);
+        self.ranks.send_replace(Some(ranks));
+        self.changed.notify_one();
+    }
+
+    /// Waits until all others are heard of, and returns the step to begin with.
+    ///
+    /// A rank that comes back leaves out the step that the others may be in.
+    pub(super) async fn join(&self) -> u64 {
+        let others = self.hear(|_| true).await;
+        let furthest = others.iter().filter_map(|other| other.ready).max();
+        furthest.map_or(0, |step| step + 1)
+    }
+
+    /// Announces that this rank is ready for `step` and waits until all are.
+    ///
+    /// Returns whether any rank has requests.
+    pub(super) async fn wait(&self, step: u64, busy: bool) -> bool {
+        self.own.send_modify(|own| {
+            own.ready = Some(step);
+            own.busy = busy;
+        });
+        let is_ready = |other: &Announcement| other.ready.is_some_and(|ready| ready >= step);
+        let others = self.hear(is_ready).await;
+        busy || others.iter().any(|other| other.busy)
+    }
+
+    /// Waits until the last word of every other rank is as wanted, and returns these.
+    async fn hear(&self, wanted: impl Fn(&Announcement) -> bool) -> Vec<Announcement> {
+        loop {
+            if let Some(others) = self.others()
+                && others.iter().all(&wanted)
+            {
+                return others;
+            }
+            self.changed.notified().await;
+        }
+    }
+
+    /// Returns the last word of every other rank, or `None` if one has not been heard of.
+    fn others(&self) -> Option<Vec<Announcement>> {
+        let ranks = self.ranks.borrow();
+        let ranks = ranks.as_ref()?;
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        (0..)
+            .take(ranks.peers.len())
+            .filter(|rank| *rank != ranks.rank)
+            .map(|rank| heard.get(&rank).copied())
+            .collect()
+    }
+
+    async fn announce(self: Arc<Self>) {
+        let mut own = self.own.subscribe();
+        loop {
+            let announcement = *own.borrow_and_update();
+            let ranks = self.ranks.borrow().clone();
+            if let (Some(ranks), Ok(bytes)) = (ranks, serde_json::to_vec(&announcement)) {
+                for (rank, peer) in (0_u16..).zip(&ranks.peers) {
+                    if rank != ranks.rank {
+                        // What is lost is repeated.
+                        let _ = self.socket.send_to(&bytes, peer).await;
+                    }
+                }
+            }
+            let _ = tokio::time::timeout(REPEAT.duration(), own.changed()).await;
+        }
+    }
+
+    async fn listen(self: Arc<Self>) {
+        let mut buffer = [0; DATAGRAM_MAX];
+        loop {
+            // An error here tells of a peer that is gone, which is no news.
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let announcement = serde_json::from_slice::<Announcement>(&buffer[..length]);
+            if let Ok(announcement) = announcement {
+                let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+                heard.insert(announcement.rank, announcement);
+                self.changed.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/engine/orders.rs
@@ -0,0 +1,88 @@
+//! Orders to the engine over HTTP, and the loading of weights that they begin.
+
+use std::sync::Arc;
+
+use hyper::StatusCode;
+use sardinepin_common::Term;
+use sardinepin_groups::{MapId, Order, OrderReply};
+
+use super::Engine;
+use super::lock_step::Ranks;
+use super::map_switch::Fenced;
+use crate::http::{Broken, Reply, json, text};
+
+impl Engine {
+    /// Answers with the gate and the next step, whatever the fencing number.
+    pub(super) fn rank_state(&self) -> Reply {
+        let look = Fenced {
+            term: Term::default(),
+            order: Order::Look,
+        };
+        json(StatusCode::OK, &self.core().switch.apply(look).0)
+    }
+
+    /// Tells a rank who the others are.
+    pub(super) fn set_peers(&self, body: &[u8]) -> Reply {
+        let Some(lock_step) = &self.lock_step else {
+            return text(StatusCode::CONFLICT, "not a rank of a group");
+        };
+        match serde_json::from_slice::<Ranks>(body) {
+            Ok(ranks) => {
+                lock_step.set(ranks);
+                json(StatusCode::OK, &())
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    /// Carries out an order, even if its caller goes away meanwhile.
+    pub(super) async fn order(self: Arc<Self>, body: &[u8]) -> Reply {
+        let fenced = match serde_json::from_slice(body) {
+            Ok(fenced) => fenced,
+            Err(error) => return text(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        tokio::spawn(self.carry_out(fenced))
+            .await
+            .map_err(|_| Broken)?
+    }
+
+    /// Goes on with the loading that a restart has cut short.
+    pub(super) fn resume_loading(self: &Arc<Self>) {
+        let loading = self.core().switch.loading();
+        if let Some(map) = loading {
+            tokio::spawn(Arc::clone(self).load_weights(map));
+        }
+    }
+
+    async fn carry_out(self: Arc<Self>, fenced: Fenced) -> Reply {
+        self.hold_order().await;
+        let (reply, to_load) = self.core().switch.apply(fenced);
+        self.wake.notify_one();
+        if let Some(map) = to_load {
+            tokio::spawn(Arc::clone(&self).load_weights(map));
+        }
+        if self.faults.borrow().lose_orders {
+            return Err(Broken);
+        }
+        json::<OrderReply>(StatusCode::OK, &reply)
+    }
+
+    async fn hold_order(&self) {
+        self.core().counts.orders += 1;
+        let mut faults = self.faults.subscribe();
+        if !faults.borrow().hold_orders {
+            return;
+        }
+        self.core().counts.held_orders += 1;
+        // The sender lives as long as the engine, so waiting cannot fail.
+        let _ = faults.wait_for(|faults| !faults.hold_orders).await;
+        self.core().counts.held_orders -= 1;
+    }
+
+    async fn load_weights(self: Arc<Self>, map: MapId) {
+        tokio::time::sleep(self.settings.load_time().duration()).await;
+        let mut faults = self.faults.subscribe();
+        let _ = faults.wait_for(|faults| !faults.weights_out).await;
+        self.core().switch.loaded(map);
+    }
+}
--- a/standins/src/engine/stepper.rs
+++ b/standins/src/engine/stepper.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepin_common::Millis;
 use sardinepin_protocol::Load;
 
 use super::{Core, Engine};
@@ -12,13 +13,15 @@
 
 /// Steps for ever.
 pub(super) async fn run(engine: Arc<Engine>) {
-    let mut faults = engine.faults.subscribe();
+    if let Some(lock_step) = &engine.lock_step {
+        let step = lock_step.join().await;
+        engine.core().switch.skip_to(step);
+    }
     let mut due = 0;
     loop {
-        // The sender lives as long as the engine, so waiting cannot fail.
-        let _ = faults.wait_for(|faults| !faults.stall).await;
+        engine.all_ready().await;
         let Some(micros) = engine.begin_step() else {
-            engine.arrivals.notified().await;
+            engine.wake.notified().await;
             continue;
         };
         // Steps are due at fixed times, so that a timer's rounding does not add up.
@@ -30,12 +33,48 @@
 }
 
 impl Engine {
-    /// Fills the batch and returns the time of the step in microseconds, or `None` without work.
+    /// Waits until this engine may step and all ranks of its group are ready to.
+    async fn all_ready(&self) {
+        let mut faults = self.faults.subscribe();
+        // The sender lives as long as the engine, so waiting cannot fail.
+        let _ = faults.wait_for(|faults| !faults.stall).await;
+        let Some(lock_step) = &self.lock_step else {
+            return;
+        };
+        while !self.core().switch.is_open() {
+            self.wake.notified().await;
+        }
+        let (step, busy) = {
+            let core = self.core();
+            (core.switch.step(), !core.batch.is_empty())
+        };
+        if !lock_step.wait(step, busy).await {
+            tokio::time::sleep(Millis(self.settings.idle_ms).duration()).await;
+        }
+        let _ = faults.wait_for(|faults| !faults.stall).await;
+    }
+
+    /// Fills the batch and returns the time of the step in microseconds.
+    ///
+    /// Returns `None` if the gate is closed, or without work outside a group.
     fn begin_step(&self) -> Option<u64> {
         let faults = self.faults.borrow().clone();
         let mut core = self.core();
-        let Core { batch, counts, .. } = &mut *core;
+        let Core {
+            batch,
+            counts,
+            switch,
+            ..
+        } = &mut *core;
         counts.cancelled += batch.drop_closed();
+        if batch.is_empty() && self.lock_step.is_none() {
+            self.report(&mut core, 0);
+            return None;
+        }
+        if !switch.begin() {
+            return None;
+        }
+        counts.steps += 1;
         let mut micros = self.settings.step_micros + faults.slow_micros;
         for job in batch.admit(self.settings.slots) {
             micros += job.prefill;
@@ -48,11 +87,6 @@
         {
             std::process::exit(CRASH_STATUS);
         }
-        if running.is_empty() {
-            self.report(&mut core, 0);
-            return None;
-        }
-        counts.steps += 1;
         Some(micros + self.settings.batch_micros * running.len() as u64)
     }
 
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -29,22 +29,31 @@
     if name == "load" {
         return send_load(matches).await;
     }
-    let handler = handler(name, matches)?;
+    let (handler, ranks) = handler(name, matches).await?;
     let listen: SocketAddr = given(matches, "listen")?;
     let listener = TcpListener::bind(listen).await?;
-    println!("{}", json!({"listening": listener.local_addr()?}));
+    let listening = json!({"listening": listener.local_addr()?, "ranks": ranks});
+    println!("{listening}");
     serve(listener, handler).await;
     Ok(ExitCode::SUCCESS)
 }
 
-fn handler(name: &str, matches: &ArgMatches) -> Result<Arc<dyn Handler>> {
+/// Returns what serves, and where a rank of a group announces its steps.
+async fn handler(
+    name: &str,
+    matches: &ArgMatches,
+) -> Result<(Arc<dyn Handler>, Option<SocketAddr>)> {
     match name {
         "plain" => {
             let journal = matches.get_one::<PathBuf>("journal");
-            Ok(Plain::start(journal.map(PathBuf::as_path))?)
+            Ok((Plain::start(journal.map(PathBuf::as_path))?, None))
+        }
+        "platform" => Ok((Platform::start(), None)),
+        "engine" => {
+            let engine = Engine::start(engine_settings(matches)?).await?;
+            let ranks = engine.rank_address();
+            Ok((engine, ranks))
         }
-        "platform" => Ok(Platform::start()),
-        "engine" => Ok(Engine::start(engine_settings(matches)?)),
         other => bail!("no such stand-in: {other}"),
     }
 }
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -17,7 +17,8 @@
         cache_entries: 1,
         ..Settings::default()
     };
-    spawn(Engine::start(settings)).await.expect("a port")
+    let engine = Engine::start(settings).await.expect("an engine");
+    spawn(engine).await.expect("a port")
 }
 
 fn messages(content: &str) -> Value {
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -42,7 +42,7 @@
     let report = load::run(settings(to, PLAIN)).await.unwrap();
     assert_eq!((report.sent, report.answered, report.wrong), (40, 40, 0));
     assert_eq!(plain.counts().total, 40);
-    let engine = Engine::start(EngineSettings::default());
+    let engine = Engine::start(EngineSettings::default()).await.unwrap();
     let to = spawn(engine).await.unwrap();
     let mix = Mix { chat: 1, ..STREAMS };
     let report = load::run(settings(to, mix)).await.unwrap();
@@ -62,7 +62,7 @@
     let report = load::run(twice).await.unwrap();
     // Each second copy tells of a second run, and the two copies differ.
     assert_eq!((report.sent, report.wrong), (80, 80));
-    let to = spawn(Engine::start(EngineSettings::default()))
+    let to = spawn(Engine::start(EngineSettings::default()).await.unwrap())
         .await
         .unwrap();
     let cut = Faults {
