Introduce the ranks of a group to each other in deployments on loopback

Cause: engines of a group step only together, and a restarted one has a new address for its announcements. Ruled out: fixed ports for announcements; another process may hold them. Change: the fleet starts grouped engines as ranks with a kept gate, and tells all ranks again after a restart. Conclusion: a group goes on after one of its engines was killed.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -23,6 +23,7 @@
 pub use deployment::Deployment;
 pub use node::Node;
 
+use crate::engine::Ranks;
 use crate::http::Caller;
 use directory::Directory;
 
@@ -94,6 +95,9 @@
         for at in 0..plan.deployment.upstreams.len() {
             fleet.start_upstream(&plan, at).await?;
         }
+        for group in 0..plan.deployment.groups.len() {
+            fleet.introduce_ranks(group).await?;
+        }
         fleet.put_deployment().await?;
         for number in 0..plan.entries {
             fleet.add_entry(number).await?;
@@ -171,11 +175,12 @@
     ///
     /// Fails if the upstream does not start.
     pub async fn restart_upstream(&mut self, at: usize) -> Result<()> {
-        self.upstreams
-            .get_mut(at)
-            .context("no such upstream")?
-            .restart()
-            .await
+        let upstream = self.upstreams.get_mut(at).context("no such upstream")?;
+        upstream.restart().await?;
+        match self.deployment.group_of(at) {
+            Some(group) => self.introduce_ranks(group).await,
+            None => Ok(()),
+        }
     }
 
     /// Writes an object of the configuration over whatever stands.
@@ -244,14 +249,21 @@
 
     async fn start_upstream(&mut self, plan: &Plan, at: usize) -> Result<()> {
         let Upstream { name, zone, .. } = self.deployment.upstreams[at].clone();
-        let arguments = match self.deployment.kind_of(at)? {
-            ServiceKind::Plain if plan.journals => {
-                let journal = self.directory.file(&format!("{name}.journal"));
-                vec!["plain".to_owned(), "--journal".to_owned(), text(&journal)?]
-            }
+        let file = |ending: &str| text(&self.directory.file(&format!("{name}.{ending}")));
+        let mut arguments = match self.deployment.kind_of(at)? {
             ServiceKind::Plain => words(&["plain"]),
             ServiceKind::Model => [words(&["engine"]), plan.engine_arguments.clone()].concat(),
         };
+        if plan.journals && self.deployment.kind_of(at)? == ServiceKind::Plain {
+            arguments.extend(["--journal".to_owned(), file("journal")?]);
+        }
+        if self.deployment.group_of(at).is_some() {
+            arguments.extend([
+                "--ranked".to_owned(),
+                "--gate-file".to_owned(),
+                file("gate")?,
+            ]);
+        }
         let upstream = Child::start(&binary(STANDINS)?, &arguments).await?;
         let agent = self.agent(&name, &zone, upstream.address()).await?;
         self.deployment.upstreams[at].address = agent.address().to_string();
@@ -261,6 +273,24 @@
         Ok(())
     }
 
+    /// Tells the engines of a group who the others are, once all of them have started.
+    async fn introduce_ranks(&self, group: usize) -> Result<()> {
+        let ranks = self.deployment.ranks_of(group)?;
+        let ranks: Vec<&Child> = ranks.iter().map(|at| &self.upstreams[*at]).collect();
+        let address = |engine: &&Child| engine.other_address("ranks").context("no rank");
+        let peers = ranks.iter().map(address).collect::<Result<Vec<_>>>()?;
+        for (rank, engine) in (0..).zip(&ranks) {
+            // One that has been killed is told when it starts again.
+            let peers = peers.clone();
+            let told = Ranks { rank, peers };
+            let _ = self
+                .caller
+                .post(engine.address(), "/ranks/peers", &told)
+                .await;
+        }
+        Ok(())
+    }
+
     async fn node(&self, role: Role, name: &str, zone: &str, settings: Value) -> Result<Node> {
         let platform = json!({"platform": {"address": self.platform.address().to_string()}});
         let file = self.directory.file(&format!("{name}.yaml"));
--- a/standins/src/fleet/deployment.rs
+++ b/standins/src/fleet/deployment.rs
@@ -60,6 +60,41 @@
         zones
     }
 
+    /// Puts all upstreams of a service into one rank group.
+    #[must_use]
+    pub fn with_group(mut self, name: &str, service: &str) -> Self {
+        let mut group = Group {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            ..Group::default()
+        };
+        for upstream in &mut self.upstreams {
+            if upstream.service == service {
+                upstream.group = Some(name.to_owned());
+                group.ranks.push(upstream.name.clone());
+            }
+        }
+        self.groups.push(group);
+        self
+    }
+
+    /// Returns the group that an upstream is a rank of.
+    pub(super) fn group_of(&self, upstream: usize) -> Option<usize> {
+        let name = &self.upstreams[upstream].name;
+        self.groups
+            .iter()
+            .position(|group| group.ranks.contains(name))
+    }
+
+    /// Returns the upstreams of a group in the order of their ranks.
+    pub(super) fn ranks_of(&self, group: usize) -> Result<Vec<usize>> {
+        let place = |name: &String| {
+            let place = self.upstreams.iter().position(|one| one.name == *name);
+            place.with_context(|| format!("no upstream {name}"))
+        };
+        self.groups[group].ranks.iter().map(place).collect()
+    }
+
     /// Returns the kind of the service of an upstream.
     pub(super) fn kind_of(&self, upstream: usize) -> Result<ServiceKind> {
         let name = &self.upstreams[upstream].service;
--- a/standins/tests/fleet.rs
+++ b/standins/tests/fleet.rs
@@ -28,7 +28,8 @@
     };
     let mut deployment = Deployment::default()
         .with_service(plain, 1, &["zone-a"])
-        .with_service(model, 1, &["zone-b"]);
+        .with_service(model, 2, &["zone-b"])
+        .with_group("tutors", "tutor");
     deployment.organisations.push(Organisation {
         name: "voss".to_owned(),
         ..Organisation::default()
@@ -82,6 +83,7 @@
     let counts: Counts = fleet.caller.get(upstream, "/counts").await.unwrap();
     assert_eq!(counts.total, answered, "{}", fleet.output());
     fleet.restart_agent(1).await.unwrap();
+    fleet.restart_upstream(2).await.unwrap();
     let round = tokio::time::timeout(SERVES_WITHIN, serve(&fleet));
     round.await.expect("the deployment serves again");
     let ended = fleet.stop().await.unwrap();
