Show a whole deployment on loopback with one command

Cause: a reader should see the path work from a fresh checkout, and tests need tokens, cluster keys and status. Ruled out: a script; it would have to find ports and clean up by itself. Change: sardinepin-standins demo starts a deployment file with stand-ins, sends checked calls and stops all of it; the fleet gives every node tokens and a cluster key and reads the administration API.

--- a/standins/src/arguments.rs
+++ b/standins/src/arguments.rs
@@ -6,6 +6,7 @@
 use anyhow::{Context, Result};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use sardinepin_groups::Fencing;
+use sardinepin_standins::demo;
 use sardinepin_standins::engine;
 use sardinepin_standins::load::{self, Mix};
 
@@ -55,6 +56,13 @@
     ("timeout-ms", "How long an answer may take, in milliseconds"),
 ];
 
+/// Numbers that set the demo.
+const DEMO_NUMBERS: [(&str, &str); 3] = [
+    ("entries", "How many entries are started"),
+    ("requests", "How many calls are made"),
+    ("seed", "The seed that calls are drawn from"),
+];
+
 /// Texts that set the load.
 const LOAD_TEXTS: [(&str, &str); 4] = [
     (
@@ -82,6 +90,7 @@
         ))
         .subcommand(engine_command())
         .subcommand(load_command())
+        .subcommand(demo_command())
 }
 
 /// Reads the settings of an engine.
@@ -138,6 +147,20 @@
     })
 }
 
+/// Reads the settings of the demo.
+pub(crate) fn demo_settings(matches: &ArgMatches) -> Result<demo::Settings> {
+    let default = demo::Settings::default();
+    Ok(demo::Settings {
+        deployment: matches
+            .get_one("deployment")
+            .cloned()
+            .unwrap_or(default.deployment),
+        entries: size(matches, "entries", default.entries)?,
+        requests: number(matches, "requests", default.requests),
+        seed: number(matches, "seed", default.seed),
+    })
+}
+
 /// Returns the value of an argument that has a default.
 pub(crate) fn given<T: Clone + Send + Sync + 'static>(
     matches: &ArgMatches,
@@ -201,6 +224,17 @@
         .args(texts)
 }
 
+fn demo_command() -> Command {
+    let deployment = Arg::new("deployment")
+        .long("deployment")
+        .help("The deployment file")
+        .value_parser(value_parser!(PathBuf));
+    Command::new("demo")
+        .about("Starts a deployment on loopback, sends some calls, prints what it saw and stops it")
+        .arg(deployment)
+        .args(numbers(&DEMO_NUMBERS))
+}
+
 fn numbers(names: &'static [(&str, &str)]) -> impl Iterator<Item = Arg> {
     let parser = value_parser!(u64);
     names
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -12,6 +12,8 @@
 use std::process::ExitStatus;
 
 use anyhow::{Context, Result, bail, ensure};
+use bytes::Bytes;
+use hyper::Method;
 use sardinepin_common::Millis;
 use sardinepin_config::{ServiceKind, Upstream, object_key};
 use sardinepin_protocol::Role;
@@ -33,6 +35,18 @@
 /// The name of the stand-ins' binary.
 const STANDINS: &str = "sardinepin-standins";
 
+/// The operator's token at the administration API of every node.
+pub const OPERATOR_TOKEN: &str = "operator-on-loopback";
+
+/// The token that only reads, at the administration API of every node.
+pub const READER_TOKEN: &str = "reader-on-loopback";
+
+/// The name of the file of tokens.
+const TOKENS_FILE: &str = "tokens";
+
+/// The secret that authenticates datagrams between the nodes.
+const CLUSTER_SECRET: &str = "a-secret-of-a-deployment-on-loopback";
+
 /// How long the entries may take to be ready.
 const READY_WITHIN: Millis = Millis(30_000);
 
@@ -81,6 +95,8 @@
     /// Fails if a process cannot be built or started, or an entry does not get ready.
     pub async fn start(plan: Plan) -> Result<Self> {
         let directory = Directory::create()?;
+        let tokens = format!("operator {OPERATOR_TOKEN}\nread-only {READER_TOKEN}\n");
+        std::fs::write(directory.file(TOKENS_FILE), tokens)?;
         let platform = Child::start(&binary(STANDINS)?, &words(&["platform"])).await?;
         let mut fleet = Self {
             platform,
@@ -193,6 +209,23 @@
         store::put(&self.caller, self.platform.address(), &key, value).await
     }
 
+    /// Reads JSON from the administration API of a node, such as `/v1/status`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node names no such address or does not answer with success.
+    pub async fn read(&self, node: &Node, path: &str) -> Result<Value> {
+        let admin = node.admin().context("no administration address")?;
+        let bearer = format!("Bearer {READER_TOKEN}");
+        let headers = [("authorization", bearer.as_str())];
+        let ask = self
+            .caller
+            .call(Method::GET, admin, path, &headers, Bytes::new());
+        let answer = ask.await?;
+        ensure!(answer.status.is_success(), "{path}: {}", answer.status);
+        answer.json()
+    }
+
     /// Sets the faults of a stand-in.
     ///
     /// # Errors
@@ -292,9 +325,13 @@
     }
 
     async fn node(&self, role: Role, name: &str, zone: &str, settings: Value) -> Result<Node> {
-        let platform = json!({"platform": {"address": self.platform.address().to_string()}});
+        let common = json!({
+            "tokens_file": text(&self.directory.file(TOKENS_FILE))?,
+            "platform": {"address": self.platform.address().to_string()},
+            "cluster": {"keys": [{"number": 1, "secret": CLUSTER_SECRET}]},
+        });
         let file = self.directory.file(&format!("{name}.yaml"));
-        let layers = [&platform, &self.settings, &settings];
+        let layers = [&common, &self.settings, &settings];
         Node::start(&binary(PRODUCT)?, role, name, zone, &file, &layers).await
     }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems around sardinepin, a load client, and deployments on loopback.
 
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod http;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -9,6 +9,7 @@
 
 use anyhow::{Context, Result, bail};
 use clap::ArgMatches;
+use sardinepin_standins::demo;
 use sardinepin_standins::engine::Engine;
 use sardinepin_standins::http::{Handler, serve};
 use sardinepin_standins::load;
@@ -17,7 +18,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
-use arguments::{command, engine_settings, given, load_settings};
+use arguments::{command, demo_settings, engine_settings, given, load_settings};
 
 /// The exit code of a run of load that saw a wrong answer.
 const EXIT_WRONG: u8 = 1;
@@ -29,6 +30,10 @@
     if name == "load" {
         return send_load(matches).await;
     }
+    if name == "demo" {
+        print!("{}", demo::run(demo_settings(matches)?).await?);
+        return Ok(ExitCode::SUCCESS);
+    }
     let (handler, ranks) = handler(name, matches).await?;
     let listen: SocketAddr = given(matches, "listen")?;
     let listener = TcpListener::bind(listen).await?;
