--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems around sardinepin, a load client, and deployments on loopback.
 
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod http;
@@ -9,4 +10,5 @@
 pub mod relay;
 pub mod tokens;
 
+mod pause;
 mod query;
