Wait for a configuration before being ready, and prove the claim's own digest

A mutant that does not compare the claim's digest survived, since the repeat always met the agent that remembers the key. Change: an entry without a configuration is not ready and refuses; a test that replaces every agent before another body comes with the same key.

--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
-use sardinepin_common::{AttemptId, Clock, Millis};
+use sardinepin_common::{AttemptId, Clock, Millis, Revision};
 use sardinepin_config::Snapshot;
 use sardinepin_protocol::ErrorKind;
 use tokio::net::{TcpListener, TcpStream};
@@ -112,12 +112,19 @@
         Arc::clone(&self.snapshots.borrow())
     }
 
+    /// Returns whether the configuration may be relied on.
+    ///
+    /// Where all that can be reached have none, the node knows no more than they do, and waits.
+    fn has_configuration(&self) -> bool {
+        *self.ready.borrow() && self.snapshots.borrow().revision() > Revision::default()
+    }
+
     /// Says why callers should not be sent here, if they should not.
     pub(crate) fn waiting(&self) -> Option<String> {
         if self.leaving.load(Ordering::Acquire) {
             return Some("this instance is stopping".to_owned());
         }
-        if !*self.ready.borrow() {
+        if !self.has_configuration() {
             return Some("the newest configuration is not known yet".to_owned());
         }
         None
@@ -147,7 +154,7 @@
 
     async fn read(&self, peer: IpAddr, parts: &Parts, body: Incoming) -> Result<Call, ErrorKind> {
         let organisation = self.organisation(peer, parts)?;
-        if !*self.ready.borrow() {
+        if !self.has_configuration() {
             return Err(ErrorKind::NotReady);
         }
         let snapshot = self.snapshot();
--- a/crates/sardinepin/tests/outcomes/at_most_once.rs
+++ b/crates/sardinepin/tests/outcomes/at_most_once.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeSet;
 
 use anyhow::Result;
+use sardinepin_standins::fleet::Fleet;
 use serde_json::json;
 
 use crate::util::*;
 
-async fn bookings() -> Result<sardinepin_standins::fleet::Fleet> {
+async fn bookings() -> Result<Fleet> {
     start(app(), 2, 2, json!({"entry": {"settle_ms": 500}})).await
 }
 
@@ -114,10 +115,8 @@
     Ok(())
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn at_most_once_answer_outlives_its_agent() -> Result<()> {
-    let mut fleet = bookings().await?;
-    let first = book(&fleet, 0, "k", "seat").await?;
+/// Waits until an answer stands behind its claim, then replaces every agent.
+async fn replace_agents_after_the_answer(fleet: &mut Fleet) -> Result<()> {
     until("the answer is written behind the claim", async || {
         let path = "/v1/objects?prefix=claims/";
         let listing: sardinepin_platform::Listing =
@@ -136,6 +135,29 @@
     for at in 0..fleet.agents.len() {
         fleet.restart_agent(at).await?;
     }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_another_body_is_refused_by_the_claim_alone() -> Result<()> {
+    let mut fleet = bookings().await?;
+    book(&fleet, 0, "k", "seat").await?;
+    replace_agents_after_the_answer(&mut fleet).await?;
+    until("another body is refused for its key", async || {
+        let other = book(&fleet, 0, "k", "another seat").await?;
+        assert_ne!(outcome(&other), "answered");
+        Ok(reason(&other) == "key_reused")
+    })
+    .await?;
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_answer_outlives_its_agent() -> Result<()> {
+    let mut fleet = bookings().await?;
+    let first = book(&fleet, 0, "k", "seat").await?;
+    replace_agents_after_the_answer(&mut fleet).await?;
     until("a repeat is answered", async || {
         let again = book(&fleet, 1, "k", "seat").await?;
         Ok(outcome(&again) == "answered" && again.body == first.body)
