Let in the first request of an organisation and tell waiting from a stall

Change: the only request of an organisation may wait four times as long; where a trusted report says that attempts wait, a stall takes four times as long to be called one. Conclusion: a small service under many entries shares less evenly than a large one; each entry sees only its own part.

--- a/crates/decisions/src/scheduler/admission.rs
+++ b/crates/decisions/src/scheduler/admission.rs
@@ -12,6 +12,9 @@
 /// The places in a queue that every organisation has.
 const PLACES_MIN: usize = 4;
 
+/// How much longer the only request of an organisation may wait, as a factor.
+const FIRST_FACTOR: u64 = 4;
+
 /// Why a request is refused, and when it may come back.
 struct Refusal {
     kind: ErrorKind,
@@ -81,9 +84,14 @@
             .places(organisation, arrival.share, settings.class_max)
             .clamp(PLACES_MIN, settings.organisation_max.max(PLACES_MIN));
         let waits = class.queue.len() > 0;
-        let full = class.queue.len() >= settings.class_max
-            || class.queue.len_of(organisation) >= places
-            || apart >= settings.class_max;
+        let own = class.queue.len_of(organisation);
+        let wait_max = if own == 0 {
+            wait_max * FIRST_FACTOR
+        } else {
+            wait_max
+        };
+        let full =
+            class.queue.len() >= settings.class_max || own >= places || apart >= settings.class_max;
         let ahead = class.queue.ahead(organisation, arrival.share, arrival.cost);
         let wait = class.drain.time_for(ahead).unwrap_or_default();
         let kind = if one.too_late(now, wait + expected) {
--- a/crates/decisions/src/scheduler/upkeep.rs
+++ b/crates/decisions/src/scheduler/upkeep.rs
@@ -16,6 +16,9 @@
 /// How many times the mean time to the first byte counts as a stall.
 const STALL_FACTOR: f32 = 8.0;
 
+/// How much longer it takes where attempts are known to wait, as a factor.
+const QUEUED_FACTOR: f32 = 4.0;
+
 /// The share of the estimated wait that must fit before the deadline of a request that waits.
 const WAIT_SHARE: f32 = 0.5;
 
@@ -56,8 +59,16 @@
         };
         let bounds = &self.settings.ejection;
         let mean = self.pools.list[pool].times.first_mean();
+        // Where others wait as well, a first byte may take long without any stall.
+        let factor = if slot.queues(now, self.settings.routing.report_bound) {
+            STALL_FACTOR * QUEUED_FACTOR
+        } else {
+            STALL_FACTOR
+        };
         let bound = if mean > 0.0 {
-            Millis((mean * STALL_FACTOR) as u64).clamp(bounds.stall_min, bounds.stall_max)
+            let shortest = Millis((bounds.stall_min.0 as f32 * factor / STALL_FACTOR) as u64);
+            let longest = bounds.stall_max;
+            Millis((mean * factor) as u64).clamp(shortest.min(longest), longest)
         } else {
             bounds.stall_max
         };
--- a/crates/decisions/src/slot.rs
+++ b/crates/decisions/src/slot.rs
@@ -165,6 +165,12 @@
             })
     }
 
+    /// Returns whether attempts wait there by the last trusted report.
+    pub(crate) fn queues(&self, now: Millis, bound: Millis) -> bool {
+        self.report
+            .is_some_and(|report| report.trusted(now, bound) && report.load.waiting > 0)
+    }
+
     /// Returns the step time of the last trusted report, in microseconds; 0 if there is none.
     pub(crate) fn step_micros(&self, now: Millis, bound: Millis) -> u32 {
         self.report
--- a/crates/decisions/tests/balancer/limits.rs
+++ b/crates/decisions/tests/balancer/limits.rs
@@ -1,6 +1,6 @@
 //! Tests of the limit on each upstream, ejection and the way back.
 
-use sardinepin_decisions::{Event, UpstreamId};
+use sardinepin_decisions::{Effect, Event, UpstreamId};
 use sardinepin_protocol::ErrorKind;
 
 use crate::driver::{Driver, not_run, sent, sent_to, unknown};
@@ -265,3 +265,28 @@
     }
     assert_eq!(driver.on(0), stuck, "ejected");
 }
+
+#[test]
+fn overload_attempt_that_waits_its_turn_is_no_stall() {
+    let mut driver = Driver::of(3, |_| {});
+    for ticket in 1..=30 {
+        driver.arrive();
+        driver.now += 5;
+        driver.began(ticket);
+        driver.whole(ticket);
+    }
+    driver.arrive();
+    let at = driver.flying[&31];
+    for waiting in [3, 0] {
+        driver.load(at, |load| {
+            load.running = 4;
+            load.slots = 4;
+            load.waiting = waiting;
+        });
+        let effects = driver.pass(900);
+        let withdrawn = effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Withdraw { .. }));
+        assert_eq!(withdrawn, waiting == 0, "{waiting} wait");
+    }
+}
--- a/crates/decisions/tests/balancer/overload.rs
+++ b/crates/decisions/tests/balancer/overload.rs
@@ -83,6 +83,31 @@
     assert_eq!((long, 50 - long), (10, 40));
 }
 
+#[test]
+fn overload_organisation_that_waits_for_nothing_gets_in_where_greedy_ones_do_not() {
+    let mut driver = narrow(|_| {});
+    let mut modest = Vec::new();
+    for round in 0..200 {
+        for _ in 0..3 {
+            driver.arrive_as(from("greedy"));
+        }
+        if round > 50 && round % 10 == 0 {
+            driver.arrive_as(from("modest"));
+            modest.push(driver.next - 1);
+        }
+        driver.pass(100);
+        let ticket = *driver.flying.keys().next().unwrap();
+        driver.whole(ticket);
+    }
+    let refused = driver.given_up();
+    let lost = modest
+        .iter()
+        .filter(|one| refused.iter().any(|(ticket, _)| ticket == *one))
+        .count();
+    assert_eq!((lost, modest.len()), (0, 14));
+    assert!(refused.len() > 300);
+}
+
 #[test]
 fn overload_idle_organisation_saves_up_no_share() {
     let mut driver = narrow(|_| {});
