--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod attempt;
 pub mod claims;
+pub mod config_spread;
 pub mod explore;
+pub mod one_map;
