Add placement of experts and its trial

Change: estimate, full placement, least-loaded split, planner; trial with static, full, sardinepin and bound. Conclusion: settings still to be weighed.

--- a/crates/groups/src/placement/estimate.rs
+++ b/crates/groups/src/placement/estimate.rs
@@ -1,5 +1,11 @@
 //! The popularity of experts, from reports that are late, noisy and have gaps.
 
+/// How far from the estimate a report has to be, as a share of it, to be taken for a change.
+const FAR: f64 = 0.3;
+
+/// What such a report counts.
+const FAR_SHARE: f64 = 0.4;
+
 /// The popularity of each expert, as far as reports tell.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Estimate {
@@ -43,7 +49,13 @@
     fn blend(&mut self, expert: usize, tokens: f64) {
         let load = &mut self.loads[expert];
         if self.seen[expert] {
-            *load += self.share * (tokens - *load);
+            let far = (tokens - *load).abs() > FAR * *load;
+            let share = if far {
+                self.share.max(FAR_SHARE)
+            } else {
+                self.share
+            };
+            *load += share * (tokens - *load);
         } else {
             *load = tokens;
             self.seen[expert] = true;
--- a/crates/groups/src/placement/map.rs
+++ b/crates/groups/src/placement/map.rs
@@ -53,22 +53,7 @@
             .sum()
     }
 
-    /// Returns the ranks that hold each of `experts` experts.
-    #[must_use]
-    pub fn hosts(&self, experts: usize) -> Vec<Vec<u16>> {
-        let mut hosts = vec![Vec::new(); experts];
-        for (at, expert) in self.slots.iter().enumerate() {
-            hosts[usize::from(*expert)].push((at / self.per_rank) as u16);
-        }
-        hosts
-    }
-
     pub(crate) fn per_rank(&self) -> usize {
         self.per_rank
     }
-
-    /// Puts an expert in a slot.
-    pub(crate) fn set(&mut self, rank: usize, slot: usize, expert: u16) {
-        self.slots[rank * self.per_rank + slot] = expert;
-    }
 }
--- a/crates/groups/src/placement/planner.rs
+++ b/crates/groups/src/placement/planner.rs
@@ -2,10 +2,19 @@
 
 use crate::placement::map::ExpertMap;
 use crate::placement::settings::PlacementSettings;
-use crate::placement::split::split;
+use crate::placement::split::{Split, split};
 
 /// How many of the least loaded ranks are weighed as partners of the most loaded one.
-const PARTNERS: usize = 6;
+const PARTNERS: usize = 4;
+
+/// How many of the replicas that carry least are weighed as places for another expert.
+const SPARE: usize = 16;
+
+/// How often replicated experts are spread anew to weigh a change.
+const TRIAL_SWEEPS: usize = 2;
+
+/// How often they are spread anew after a change.
+const SETTLE_SWEEPS: usize = 4;
 
 /// Why a decision came out as it did, for operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,7 +79,7 @@
             }
         }
         let moved = best.loads_from(map);
-        let skew_then = Score::of(&best, loads).skew;
+        let skew_then = Score::of(&split(&best, loads)).skew;
         let reason = match (moved, tried < self.settings.gain_min) {
             (0, true) => Reason::NoGain,
             (0, false) => Reason::TooDear,
@@ -110,11 +119,7 @@
 }
 
 impl Score {
-    fn of(map: &ExpertMap, loads: &[f64]) -> Self {
-        Self::from_totals(&totals(map, loads))
-    }
-
-    fn from_totals(totals: &[f64]) -> Self {
+    fn of(totals: &[f64]) -> Self {
         let mean = (totals.iter().sum::<f64>() / totals.len() as f64).max(f64::MIN_POSITIVE);
         let slowest = totals.iter().copied().fold(0.0, f64::max);
         let over: f64 = totals
@@ -128,81 +133,129 @@
     }
 }
 
-fn totals(map: &ExpertMap, loads: &[f64]) -> Vec<f64> {
-    split(&map.hosts(loads.len()), loads, map.rank_count())
+/// A change of one or two slots.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    first: (usize, u16),
+    second: Option<(usize, u16)>,
+}
+
+impl Change {
+    fn parts(self) -> impl Iterator<Item = (usize, u16)> {
+        std::iter::once(self.first).chain(self.second)
+    }
 }
 
 /// A search for better maps, one small change after the other.
 struct Search<'a> {
-    loads: &'a [f64],
-    map: ExpertMap,
+    present: Split<'a>,
+    /// Where changes are tried.
+    trial: Split<'a>,
     best: Score,
     left: usize,
 }
 
 impl<'a> Search<'a> {
     fn new(settings: &PlacementSettings, map: &ExpertMap, loads: &'a [f64]) -> Self {
+        let present = Split::new(map, loads);
         Self {
-            loads,
-            map: map.clone(),
-            best: Score::of(map, loads),
+            trial: present.clone(),
+            best: Score::of(present.totals()),
+            present,
             left: settings.trials_max,
         }
     }
 
     /// Makes the change that helps most and returns the map, or `None` if none helps.
     fn improve(&mut self) -> Option<ExpertMap> {
-        let totals = totals(&self.map, self.loads);
+        let mut found = None;
+        let mut bar = self.best.smooth;
+        for change in self.changes() {
+            if self.left == 0 {
+                break;
+            }
+            self.left -= 1;
+            let smooth = self.weigh(change);
+            if smooth < bar {
+                bar = smooth;
+                found = Some(change);
+            }
+        }
+        self.make(found?);
+        self.present.map()
+    }
+
+    /// Returns how good the map would be after a change.
+    fn weigh(&mut self, change: Change) -> f64 {
+        let undo: Vec<(usize, u16)> = change
+            .parts()
+            .map(|(slot, expert)| (slot, self.trial.set(slot, expert)))
+            .collect();
+        self.trial.sweep(TRIAL_SWEEPS);
+        let smooth = Score::of(self.trial.totals()).smooth;
+        for (slot, expert) in undo.into_iter().rev() {
+            self.trial.set(slot, expert);
+        }
+        self.trial.copy_loads(&self.present);
+        smooth
+    }
+
+    fn make(&mut self, change: Change) {
+        for (slot, expert) in change.parts() {
+            self.present.set(slot, expert);
+        }
+        self.present.sweep(SETTLE_SWEEPS);
+        self.trial = self.present.clone();
+        self.best = Score::of(self.present.totals());
+    }
+
+    /// Returns the changes that may relieve the slowest rank: its experts get a replica in place
+    /// of one that carries little, or trade places with an expert of a rank with little load.
+    fn changes(&self) -> Vec<Change> {
+        let totals = self.present.totals();
         let mut order: Vec<usize> = (0..totals.len()).collect();
         order.sort_by(|a, b| totals[*b].total_cmp(&totals[*a]).then(a.cmp(b)));
-        let hot = *order.first()?;
-        let hosts = self.map.hosts(self.loads.len());
-        let mut found: Option<(Score, ExpertMap)> = None;
+        let Some(hot) = order.first().copied() else {
+            return Vec::new();
+        };
+        let mut changes = self.replicas(hot);
         for cold in order.iter().rev().take(PARTNERS) {
-            for next in neighbours(&self.map, &hosts, hot, *cold) {
-                if self.left == 0 {
-                    break;
-                }
-                self.left -= 1;
-                let score = Score::of(&next, self.loads);
-                let bar = found
-                    .as_ref()
-                    .map_or(self.best.smooth, |(best, _)| best.smooth);
-                if score.smooth < bar {
-                    found = Some((score, next));
+            self.trades(hot, *cold, &mut changes);
+        }
+        changes
+    }
+
+    fn replicas(&self, hot: usize) -> Vec<Change> {
+        let per_rank = self.present.rank(hot).len();
+        let spare = self.present.spare_slots();
+        let mut changes = Vec::new();
+        for slot in spare.into_iter().take(SPARE) {
+            let there = self.present.rank(slot / per_rank);
+            for expert in self.present.rank(hot) {
+                if !there.contains(expert) {
+                    changes.push(Change {
+                        first: (slot, *expert),
+                        second: None,
+                    });
                 }
             }
         }
-        let (score, map) = found?;
-        self.best = score;
-        self.map = map.clone();
-        Some(map)
+        changes
     }
-}
 
-/// Returns the maps that differ by one exchange between two ranks, or by one replica given from
-/// the slow rank's experts to the other in place of one that is held elsewhere too.
-fn neighbours(map: &ExpertMap, hosts: &[Vec<u16>], hot: usize, cold: usize) -> Vec<ExpertMap> {
-    let mut maps = Vec::new();
-    for from in 0..map.per_rank() {
-        let expert = map.rank(hot)[from];
-        if map.rank(cold).contains(&expert) {
-            continue;
-        }
-        for to in 0..map.per_rank() {
-            let other = map.rank(cold)[to];
-            if hosts[usize::from(other)].len() > 1 {
-                let mut next = map.clone();
-                next.set(cold, to, expert);
-                maps.push(next);
-            }
-            if !map.rank(hot).contains(&other) {
-                let mut next = map.clone();
-                next.set(cold, to, expert);
-                next.set(hot, from, other);
-                maps.push(next);
+    fn trades(&self, hot: usize, cold: usize, changes: &mut Vec<Change>) {
+        let (here, there) = (self.present.rank(hot), self.present.rank(cold));
+        let per_rank = here.len();
+        for (from, expert) in here.iter().enumerate() {
+            for (to, other) in there.iter().enumerate() {
+                if there.contains(expert) || here.contains(other) {
+                    continue;
+                }
+                changes.push(Change {
+                    first: (cold * per_rank + to, *expert),
+                    second: Some((hot * per_rank + from, *other)),
+                });
             }
         }
     }
-    maps
 }
--- a/crates/groups/src/placement/settings.rs
+++ b/crates/groups/src/placement/settings.rs
@@ -33,7 +33,7 @@
     pub fn skew_first() -> Self {
         Self {
             skew_weight: 1.0,
-            moves_weight: 1.0,
+            moves_weight: 3.0,
             ..Self::default()
         }
     }
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,3 +1,35 @@
-//! Placeholder.
+//! Trials of the decisions: each prints one JSON line a run.
 
-fn main() {}
+mod placement;
+
+use anyhow::Context;
+use clap::{ArgMatches, Command};
+
+/// A trial: its command line and what runs it.
+struct Trial {
+    command: Command,
+    run: fn(&ArgMatches) -> anyhow::Result<()>,
+}
+
+fn main() -> anyhow::Result<()> {
+    let trials = trials();
+    let commands = trials.iter().map(|trial| trial.command.clone());
+    let matches = Command::new("sardinepin-trials")
+        .about("Runs a trial and prints JSON lines")
+        .subcommand_required(true)
+        .subcommands(commands)
+        .get_matches();
+    let (name, arguments) = matches.subcommand().context("a trial is needed")?;
+    let trial = trials
+        .iter()
+        .find(|trial| trial.command.get_name() == name)
+        .context("no such trial")?;
+    (trial.run)(arguments)
+}
+
+fn trials() -> Vec<Trial> {
+    vec![Trial {
+        command: placement::command(),
+        run: placement::run,
+    }]
+}
