Drive map switches in the agents and prove one map on processes

Cause: the machines of the map switch stood without a driver; no process took part in a switch. Ruled out: a trigger by order to one agent; the wanted map is an object of the configuration, so that any member may begin and a restarted one learns of it. Change: one loop per agent drives rank and coordinator, orders to the engine over HTTP one after the other, links between members opened on demand; links of agents no longer replace each other. The content of a map is not carried yet, only its digest.

--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod claims;
+mod group;
 mod keys;
 mod load;
 mod runner;
@@ -16,6 +17,7 @@
 use sardinepin_common::Millis;
 use sardinepin_protocol::Role;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 use crate::node::Node;
 use crate::options::Settings;
@@ -37,7 +39,8 @@
         .with_context(|| format!("agent.listen: cannot listen on {}", settings.agent.listen))?;
     let address = listener.local_addr()?;
     let node = Node::start(&settings, Role::Agent).await?;
-    let agent = Arc::new(Agent::new(settings, &node, address));
+    let (group_events, group_inbox) = mpsc::unbounded_channel();
+    let agent = Arc::new(Agent::new(settings, &node, address, group_events.clone()));
     let admin = node.serve_admin(agent.clone(), None).await?;
     log::info!(
         event = "listening", role = "agent", address:% = address, admin:% = admin,
@@ -47,6 +50,12 @@
 
     tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
     tokio::spawn(sweep(Arc::clone(&agent)));
+    tokio::spawn(group::run(
+        Arc::clone(&agent),
+        group_events,
+        group_inbox,
+        node.control.snapshot(),
+    ));
     signals.first().await;
 
     log::info!(event = "leaving"; "no new work is taken");
--- /dev/null
+++ b/crates/sardinepin/src/agent/group.rs
@@ -0,0 +1,286 @@
+//! This agent's part in its rank group's map switches: one loop drives its two machines.
+
+mod engine;
+mod peers;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sardinepin_common::{Millis, rank_by_weight};
+use sardinepin_config::{Group, Snapshot};
+use sardinepin_groups::{
+    Coordinator, CoordinatorInput, CoordinatorOutput, Ending, GroupMessage, OrderReply, Rank,
+    RankId, RankInput, RankOutput, SwitchSettings,
+};
+use sardinepin_protocol::decode;
+use serde::Deserialize;
+use tokio::sync::{mpsc, watch};
+
+use crate::agent::group::engine::EngineOrders;
+use crate::agent::group::peers::Peers;
+use crate::agent::state::SharedAgent;
+
+/// The time between two ticks of the machines.
+const TICK: Millis = Millis(50);
+
+/// How long a member waits for the one before it to begin a switch, and before it tries again.
+const TURN: Millis = Millis(2_000);
+
+/// What the loop is told.
+#[derive(Debug)]
+pub(crate) enum GroupEvent {
+    /// A message of another member came.
+    Message {
+        /// The group that it is for.
+        group: String,
+        /// The encoded message.
+        payload: Bytes,
+    },
+    /// The engine has answered the last order, or nothing is known of it.
+    Reply(Option<OrderReply>),
+}
+
+/// The map that the configuration wants a group to work from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+struct WantedMap {
+    /// The digest of the map's content.
+    digest: u64,
+}
+
+/// The group as this agent's configuration describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Place {
+    group: Arc<Group>,
+    rank: RankId,
+}
+
+/// One member of a rank group.
+struct Member {
+    agent: SharedAgent,
+    place: Place,
+    rank: Rank,
+    coordinator: Coordinator,
+    peers: Peers,
+    engine: EngineOrders,
+    wanted: Option<WantedMap>,
+    /// When this member may propose the wanted map.
+    turn: Millis,
+}
+
+/// Follows the configuration, and takes part in whatever group it puts this agent into.
+pub(crate) async fn run(
+    agent: SharedAgent,
+    events: mpsc::UnboundedSender<GroupEvent>,
+    mut inbox: mpsc::UnboundedReceiver<GroupEvent>,
+    mut snapshots: watch::Receiver<Arc<Snapshot>>,
+) {
+    // The configuration may have come before this began to listen for changes.
+    let first = Arc::clone(&snapshots.borrow_and_update());
+    let mut member = follow(None, &agent, &events, &first);
+    let mut ticks = tokio::time::interval(TICK.duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = inbox.recv() => match (event, &mut member) {
+                (Some(event), Some(member)) => member.take(event),
+                (Some(_), None) => {}
+                (None, _) => return,
+            },
+            changed = snapshots.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let snapshot = Arc::clone(&snapshots.borrow_and_update());
+                member = follow(member, &agent, &events, &snapshot);
+            }
+            _ = ticks.tick() => if let Some(member) = &mut member {
+                member.tick();
+            },
+        }
+    }
+}
+
+/// Keeps the member while its place stays as it is, and makes a new one otherwise.
+fn follow(
+    member: Option<Member>,
+    agent: &SharedAgent,
+    events: &mpsc::UnboundedSender<GroupEvent>,
+    snapshot: &Snapshot,
+) -> Option<Member> {
+    let place = find_place(&agent.identity.name, snapshot)?;
+    let mut member = match member {
+        Some(member) if member.place.group.ranks == place.group.ranks => member,
+        _ => Member::new(agent, place.clone(), events),
+    };
+    member.place = place;
+    member.peers.update(&member.place.group, snapshot);
+    member.want(snapshot);
+    Some(member)
+}
+
+fn find_place(name: &str, snapshot: &Snapshot) -> Option<Place> {
+    snapshot.groups().find_map(|group| {
+        let at = group.ranks.iter().position(|rank| rank == name)?;
+        Some(Place {
+            group: Arc::clone(group),
+            rank: RankId(u16::try_from(at).ok()?),
+        })
+    })
+}
+
+impl Member {
+    fn new(agent: &SharedAgent, place: Place, events: &mpsc::UnboundedSender<GroupEvent>) -> Self {
+        let settings = SwitchSettings {
+            ranks: u16::try_from(place.group.ranks.len()).unwrap_or(u16::MAX),
+            ..SwitchSettings::default()
+        };
+        let own = agent.identity.incarnation;
+        log::info!(
+            event = "group_joined", group = place.group.name.as_str(), rank = place.rank.0;
+            "takes part in a rank group"
+        );
+        Self {
+            rank: Rank::new(settings, place.rank, own),
+            coordinator: Coordinator::new(settings, place.rank, own),
+            peers: Peers::new(agent.identity.clone()),
+            engine: EngineOrders::new(Arc::clone(agent), events.clone()),
+            agent: Arc::clone(agent),
+            place,
+            wanted: None,
+            turn: Millis::ZERO,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.agent.clock.now()
+    }
+
+    /// Takes in the map that the configuration wants; members get their turns one after the other.
+    fn want(&mut self, snapshot: &Snapshot) {
+        let key = format!("maps/{}", self.place.group.name);
+        let value = snapshot
+            .entry(&key)
+            .and_then(|entry| entry.value.as_deref());
+        let wanted: Option<WantedMap> = value.and_then(|text| serde_json::from_str(text).ok());
+        if wanted == self.wanted {
+            return;
+        }
+        self.wanted = wanted;
+        let Some(map) = wanted else { return };
+        let order = rank_by_weight(
+            &(&self.place.group.name, map.digest),
+            &self.place.group.ranks,
+        );
+        let own = usize::from(self.place.rank.0);
+        let at = order
+            .iter()
+            .position(|rank| *rank == own)
+            .unwrap_or_default();
+        self.turn = self.now() + Millis(TURN.0 * at as u64);
+    }
+
+    fn take(&mut self, event: GroupEvent) {
+        match event {
+            GroupEvent::Message { group, payload } if group == self.place.group.name => {
+                match decode::<GroupMessage>(&payload) {
+                    Ok(message) => self.deliver(message),
+                    Err(error) => {
+                        log::warn!(event = "group_message", error:% = error; "a message cannot be read");
+                    }
+                }
+            }
+            GroupEvent::Message { .. } => {}
+            GroupEvent::Reply(Some(reply)) => self.tell_rank(RankInput::Reply(reply)),
+            GroupEvent::Reply(None) => self.tell_rank(RankInput::ReplyLost),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.tell_rank(RankInput::Tick);
+        self.tell_coordinator(CoordinatorInput::Tick);
+        self.propose();
+        metrics::gauge!("sardinepin_map_version", "group" => self.place.group.name.clone())
+            .set(self.rank.gate().active.0 as f64);
+    }
+
+    /// Proposes the wanted map, if it is this member's turn and nothing is under way.
+    fn propose(&mut self) {
+        let Some(map) = self.wanted else { return };
+        let due = self.now() >= self.turn && self.coordinator.is_idle();
+        if !due || self.place.group.held || self.has(map) {
+            return;
+        }
+        self.turn = self.now() + TURN;
+        self.tell_coordinator(CoordinatorInput::Propose { digest: map.digest });
+    }
+
+    /// Returns whether the engine works from this map, or is decided to.
+    fn has(&self, map: WantedMap) -> bool {
+        let gate = self.rank.gate();
+        let staged = gate.staged.map(|staged| staged.map);
+        staged
+            .is_some_and(|staged| staged.digest == map.digest && gate.has_committed(staged.version))
+    }
+
+    fn deliver(&mut self, message: GroupMessage) {
+        match message {
+            GroupMessage::Command(command) => self.tell_rank(RankInput::Command(command)),
+            GroupMessage::Report(report) => self.tell_coordinator(CoordinatorInput::Report(report)),
+        }
+    }
+
+    fn tell_rank(&mut self, input: RankInput) {
+        let mut outputs = Vec::new();
+        self.rank.handle(self.now(), input, &mut outputs);
+        for output in outputs {
+            match output {
+                RankOutput::Order { term, order } => self.engine.order(term, order),
+                RankOutput::Report { to, report } => self.send(to, GroupMessage::Report(report)),
+                RankOutput::TakeOver => self.tell_coordinator(CoordinatorInput::TakeOver),
+            }
+        }
+    }
+
+    fn tell_coordinator(&mut self, input: CoordinatorInput) {
+        let mut outputs = Vec::new();
+        self.coordinator.handle(self.now(), input, &mut outputs);
+        for output in outputs {
+            match output {
+                CoordinatorOutput::Command { to, command } => {
+                    self.send(to, GroupMessage::Command(command));
+                }
+                CoordinatorOutput::Named(map) => {
+                    log::info!(
+                        event = "switch_begun", group = self.place.group.name.as_str(),
+                        version = map.version.0;
+                        "a map switch has begun"
+                    );
+                }
+                CoordinatorOutput::Ended(ending) => self.ended(&ending),
+            }
+        }
+    }
+
+    fn send(&mut self, to: RankId, message: GroupMessage) {
+        if to == self.place.rank {
+            self.deliver(message);
+        } else {
+            self.peers.send(to, &message);
+        }
+    }
+
+    fn ended(&self, ending: &Ending) {
+        let label = match ending {
+            Ending::Committed(_) => "committed",
+            Ending::Aborted { .. } => "aborted",
+            Ending::Abandoned { .. } => "abandoned",
+            Ending::Settled => "settled",
+            Ending::Outranked => "outranked",
+        };
+        metrics::counter!("sardinepin_switches_total", "ending" => label).increment(1);
+        log::info!(
+            event = "switch_ended", group = self.place.group.name.as_str(), ending:? = ending;
+            "a map switch has ended here"
+        );
+    }
+}
--- a/crates/sardinepin/src/agent/session.rs
+++ b/crates/sardinepin/src/agent/session.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
-use sardinepin_protocol::{FrameReader, FrameWriter, ToAgent, ToEntry};
+use sardinepin_protocol::{FrameReader, FrameWriter, Role, ToAgent, ToEntry};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::agent::answer::ToLink;
+use crate::agent::group::GroupEvent;
 use crate::agent::runner;
 use crate::agent::state::{LinkId, SharedAgent};
 use crate::link;
@@ -39,12 +41,20 @@
         }
     };
     let (sender, frames) = mpsc::unbounded_channel();
-    let (id, replaced) = agent.open_link(link.peer.incarnation, sender.clone());
+    let is_entry = link.peer.role == Role::Entry;
+    let (id, replaced) = match is_entry {
+        true => agent.open_link(link.peer.incarnation, sender.clone()),
+        // An agent keeps several links, for questions and for its group; it runs nothing here.
+        false => (
+            LinkId::of_agent(link.peer.incarnation),
+            CancellationToken::new(),
+        ),
+    };
     log::info!(event = "link_up", peer = link.peer.name.as_str(); "link up");
     tokio::select! {
         () = read(&agent, id, &sender, link.reader) => {}
         () = write(link.writer, frames) => {}
-        () = report(&agent, &sender) => {}
+        () = report(&agent, &sender), if is_entry => {}
         () = replaced.cancelled() => {}
     }
     log::info!(event = "link_down", peer = link.peer.name.as_str(); "link down");
@@ -84,8 +94,10 @@
             let state = agent.keys.asked(&key, claimer);
             let _ = sender.send(ToEntry::Claim { ask, state });
         }
-        // TODO: pass group messages to the map switch.
-        ToAgent::Hello(_) | ToAgent::Group { .. } => {}
+        ToAgent::Group { group, payload } => {
+            let _ = agent.group.send(GroupEvent::Message { group, payload });
+        }
+        ToAgent::Hello(_) => {}
     }
 }
 
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -8,11 +8,12 @@
     AttemptEvent, AttemptSettings, AttemptState, Attempts, KeptAnswer, Taken,
 };
 use sardinepin_protocol::{Attempt, ErrorKind, Settled, ToEntry};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use crate::admin::Health;
 use crate::agent::answer::{Answer, AnswerEnd, ToLink};
+use crate::agent::group::GroupEvent;
 use crate::agent::keys::Keys;
 use crate::agent::load::Gauge;
 use crate::agent::upstream::UpstreamClient;
@@ -30,6 +31,7 @@
     pub(crate) gauge: Gauge,
     pub(crate) upstream: UpstreamClient,
     pub(crate) keys: Keys,
+    pub(crate) group: mpsc::UnboundedSender<GroupEvent>,
     table: Mutex<Table>,
 }
 
@@ -57,9 +59,21 @@
     pub(crate) serial: u64,
 }
 
+impl LinkId {
+    /// Returns the link of another agent, over which no attempt is taken.
+    pub(crate) fn of_agent(peer: Incarnation) -> Self {
+        Self { peer, serial: 0 }
+    }
+}
+
 impl Agent {
     /// Makes an agent without attempts.
-    pub(crate) fn new(settings: Settings, node: &Node, address: SocketAddr) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        node: &Node,
+        address: SocketAddr,
+        group: mpsc::UnboundedSender<GroupEvent>,
+    ) -> Self {
         let attempts = Attempts::new(AttemptSettings {
             keep_ms: settings.agent.keep_ms,
             ..AttemptSettings::default()
@@ -68,6 +82,7 @@
             slots: Semaphore::new(settings.agent.slots),
             gauge: Gauge::default(),
             upstream: UpstreamClient::new(settings.agent.upstream),
+            group,
             keys: Keys::new(&settings, node, address),
             settings,
             identity: node.identity.clone(),
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 
 use http::{HeaderName, HeaderValue, Request, Response, Uri};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use sardinepin_common::Term;
+use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, CallBody, ErrorKind, Field};
+use serde_json::json;
 
 /// Header fields that concern one connection only and are not passed on.
 const HOP_HEADERS: [&str; 8] = [
@@ -71,6 +74,19 @@
         }
     }
 
+    /// Gives the engine an order with its fencing number; `None` if no answer can be read.
+    pub(crate) async fn order(&self, term: Term, order: Order) -> Option<OrderReply> {
+        let body = serde_json::to_vec(&json!({"term": term, "order": order})).ok()?;
+        let request = Request::post(format!("http://{}/orders", self.address))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .ok()?;
+        // A fresh connection: a pooled one would carry the order again by itself.
+        let response = self.fresh.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+
     /// Returns whether the upstream has died or only broke off.
     pub(crate) async fn broke(&self) -> ErrorKind {
         match tokio::net::TcpStream::connect(self.address).await {
--- a/crates/sardinepin/tests/outcomes/main.rs
+++ b/crates/sardinepin/tests/outcomes/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod leaving;
 mod not_run;
+mod one_map;
 mod shutdown;
 mod util;
 mod whole_answer;
--- /dev/null
+++ b/crates/sardinepin/tests/outcomes/one_map.rs
@@ -0,0 +1,244 @@
+//! In every step, all ranks of a group work from one expert map.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Result, ensure};
+use sardinepin_common::MapVersion;
+use sardinepin_groups::OrderReply;
+use sardinepin_standins::engine::StepRange;
+use sardinepin_standins::fleet::{Deployment, Fleet, Plan};
+use serde_json::json;
+
+use crate::util::*;
+
+const RANKS: usize = 3;
+
+/// A point of a switch, seen at an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Point {
+    /// It has been told of the next map.
+    Staging,
+    /// It has loaded the next map.
+    Staged,
+    /// It has promised to stop.
+    Armed,
+}
+
+const POINTS: [Point; 3] = [Point::Staging, Point::Staged, Point::Armed];
+
+async fn group(arguments: &[&str]) -> Result<Fleet> {
+    let deployment = Deployment::default()
+        .with_service(llm(), RANKS, &["zone-a"])
+        .with_group("g", "llm");
+    let fleet = Fleet::start(Plan {
+        deployment,
+        entries: 1,
+        engine_arguments: arguments.iter().map(|word| (*word).to_owned()).collect(),
+        ..Plan::default()
+    })
+    .await?;
+    wait_links(&fleet).await?;
+    Ok(fleet)
+}
+
+/// Wants a map of this content for the group.
+async fn want(fleet: &Fleet, digest: u64) -> Result<()> {
+    fleet
+        .put_config("maps", "g", &json!({"digest": digest}))
+        .await
+}
+
+async fn state(fleet: &Fleet, rank: usize) -> Result<OrderReply> {
+    fleet
+        .caller
+        .get(fleet.upstreams[rank].address(), "/ranks/state")
+        .await
+}
+
+/// Returns whether an engine works from the map of this content, with no promise open.
+async fn works_from(fleet: &Fleet, rank: usize, digest: u64) -> Result<bool> {
+    let gate = state(fleet, rank).await?.gate;
+    let staged = gate.staged.map(|staged| staged.map);
+    let active = staged.is_some_and(|map| map.digest == digest && gate.active == map.version);
+    Ok(active && gate.armed.is_none())
+}
+
+/// Waits until every rank works from the map of this content.
+async fn wait_map(fleet: &Fleet, digest: u64) -> Result<()> {
+    let result = until("every rank works from the wanted map", async || {
+        for rank in 0..RANKS {
+            if !works_from(fleet, rank, digest).await? {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    })
+    .await;
+    if let Err(error) = result {
+        let mut gates = Vec::new();
+        for rank in 0..RANKS {
+            gates.push(state(fleet, rank).await);
+        }
+        return Err(error.context(format!("{gates:#?}\n{}", fleet.output())));
+    }
+    Ok(())
+}
+
+/// Waits until some engine is at this point of the switch to the map of this content.
+async fn reach(fleet: &Fleet, point: Point, digest: u64) -> Result<()> {
+    until("a point of the switch", async || {
+        for rank in 0..RANKS {
+            let gate = state(fleet, rank).await?.gate;
+            let staged = gate.staged.filter(|staged| staged.map.digest == digest);
+            let reached = match point {
+                Point::Staging => staged.is_some(),
+                Point::Staged => staged.is_some_and(|staged| staged.ready),
+                Point::Armed => staged.is_some() && gate.armed.is_some(),
+            };
+            if reached || works_from(fleet, rank, digest).await? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    })
+    .await
+}
+
+/// Checks that no step ran on two maps, and returns how many steps two ranks recorded alike.
+async fn check_steps(fleet: &Fleet) -> Result<usize> {
+    let mut steps: BTreeMap<u64, MapVersion> = BTreeMap::new();
+    let mut shared = 0;
+    for upstream in &fleet.upstreams {
+        let ranges: Vec<StepRange> = fleet.caller.get(upstream.address(), "/steps").await?;
+        for range in ranges {
+            for step in range.from..=range.to {
+                match steps.insert(step, range.version) {
+                    Some(version) if version != range.version => {
+                        anyhow::bail!("step {step} ran on {version:?} and {:?}", range.version);
+                    }
+                    Some(_) => shared += 1,
+                    None => {}
+                }
+            }
+        }
+    }
+    ensure!(shared > 0, "the ranks share no step");
+    Ok(shared)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_in_every_step_of_quiet_switches() -> Result<()> {
+    let fleet = group(&[]).await?;
+    for digest in 1..=3 {
+        want(&fleet, digest).await?;
+        wait_map(&fleet, digest).await?;
+    }
+    check_steps(&fleet).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_when_an_agent_is_killed_at_any_point() -> Result<()> {
+    let mut fleet = group(&[]).await?;
+    let mut digest = 0;
+    for point in POINTS {
+        for victim in 0..RANKS {
+            digest += 1;
+            want(&fleet, digest).await?;
+            reach(&fleet, point, digest).await?;
+            fleet.agents[victim].child.kill9().await?;
+            fleet.restart_agent(victim).await?;
+            wait_map(&fleet, digest).await?;
+        }
+    }
+    check_steps(&fleet).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_when_an_agent_is_frozen_at_any_point_and_wakes_up() -> Result<()> {
+    let fleet = group(&[]).await?;
+    frozen_agents(&fleet).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_on_engines_that_ignore_fencing_numbers() -> Result<()> {
+    let fleet = group(&["--check-fence", "false"]).await?;
+    frozen_agents(&fleet).await
+}
+
+/// Freezes each agent at each point until another member has had its turn, then thaws it.
+async fn frozen_agents(fleet: &Fleet) -> Result<()> {
+    let mut digest = 0;
+    for point in POINTS {
+        for victim in 0..RANKS {
+            digest += 1;
+            want(fleet, digest).await?;
+            reach(fleet, point, digest).await?;
+            fleet.agents[victim].child.freeze()?;
+            // Long enough for another coordinator to begin while this one believes in itself.
+            tokio::time::sleep(std::time::Duration::from_millis(2_500)).await;
+            fleet.agents[victim].child.thaw()?;
+            wait_map(fleet, digest).await?;
+        }
+    }
+    check_steps(fleet).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_when_an_engine_is_killed_at_any_point() -> Result<()> {
+    let mut fleet = group(&[]).await?;
+    let mut digest = 0;
+    for point in POINTS {
+        for victim in [0, RANKS - 1] {
+            digest += 1;
+            want(&fleet, digest).await?;
+            reach(&fleet, point, digest).await?;
+            fleet.upstreams[victim].kill9().await?;
+            fleet.restart_upstream(victim).await?;
+            wait_map(&fleet, digest).await?;
+        }
+    }
+    check_steps(&fleet).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_with_the_platform_out_and_orders_unanswered() -> Result<()> {
+    let fleet = group(&[]).await?;
+    want(&fleet, 1).await?;
+    reach(&fleet, Point::Staging, 1).await?;
+    fleet
+        .faults(&fleet.platform, &json!({"down": true}))
+        .await?;
+    fleet
+        .faults(&fleet.upstreams[1], &json!({"lose_orders": true}))
+        .await?;
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    fleet.faults(&fleet.upstreams[1], &json!({})).await?;
+    wait_map(&fleet, 1).await?;
+    check_steps(&fleet).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_map_a_rank_that_never_answers_leaves_the_group_on_the_old_map() -> Result<()> {
+    let fleet = group(&[]).await?;
+    want(&fleet, 1).await?;
+    wait_map(&fleet, 1).await?;
+    fleet
+        .faults(&fleet.upstreams[2], &json!({"weights_out": true}))
+        .await?;
+    want(&fleet, 2).await?;
+    reach(&fleet, Point::Staged, 2).await?;
+    let before = state(&fleet, 0).await?.next_step;
+    until("the group goes on", async || {
+        Ok(state(&fleet, 0).await?.next_step > before + 100)
+    })
+    .await?;
+    assert!(!works_from(&fleet, 0, 2).await?);
+    fleet.faults(&fleet.upstreams[2], &json!({})).await?;
+    check_steps(&fleet).await?;
+    Ok(())
+}
