Take requests during an entry's grace

Cause: an entry that was told to stop refused every new request with not_ready from the first moment, since the control part is never ready once it leaves; so a balancer that had not yet looked at /readyz sent its callers into refusals. Ruled out: letting the control part leave only after the grace, since peers should hear of it at once. Change: the entry keeps whether it was ready when it began to leave. Measured: an_entry_in_its_grace_is_not_ready_and_takes_requests fails before (503 not_ready at the first request) and passes after.

--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -58,6 +58,8 @@
     numbers: AtomicU64,
     open: AtomicUsize,
     leaving: AtomicBool,
+    /// Whether the configuration could be relied on when this entry began to leave.
+    was_ready: AtomicBool,
     closed: CancellationToken,
 }
 
@@ -75,6 +77,7 @@
             numbers: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
+            was_ready: AtomicBool::new(false),
             closed: CancellationToken::new(),
         }
     }
@@ -93,7 +96,11 @@
     }
 
     /// Says that this entry is not ready any more; requests are still taken.
+    ///
+    /// It must be called before the control part leaves, after which that is never ready.
     pub(crate) fn leave(&self) {
+        self.was_ready
+            .store(*self.ready.borrow(), Ordering::Release);
         self.leaving.store(true, Ordering::Release);
     }
 
@@ -147,7 +154,7 @@
 
     async fn read(&self, peer: IpAddr, parts: &Parts, body: Incoming) -> Result<Call, ErrorKind> {
         let organisation = self.organisation(peer, parts)?;
-        if !*self.ready.borrow() {
+        if !*self.ready.borrow() && !self.was_ready.load(Ordering::Acquire) {
             return Err(ErrorKind::NotReady);
         }
         let snapshot = self.snapshot();
--- a/crates/sardinepin/tests/integration/operators.rs
+++ b/crates/sardinepin/tests/integration/operators.rs
@@ -20,7 +20,14 @@
 /// How often `status` is asked for what comes by itself.
 const LOOKS: usize = 6_000;
 
+/// Longer than any test takes: the grace of an entry that is watched while it stops.
+const GRACE_MS: u64 = 600_000;
+
 async fn start(name: &str) -> Result<Fleet> {
+    start_with(name, 50).await
+}
+
+async fn start_with(name: &str, grace_ms: u64) -> Result<Fleet> {
     let tokens = scratch(&format!("fleet-{name}-tokens"));
     std::fs::write(&tokens, format!("operator {OPERATOR_TOKEN} anna\n"))?;
     let service = Service {
@@ -33,6 +40,7 @@
         entries: 2,
         settings: json!({
             "tokens_file": tokens,
+            "stop": { "grace_ms": grace_ms },
             "cluster": {
                 "round_ms": 50,
                 "keys": [{ "number": 1, "secret": "a-secret-for-this-test" }],
@@ -219,3 +227,31 @@
     );
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_in_its_grace_is_not_ready_and_takes_requests() -> Result<()> {
+    let fleet = start_with("grace", GRACE_MS).await?;
+    let mut looks = 0;
+    while !call(&fleet, 0, "/x").await?.status.is_success() {
+        looks += 1;
+        assert!(looks < LOOKS, "{}", fleet.output());
+    }
+    fleet.entries[0].child.terminate()?;
+    let admin = fleet.entries[0].admin().context("no address")?;
+    let ready = async || {
+        let get = fleet
+            .caller
+            .call(Method::GET, admin, "/readyz", &[], Bytes::new());
+        Ok::<_, anyhow::Error>(get.await?.status.is_success())
+    };
+    let mut looks = 0;
+    while ready().await? {
+        looks += 1;
+        assert!(looks < LOOKS, "{}", fleet.output());
+    }
+    for _ in 0..20 {
+        let answer = call(&fleet, 0, "/x").await?;
+        assert!(answer.status.is_success(), "{answer:?}");
+    }
+    Ok(())
+}
