Hold a node not ready while all its peers are as empty as it is

Cause: with the platform out, fresh nodes took each other's empty configuration for the highest that is to be had, and were ready with nothing. Ruled out: leaving this to the entry's own check, which other roles lack. Change: peers count for readiness only once the node holds something.

--- a/crates/sardinepin/src/control/readiness.rs
+++ b/crates/sardinepin/src/control/readiness.rs
@@ -39,6 +39,7 @@
             waited: now.since(start) >= window,
             asked: heard_at.is_some_and(|at| now.since(at) >= window),
             heard: heard > 0,
+            holds: hub.revision() > Revision::default(),
             newest: hub.revision() >= highest,
         };
         if is_ready(&first) {
@@ -64,6 +65,8 @@
     asked: bool,
     /// A peer was heard.
     heard: bool,
+    /// It holds some configuration.
+    holds: bool,
     /// No live peer is known to hold more.
     newest: bool,
 }
@@ -74,7 +77,8 @@
     }
     // The platform's answer may be older than what peers hold, so they are waited for a little.
     let by_platform = facts.read && (facts.alone || facts.heard || facts.waited);
-    let by_peers = facts.asked;
+    // Peers that are all fresh themselves have nothing that could be relied on.
+    let by_peers = facts.asked && facts.holds;
     let by_itself = facts.alone && !facts.store;
     by_platform || by_peers || by_itself
 }
--- a/crates/sardinepin/tests/control.rs
+++ b/crates/sardinepin/tests/control.rs
@@ -122,6 +122,27 @@
     until("it is ready", || *node.control.ready().borrow()).await;
 }
 
+#[tokio::test]
+async fn fresh_nodes_without_platform_are_not_ready_by_each_others_word() {
+    let store = Arc::new(MemoryStore::new());
+    store.faults(|faults| faults.down = true);
+    let one = Node::start(0, 1, Vec::new(), &store).await;
+    let two = Node::start(1, 1, vec![one.address()], &store).await;
+    let heard = |node: &Node| {
+        count_where(node, |row| {
+            row.name != node.name && row.reach == Some(Reach::Whole)
+        })
+    };
+    until("they have heard each other", || {
+        heard(&one) + heard(&two) == 2
+    })
+    .await;
+    let lists = store.calls().lists;
+    // Ten more tries of both, a round each, are longer than peers are waited for.
+    until("they have waited", || store.calls().lists >= lists + 20).await;
+    assert!(!*one.control.ready().borrow() && !*two.control.ready().borrow());
+}
+
 #[tokio::test]
 async fn zone_that_is_cut_off_goes_on_and_catches_up() {
     let fleet = Fleet::start(6, 2).await;
