--- a/crates/sardinepin/src/control/hub.rs
+++ b/crates/sardinepin/src/control/hub.rs
@@ -25,6 +25,8 @@
     clock: Clock,
     store: Option<Arc<dyn Store>>,
     udp: Option<Arc<UdpSocket>>,
+    /// Where this node takes datagrams and fetches.
+    pub(super) address: SocketAddr,
     members: Mutex<Members>,
     snapshots: watch::Sender<Arc<Snapshot>>,
     watching: watch::Sender<bool>,
@@ -66,6 +68,7 @@
             clock,
             store,
             udp,
+            address,
             members: Mutex::new(members),
             snapshots: watch::Sender::new(Arc::default()),
             watching: watch::Sender::new(false),
@@ -92,6 +95,13 @@
         self.members().rows(self.now())
     }
 
+    /// Begins a round.
+    pub(super) fn tick(self: &Arc<Self>) {
+        self.input(Input::Tick);
+        let present = self.members().present_count();
+        metrics::gauge!("sardinepin_members_present").set(present as f64);
+    }
+
     pub(super) fn updates(&self) -> Vec<Update> {
         self.members().updates()
     }
@@ -207,6 +217,10 @@
             Output::Changed { name, state } => {
                 log::info!(event = "member", name = name.as_str(), state:? = state; "a node is seen in another state");
             }
+            Output::Doubted => {
+                metrics::counter!("sardinepin_members_doubted_total").increment(1);
+                log::info!(event = "doubted"; "this node was given up by others, and has said that it is there");
+            }
             Output::Refuted { name } => {
                 metrics::counter!("sardinepin_members_refuted_total").increment(1);
                 log::info!(event = "refuted", name = name.as_str(); "a node that was given up is there");
@@ -217,7 +231,7 @@
     /// Sends a datagram; one that the socket does not take at once is lost like any other.
     fn send(&self, to: SocketAddr, message: &Message) {
         let Some(socket) = &self.udp else { return };
-        if !self.border.sends(to) {
+        if !self.border.sends(self.address, to) {
             return;
         }
         let datagram = match encode(message).map(|body| seal(&self.keyring, &body)) {
--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Model checks of the core protocols, over the product's own state machines.
+
+pub mod attempt;
+pub mod claims;
+pub mod config_spread;
+pub mod explore;
