--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,17 +1,52 @@
-//! Trials that print one JSON line a run.
-
-use clap::Command;
+//! Trials: each prints one JSON line a run.
 
 mod control;
+mod decide;
+mod placement;
+
+use anyhow::Context;
+use clap::{ArgMatches, Command};
+use peak_alloc::PeakAlloc;
+
+/// Counts the bytes that are allocated.
+#[global_allocator]
+static ALLOCATOR: PeakAlloc = PeakAlloc;
+
+/// A trial: its command line and what runs it.
+struct Trial {
+    command: Command,
+    run: fn(&ArgMatches) -> anyhow::Result<()>,
+}
 
 fn main() -> anyhow::Result<()> {
+    let trials = trials();
+    let commands = trials.iter().map(|trial| trial.command.clone());
     let matches = Command::new("sardinepin-trials")
-        .about("Trials that print one JSON line a run")
+        .about("Runs a trial and prints JSON lines")
         .subcommand_required(true)
-        .subcommand(control::command())
+        .subcommands(commands)
         .get_matches();
-    match matches.subcommand() {
-        Some((control::NAME, args)) => control::run(args),
-        _ => anyhow::bail!("no such trial"),
-    }
+    let (name, arguments) = matches.subcommand().context("a trial is needed")?;
+    let trial = trials
+        .iter()
+        .find(|trial| trial.command.get_name() == name)
+        .context("no such trial")?;
+    (trial.run)(arguments)
+}
+
+fn trials() -> Vec<Trial> {
+    vec![
+        Trial {
+            command: control::command(),
+            run: control::run,
+        },
+        Trial {
+            command: decide::command(),
+            run: decide::run,
+        },
+        Trial {
+            command: placement::command(),
+            run: placement::run,
+        },
+    ]
 }
