--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -136,6 +136,10 @@
     HungUp => 499, Unknown, Never, "hung_up", "The caller hung up";
     /// The upstream broke off before its answer was whole.
     UpstreamBroke => 502, Unknown, Later, "upstream_broke", "The upstream broke off";
+    /// The upstream died while the request ran.
+    UpstreamCrashed => 502, Unknown, Later, "upstream_crashed", "The upstream died";
+    /// The upstream stalled, and the attempt was taken away from it.
+    Stalled => 502, Unknown, Later, "stalled", "The upstream stalled";
     /// The link to the agent was lost and the agent did not settle the attempt in time.
     LinkLost => 502, Unknown, Later, "link_lost", "The upstream's instance was lost";
     /// The deadline passed while the request ran.
@@ -146,6 +150,10 @@
     AnswerGone => 502, Unknown, Never, "answer_gone", "The answer to this key is no longer kept";
     /// A fault in this program.
     Internal => 500, Unknown, Never, "internal", "Internal error";
+    /// An operator names an object, or calls a path, that is not there.
+    NotFound => 404, NotRun, Never, "not_found", "There is nothing of that name";
+    /// The platform did not say whether an operator's change took effect.
+    Unsettled => 504, Unknown, Later, "unsettled", "The platform did not confirm the change";
 }
 
 impl fmt::Display for ErrorKind {
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -34,7 +34,7 @@
 }
 
 /// One header field of a call or an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Field {
     /// The name, in lower case.
     pub name: String,
@@ -94,7 +94,7 @@
 }
 
 /// What an agent says of an attempt after a link was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Settled {
     /// It has not run and never will.
     NotRun,
@@ -109,6 +109,8 @@
 pub enum ClaimState {
     /// The call has not run here and never will: the asker may take the claim over.
     Released,
+    /// The process is claiming the key itself and has not run the call: read the claim again.
+    Claiming,
     /// The call runs; ask again.
     Running,
     /// The call ran and gave this answer.
@@ -154,6 +156,8 @@
         /// How many chunks have arrived in order.
         chunks: u64,
     },
+    /// Asks for a sign of life.
+    Ping,
     /// Asks another agent about a claim that it made.
     AskClaim {
         /// The number of this question on this link.
@@ -239,6 +243,8 @@
         /// The encoded message.
         payload: Bytes,
     },
+    /// The answer to [`ToAgent::Ping`].
+    Pong,
     /// The upstream takes no new work from now on.
     Leaving,
     /// A load report.
--- /dev/null
+++ b/crates/sardinepin/src/entry.rs
@@ -0,0 +1,84 @@
+//! The role `entry`: takes requests from callers and follows each to its end.
+
+mod answers;
+mod call;
+mod core;
+mod directory;
+mod flight;
+mod follow;
+mod links;
+mod live;
+mod quarantine;
+mod server;
+mod sse;
+mod uplink;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::Context;
+use sardinepin_common::Millis;
+use sardinepin_protocol::Role;
+use tokio::net::TcpListener;
+
+use crate::admin::ControlBackend;
+use crate::entry::core::Core;
+use crate::entry::links::Links;
+use crate::entry::live::EntryLive;
+use crate::entry::quarantine::Quarantine;
+use crate::entry::server::Entry;
+use crate::node::Node;
+use crate::options::Settings;
+use crate::stop::{self, Signals};
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if the entry cannot listen.
+pub async fn run(settings: Settings) -> anyhow::Result<ExitCode> {
+    let mut signals = Signals::new()?;
+    let listener = TcpListener::bind(settings.entry.listen)
+        .await
+        .with_context(|| format!("entry.listen: cannot listen on {}", settings.entry.listen))?;
+    let address = listener.local_addr()?;
+    let node = Node::start(&settings, Role::Entry).await?;
+    let snapshots = node.control.snapshot();
+    let (core, quarantined) = Core::start(&settings, &node.identity, node.clock);
+    let quarantine = Quarantine::start(
+        core.clone(),
+        node.store.clone(),
+        quarantined,
+        snapshots.clone(),
+    );
+    let links = Links::start(node.identity.clone(), core.clone(), snapshots.clone());
+    let entry = Arc::new(Entry::new(settings, &node, core, links));
+    let live = Arc::new(EntryLive {
+        entry: Arc::clone(&entry),
+        quarantine,
+    });
+    let control = Arc::clone(&node.control);
+    let backend = ControlBackend::new(&node.identity.name, control, live.clone());
+    let admin = node.serve_admin(live, Some(Arc::new(backend))).await?;
+    log::info!(
+        event = "listening", role = "entry", address:% = address, admin:% = admin,
+        cluster = node.cluster_address().as_str();
+        "listening"
+    );
+
+    let server = tokio::spawn(server::serve(Arc::clone(&entry), listener));
+    signals.first().await;
+    log::info!(event = "leaving"; "not ready; new requests are still taken for a while");
+    entry.leave();
+    node.control.leave();
+    let drained = async {
+        tokio::time::sleep(Millis(entry.settings.stop.grace_ms).duration()).await;
+        entry.close();
+        let _ = server.await;
+    };
+    let finished = tokio::select! {
+        () = drained => true,
+        () = signals.first() => false,
+    };
+    Ok(stop::exit_code(finished, entry.open()))
+}
--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -1,3 +1,7 @@
-//! Model checks of the core protocols: they run the product's own machines.
+//! Model checks of the core protocols, over the product's own state machines.
 
+pub mod attempt;
+pub mod claims;
+pub mod config_spread;
+pub mod explore;
 pub mod one_map;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,3 +1,74 @@
-//! Placeholder.
+//! The command line of the stand-ins.
 
-fn main() {}
+mod arguments;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::{Context, Result, bail};
+use clap::ArgMatches;
+use sardinepin_standins::demo;
+use sardinepin_standins::engine::Engine;
+use sardinepin_standins::http::{Handler, serve};
+use sardinepin_standins::load;
+use sardinepin_standins::plain::Plain;
+use sardinepin_standins::platform::Platform;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use arguments::{command, demo_settings, engine_settings, given, load_settings};
+
+/// The exit code of a run of load that saw a wrong answer.
+const EXIT_WRONG: u8 = 1;
+
+#[tokio::main]
+async fn main() -> Result<ExitCode> {
+    let matches = command().get_matches();
+    let (name, matches) = matches.subcommand().context("a subcommand is needed")?;
+    if name == "load" {
+        return send_load(matches).await;
+    }
+    if name == "demo" {
+        print!("{}", demo::run(demo_settings(matches)?).await?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    let (handler, ranks) = handler(name, matches).await?;
+    let listen: SocketAddr = given(matches, "listen")?;
+    let listener = TcpListener::bind(listen).await?;
+    let listening = json!({"listening": listener.local_addr()?, "ranks": ranks});
+    println!("{listening}");
+    serve(listener, handler).await;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Returns what serves, and where a rank of a group announces its steps.
+async fn handler(
+    name: &str,
+    matches: &ArgMatches,
+) -> Result<(Arc<dyn Handler>, Option<SocketAddr>)> {
+    match name {
+        "plain" => {
+            let journal = matches.get_one::<PathBuf>("journal");
+            Ok((Plain::start(journal.map(PathBuf::as_path))?, None))
+        }
+        "platform" => Ok((Platform::start(), None)),
+        "engine" => {
+            let engine = Engine::start(engine_settings(matches)?).await?;
+            let ranks = engine.rank_address();
+            Ok((engine, ranks))
+        }
+        other => bail!("no such stand-in: {other}"),
+    }
+}
+
+async fn send_load(matches: &ArgMatches) -> Result<ExitCode> {
+    let report = load::run(load_settings(matches)?).await?;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(if report.wrong == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_WRONG)
+    })
+}
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,9 +1,16 @@
-//! Trials of the decisions: each prints one JSON line a run.
+//! Trials: each prints one JSON line a run.
 
+mod control;
+mod decide;
 mod placement;
 
 use anyhow::Context;
 use clap::{ArgMatches, Command};
+use peak_alloc::PeakAlloc;
+
+/// Counts the bytes that are allocated.
+#[global_allocator]
+static ALLOCATOR: PeakAlloc = PeakAlloc;
 
 /// A trial: its command line and what runs it.
 struct Trial {
@@ -28,8 +35,18 @@
 }
 
 fn trials() -> Vec<Trial> {
-    vec![Trial {
-        command: placement::command(),
-        run: placement::run,
-    }]
+    vec![
+        Trial {
+            command: control::command(),
+            run: control::run,
+        },
+        Trial {
+            command: decide::command(),
+            run: decide::run,
+        },
+        Trial {
+            command: placement::command(),
+            run: placement::run,
+        },
+    ]
 }
