Take the races out of the tests of leaving

Three causes: the agent logged 'leaving' before it left; one test sent its call right after the signal, which the agent may take before it handles it; the calls that are held were keyed, so that rendezvous hashing put four of them on one upstream, which is the limit a new upstream starts with, and the probes then waited in the queue. Ruled out: a wait of the queue for an upstream that has room (the limit of the other upstream was reached; none of its calls could end to raise it). Change: leave first, then log; wait for it; hold one more call than there are upstreams, without keys. Conclusion: the races were the tests' and one line of the agent's; no bound was changed.

--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -58,8 +58,8 @@
     ));
     signals.first().await;
 
-    log::info!(event = "leaving"; "no new work is taken");
     agent.leave();
+    log::info!(event = "leaving"; "no new work is taken");
     node.control.leave();
     let finished = stop::until_done(&mut signals, || agent.is_idle()).await;
     Ok(stop::exit_code(finished, agent.open()))
--- a/crates/sardinepin/tests/outcomes/leaving.rs
+++ b/crates/sardinepin/tests/outcomes/leaving.rs
@@ -23,23 +23,21 @@
 async fn hold(fleet: &Fleet) -> Result<Held> {
     upstream_faults(fleet, json!({"hold_before": true})).await?;
     let mut calls = Vec::new();
-    let preferred = loop {
-        calls.push(start_book(fleet, 0, &format!("held{}", calls.len())));
-        let all = calls.len() as u64;
+    // One more than there are upstreams, so that one of them holds more than the others.
+    for all in 1..=fleet.upstreams.len() as u64 + 1 {
+        calls.push(start_status(fleet, 0));
         until("the call is held", async || {
             Ok(held(fleet).await?.iter().sum::<u64>() == all)
         })
         .await?;
-        let held = held(fleet).await?;
-        let fewest = held.iter().copied().min().unwrap_or_default();
-        let most = held.iter().copied().max().unwrap_or_default();
-        if fewest > 0 && fewest < most {
-            break held
-                .iter()
-                .position(|count| *count == fewest)
-                .unwrap_or_default();
-        }
-    };
+    }
+    let held = held(fleet).await?;
+    let fewest = held.iter().copied().min().unwrap_or_default();
+    ensure!(fewest > 0, "the calls are not spread: {held:?}");
+    let preferred = held
+        .iter()
+        .position(|count| *count == fewest)
+        .unwrap_or_default();
     upstream_faults(fleet, json!({"hold_before": true, "only": "nothing"})).await?;
     ensure!(
         probes(fleet, 0, preferred).await? > 0,
@@ -97,7 +95,7 @@
     fleet
         .faults(&fleet.platform, &json!({"down": true}))
         .await?;
-    fleet.agents[at].child.terminate()?;
+    leave(&fleet, at).await?;
     finish(&fleet, held).await?;
     assert!(fleet.agents[at].child.wait_exit().await?.success());
     Ok(())
@@ -129,15 +127,18 @@
     let open = start_book(&fleet, 0, "open");
     wait_held(&fleet).await?;
     relay.change(|flow| flow.hold_back = true);
-    fleet.agents[0].child.terminate()?;
-    until("the agent is leaving", async || {
-        Ok(fleet.agents[0].child.output().contains("\"leaving\""))
-    })
-    .await?;
+    leave(&fleet, 0).await?;
     let late = start_book(&fleet, 0, "late");
     tokio::time::sleep(std::time::Duration::from_millis(200)).await;
     relay.change(|flow| flow.hold_back = false);
-    assert_eq!(outcome(&late.await??), "not_run");
+    let late = late.await??;
+    assert_eq!(
+        outcome(&late),
+        "not_run",
+        "{}\n{}",
+        reason(&late),
+        fleet.output()
+    );
     release(&fleet).await;
     assert_eq!(outcome(&open.await??), "answered");
     assert_eq!(runs(&fleet, "late").await?, 0);
--- a/crates/sardinepin/tests/outcomes/shutdown.rs
+++ b/crates/sardinepin/tests/outcomes/shutdown.rs
@@ -25,7 +25,7 @@
     upstream_faults(&fleet, json!({"hold_before": true})).await?;
     let call = start_book(&fleet, 0, "k");
     wait_held(&fleet).await?;
-    fleet.agents[0].child.terminate()?;
+    leave(&fleet, 0).await?;
     let refused = book(&fleet, 0, "k2", "seat").await?;
     assert_eq!(outcome(&refused), "not_run");
     release(&fleet).await;
--- a/crates/sardinepin/tests/outcomes/util.rs
+++ b/crates/sardinepin/tests/outcomes/util.rs
@@ -145,6 +145,27 @@
     tokio::spawn(async move { call_book(&caller, address, &key, "seat").await })
 }
 
+/// Starts a call that needs no key and goes on beside the test.
+pub(crate) fn start_status(fleet: &Fleet, entry: usize) -> tokio::task::JoinHandle<Result<Answer>> {
+    let caller = fleet.caller.clone();
+    let address = fleet.entries[entry].address();
+    tokio::spawn(async move {
+        let headers = [("x-organisation", "o1")];
+        caller
+            .call(Method::GET, address, "/status", &headers, Bytes::new())
+            .await
+    })
+}
+
+/// Tells an agent to stop, and waits until it takes no new work.
+pub(crate) async fn leave(fleet: &Fleet, at: usize) -> Result<()> {
+    fleet.agents[at].child.terminate()?;
+    until("the agent is leaving", async || {
+        Ok(fleet.agents[at].child.output().contains("\"leaving\""))
+    })
+    .await
+}
+
 /// Returns what an answer says of the run.
 pub(crate) fn outcome(answer: &Answer) -> &str {
     answer.header("x-sardinepin-outcome")
