Report the engine's load and its age, and say little about idle upstreams

Ruled out: reports from a subset of entries' links only, which needs the subset to be agreed on; the idle links are the many. Change: the agent reads a model engine's load, adds waiting, step time and age to its reports, and an idle link carries one report in twenty rounds (10 s). Conclusion: the balancer's inputs are filled; the traffic is to be measured.

--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -50,6 +50,8 @@
 
     tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
     tokio::spawn(sweep(Arc::clone(&agent)));
+    let snapshots = node.control.snapshot();
+    tokio::spawn(session::read_engine(Arc::clone(&agent), snapshots));
     tokio::spawn(group::run(
         Arc::clone(&agent),
         group_events,
--- a/crates/sardinepin/src/agent/load.rs
+++ b/crates/sardinepin/src/agent/load.rs
@@ -1,14 +1,30 @@
-//! Load reports of the agent's own queue and slots.
+//! Load reports: the agent's own queue and slots, and what its engine last said.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use std::sync::{Mutex, PoisonError};
+
+use sardinepin_common::Millis;
 use sardinepin_protocol::Load;
+use serde::Deserialize;
+
+/// An engine's report of its own load.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct EngineLoad {
+    /// The requests that wait for a place in a step.
+    waiting: u32,
+    /// The time of a step, in microseconds.
+    step_micros: u32,
+}
 
 /// Counts the attempts that wait and run.
 #[derive(Debug, Default)]
 pub(crate) struct Gauge {
     waiting: AtomicU32,
     running: AtomicU32,
+    /// What the engine last said, and when.
+    engine: Mutex<Option<(Millis, EngineLoad)>>,
 }
 
 impl Gauge {
@@ -28,12 +44,26 @@
         Counted(&self.running)
     }
 
-    /// Returns a report for an upstream that runs `slots` attempts at once.
-    pub(crate) fn report(&self, slots: usize) -> Load {
+    /// Returns how many attempts run.
+    pub(crate) fn running(&self) -> u32 {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Takes in what the engine says at `now`.
+    pub(crate) fn hear_engine(&self, now: Millis, load: EngineLoad) {
+        *self.engine.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
+    }
+
+    /// Returns a report at `now` for an upstream that runs `slots` attempts at once.
+    pub(crate) fn report(&self, now: Millis, slots: usize) -> Load {
+        let heard = *self.engine.lock().unwrap_or_else(PoisonError::into_inner);
+        let (at, engine) = heard.unwrap_or((now, EngineLoad::default()));
         Load {
-            running: self.running.load(Ordering::Acquire),
-            waiting: self.waiting.load(Ordering::Acquire),
+            running: self.running(),
+            waiting: self.waiting.load(Ordering::Acquire) + engine.waiting,
             slots: u32::try_from(slots).unwrap_or(u32::MAX),
+            step_micros: engine.step_micros,
+            age_ms: u32::try_from(now.since(at).0).unwrap_or(u32::MAX),
             ..Load::default()
         }
     }
--- a/crates/sardinepin/src/agent/session.rs
+++ b/crates/sardinepin/src/agent/session.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
+use sardinepin_config::{ServiceKind, Snapshot};
 use sardinepin_protocol::{FrameReader, FrameWriter, Role, ToAgent, ToEntry};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::answer::ToLink;
@@ -32,6 +33,9 @@
     }
 }
 
+/// How many rounds an idle upstream lets pass between two load reports.
+const IDLE_ROUNDS: u32 = 20;
+
 async fn serve(agent: SharedAgent, stream: TcpStream) {
     let link = match link::accept(stream, &agent.identity).await {
         Ok(link) => link,
@@ -126,10 +130,41 @@
 }
 
 async fn report(agent: &SharedAgent, sender: &ToLink) {
+    let period = Millis(agent.settings.agent.report_ms);
+    let mut last = agent.load();
+    let mut idle_rounds = 0;
+    let _ = sender.send(ToEntry::Load(last));
+    loop {
+        tokio::time::sleep(period.duration()).await;
+        let load = agent.load();
+        let busy = (load.running, load.waiting) != (0, 0) || load.running != last.running;
+        idle_rounds += 1;
+        // An idle upstream has little to say, and every entry would have to hear it.
+        if busy || idle_rounds >= IDLE_ROUNDS {
+            idle_rounds = 0;
+            last = load;
+            let _ = sender.send(ToEntry::Load(load));
+        }
+    }
+}
+
+/// Reads the load of a model engine for as long as the process lives.
+pub(crate) async fn read_engine(agent: SharedAgent, snapshots: watch::Receiver<Arc<Snapshot>>) {
     let period = Millis(agent.settings.agent.report_ms);
     loop {
-        let load = agent.gauge.report(agent.settings.agent.slots);
-        let _ = sender.send(ToEntry::Load(load));
         tokio::time::sleep(period.duration()).await;
+        if !is_model(&agent.identity.name, &snapshots.borrow()) {
+            continue;
+        }
+        if let Some(load) = agent.upstream.load(period).await {
+            agent.gauge.hear_engine(agent.clock.now(), load);
+        }
     }
 }
+
+/// Returns whether the configuration has this upstream serve a model.
+fn is_model(name: &str, snapshot: &Snapshot) -> bool {
+    let upstream = snapshot.upstream(name);
+    let service = upstream.and_then(|upstream| snapshot.service(&upstream.service));
+    service.is_some_and(|service| service.kind == ServiceKind::Model)
+}
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -7,7 +7,7 @@
 use sardinepin_decisions::{
     AttemptEvent, AttemptSettings, AttemptState, Attempts, KeptAnswer, Taken,
 };
-use sardinepin_protocol::{Attempt, ErrorKind, Settled, ToEntry};
+use sardinepin_protocol::{Attempt, ErrorKind, Load, Settled, ToEntry};
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 
@@ -221,6 +221,12 @@
         true
     }
 
+    /// Returns a load report as of now.
+    pub(crate) fn load(&self) -> Load {
+        self.gauge
+            .report(self.clock.now(), self.settings.agent.slots)
+    }
+
     /// Ends an attempt with the answer of an earlier run of the same key.
     pub(crate) fn replay(&self, id: AttemptId, answer: &KeptAnswer) {
         self.with_answer(id, |kept| {
@@ -264,7 +270,7 @@
         let now = self.clock.now();
         let table = self.table();
         let wanted = |answer: &Answer| !answer.is_abandoned(now);
-        let running = self.gauge.report(0).running > 0;
+        let running = self.gauge.running() > 0;
         !running && table.attempts.open() == 0 && !table.answers.values().any(wanted)
     }
 
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -7,10 +7,13 @@
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use sardinepin_common::Term;
+use sardinepin_common::{Millis, Term};
 use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, CallBody, ErrorKind, Field};
 use serde_json::json;
+use tokio::time::timeout;
+
+use crate::agent::load::EngineLoad;
 
 /// Header fields that concern one connection only and are not passed on.
 const HOP_HEADERS: [&str; 8] = [
@@ -87,6 +90,18 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Reads the engine's own load; `None` if it gives none in time.
+    pub(crate) async fn load(&self, at_most: Millis) -> Option<EngineLoad> {
+        let uri = format!("http://{}/load", self.address);
+        let request = Request::get(uri).body(Full::default()).ok()?;
+        let exchange = async {
+            let response = self.pooled.request(request).await.ok()?;
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            serde_json::from_slice(&body).ok()
+        };
+        timeout(at_most.duration(), exchange).await.ok()?
+    }
+
     /// Returns whether the upstream has died or only broke off.
     pub(crate) async fn broke(&self) -> ErrorKind {
         match tokio::net::TcpStream::connect(self.address).await {
