Load the cut links before the first datagram

Ruled out: a fault of readiness; with the cut in place from the start the entry waits. Change: the border reads the file before any task of the control part starts. It serves tests and trials only.

--- a/crates/sardinepin/src/control.rs
+++ b/crates/sardinepin/src/control.rs
@@ -65,6 +65,8 @@
     ) -> anyhow::Result<Self> {
         let mut tasks = JoinSet::new();
         let border = Arc::new(Border::new(&settings.cluster.faults, incarnation));
+        // Before the first datagram: a node that starts while it is cut off is cut off at once.
+        border.reload().await;
         let alone = settings.cluster.keys.is_empty();
         if alone {
             log::warn!(event = "no_cluster_keys"; "this node speaks to no others");
