Fetch whole tables sooner and do not send them on

Cause: at 128 nodes the bytes of a node doubled against 8 nodes, since every node sent each statement of the table that it had fetched on as news.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -135,8 +135,12 @@
     counter: u64,
     round: u64,
     ticked: Option<Millis>,
-    /// The round in which the table last changed or was last fetched; none before the first fetch.
-    settled: Option<u64>,
+    /// The round in which a whole table was last fetched.
+    synced: Option<u64>,
+    /// The round in which the table last changed.
+    changed: u64,
+    /// The round since which no other node was heard that sees the same nodes.
+    differs: Option<u64>,
     fetching: bool,
     watching: bool,
 }
@@ -162,7 +166,9 @@
             counter: 0,
             round: 0,
             ticked: None,
-            settled: None,
+            synced: None,
+            differs: None,
+            changed: 0,
             fetching: false,
             watching: false,
             settings,
@@ -288,7 +294,7 @@
         if !self.table.refresh() {
             return;
         }
-        self.settled = self.settled.map(|_| self.round);
+        self.changed = self.round;
         let watching = self.table.is_watcher(self.settings.watchers);
         if watching != self.watching {
             self.watching = watching;
--- a/crates/membership/src/members/inputs.rs
+++ b/crates/membership/src/members/inputs.rs
@@ -6,6 +6,9 @@
 use crate::message::{Kind, Message, State, Update};
 use crate::table::Merged;
 
+/// How many times rarer a whole table is fetched for a difference that does not last.
+const QUIET: u64 = 3;
+
 impl Members {
     pub(super) fn heard(&mut self, now: Millis, message: Message, out: &mut Vec<Output>) {
         if let Some(why) = self.refuse(now, &message, out) {
@@ -91,15 +94,20 @@
         }
     }
 
-    /// Fetches from a sender that holds more than this node.
+    /// Fetches from a sender that holds more than this node, or has long seen other nodes.
     fn compare(&mut self, message: &Message, out: &mut Vec<Output>) {
-        let table = message.seen != self.table.seen && self.is_settled();
+        if message.seen == self.table.seen {
+            self.differs = None;
+        } else {
+            self.differs.get_or_insert(self.round);
+        }
+        let table = self.wants_table();
         if self.fetching || !(table || message.revision > self.revision) {
             return;
         }
         self.fetching = true;
         if table {
-            self.settled = Some(self.round);
+            self.synced = Some(self.round);
         }
         out.push(Output::Fetch {
             from: message.me.address,
@@ -107,22 +115,34 @@
         });
     }
 
-    /// Returns whether news should have come by now; a new node asks at once.
-    fn is_settled(&self) -> bool {
-        self.settled
-            .is_none_or(|settled| self.round >= settled + self.settings.settle_rounds)
+    /// Returns whether news should have made the tables equal by now; a new node asks at once.
+    ///
+    /// Others that are as ignorant do not hide a difference for good: where no news comes any more,
+    /// it counts too, though less often.
+    fn wants_table(&self) -> bool {
+        let wait = self.settings.settle_rounds;
+        let Some(differs) = self.differs else {
+            return false;
+        };
+        let Some(synced) = self.synced else {
+            return true;
+        };
+        let long = self.round >= synced.max(differs) + wait;
+        let quiet = self.round >= (synced + wait * QUIET).max(self.changed + wait);
+        long || quiet
     }
 
     pub(super) fn fetched(&mut self, whole: bool) {
         self.fetching = false;
         if !whole {
-            self.settled = None;
+            self.synced = None;
         }
     }
 
     pub(super) fn take_table(&mut self, now: Millis, updates: &[Update], out: &mut Vec<Output>) {
+        // The others know all this, or will find their tables different too: it is no news.
         for update in updates {
-            self.merge(now, update, out);
+            self.take_update(now, update, out);
         }
     }
 
@@ -143,13 +163,19 @@
         self.ping_peers(now, self.settings.peers, out);
     }
 
+    /// Takes a statement, and sends it on if it is news.
     fn merge(&mut self, now: Millis, update: &Update, out: &mut Vec<Output>) -> Merged {
+        let merged = self.take_update(now, update, out);
+        if matches!(merged, Merged::Newer { .. }) {
+            self.spread(&update.name);
+        }
+        merged
+    }
+
+    fn take_update(&mut self, now: Millis, update: &Update, out: &mut Vec<Output>) -> Merged {
         let merged = self.table.merge(now, update);
         match merged {
-            Merged::Newer { before } => {
-                self.spread(&update.name);
-                self.report(update, before, out);
-            }
+            Merged::Newer { before } => self.report(update, before, out),
             // Every message bears this node's own statement, so nothing more is to be sent.
             Merged::Refuted if update.incarnation == self.table.me.incarnation => {
                 out.push(Output::Doubted);
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -54,7 +54,7 @@
             news_max: 8,
             strangers_every: 4,
             forget: Millis(3_600_000),
-            settle_rounds: 20,
+            settle_rounds: 10,
             watchers: 2,
             members_max: 10_000,
         }
--- a/crates/sardinepin/src/control/fetch/server.rs
+++ b/crates/sardinepin/src/control/fetch/server.rs
@@ -78,6 +78,8 @@
             part,
         };
         let frame = seal_frame(&hub.keyring, &encode(&answer)?)?;
+        metrics::counter!("sardinepin_cluster_bytes_total", "way" => "served")
+            .increment(frame.len() as u64);
         stream.send(Bytes::from(frame)).await?;
     }
     Ok(())
--- a/trials/src/control.rs
+++ b/trials/src/control.rs
@@ -19,6 +19,8 @@
     zones: usize,
     loss_milli: u32,
     seconds: u64,
+    change_ms: u64,
+    replace_every: usize,
     choice: String,
 }
 
@@ -46,6 +48,16 @@
                 .value_parser(value_parser!(f64)),
         )
         .arg(number("seconds", "30", "How long the changes go on"))
+        .arg(number(
+            "change-ms",
+            "2000",
+            "The time between two changes, in milliseconds",
+        ))
+        .arg(number(
+            "replace-every",
+            "5",
+            "An agent is replaced with every so many changes; 0 for none",
+        ))
         .arg(
             Arg::new("choice")
                 .long("choice")
@@ -68,6 +80,8 @@
         zones: usize::try_from(given(matches, "zones"))?,
         loss_milli: (matches.get_one::<f64>("loss").copied().unwrap_or_default() * 1_000.0) as u32,
         seconds: given(matches, "seconds"),
+        change_ms: given(matches, "change-ms"),
+        replace_every: usize::try_from(given(matches, "replace-every"))?,
         choice: matches
             .get_one::<String>("choice")
             .cloned()
--- a/trials/src/control/probe.rs
+++ b/trials/src/control/probe.rs
@@ -17,6 +17,8 @@
 pub(super) struct Usage {
     /// Bytes of datagrams and fetches, both ways.
     pub(super) bytes: f64,
+    /// Bytes of fetches among these, as received.
+    pub(super) fetched: f64,
     /// Datagrams, both ways.
     pub(super) messages: f64,
     /// How many times the node was given up by others while it was there.
@@ -41,6 +43,7 @@
     let pid = node.child.pid();
     Ok(Usage {
         bytes: sum(&text, "sardinepin_cluster_bytes_total"),
+        fetched: sum(&text, "sardinepin_cluster_bytes_total{way=\"fetched\"}"),
         messages: sum(&text, "sardinepin_cluster_datagrams_total"),
         doubted: sum(&text, "sardinepin_members_doubted_total"),
         present: sum(&text, "sardinepin_members_present"),
--- a/trials/src/control/run.rs
+++ b/trials/src/control/run.rs
@@ -12,12 +12,6 @@
 use super::journal;
 use super::probe::{Usage, usage};
 
-/// The time between two changes.
-const CHANGE_EVERY: Millis = Millis(2_000);
-
-/// An agent is replaced with every so many changes.
-const REPLACE_EVERY: usize = 5;
-
 /// How long all nodes may take to see each other, or a change to be in force.
 const SETTLES_WITHIN: Millis = Millis(120_000);
 
@@ -76,11 +70,12 @@
     Ok(json!({
         "trial": "control", "seed": plan.seed, "nodes": total, "entries": plan.entries,
         "agents": plan.agents, "zones": plan.zones, "loss_milli": plan.loss_milli,
-        "choice": plan.choice, "seconds": round(seconds), "changes": written.len(),
+        "choice": plan.choice, "seconds": round(seconds), "change_ms": plan.change_ms, "changes": written.len(),
         "replaced": replaced.len(), "samples": lags.len(),
         "in_force_p50_ms": lags[lags.len() / 2].0,
         "in_force_max_ms": lags[lags.len() - 1].0,
         "bytes_per_node_s": round(mean(|usage| usage.bytes)),
+        "fetched_bytes_per_node_s": round(mean(|usage| usage.fetched)),
         "messages_per_node_s": round(mean(|usage| usage.messages)),
         "platform_reads_s": round(reads as f64 / seconds),
         "platform_writes_s": round((counted.writes - counts.writes) as f64 / seconds),
@@ -106,10 +101,10 @@
     let mut written = Vec::new();
     while clock.now() < end {
         written.push(write(&store, written.len()).await?);
-        if written.len().is_multiple_of(REPLACE_EVERY) {
+        if plan.replace_every > 0 && written.len().is_multiple_of(plan.replace_every) {
             replaced.insert(processes.replace(rng.random_range(0..usize::MAX)).await?);
         }
-        tokio::time::sleep(CHANGE_EVERY.duration()).await;
+        tokio::time::sleep(Millis(plan.change_ms).duration()).await;
     }
     Ok(written)
 }
