--- a/trials/src/placement/strategy.rs
+++ b/trials/src/placement/strategy.rs
@@ -1,5 +1,6 @@
 //! The ways of placement that are compared.
 
+use sardinepin_common::Millis;
 use sardinepin_groups::{Estimate, ExpertMap, PlacementSettings, Planner, place};
 
 use crate::placement::workload::Shape;
@@ -8,7 +9,7 @@
 const FULL_EVERY: usize = 60;
 
 /// How often the planner decides, in seconds.
-const DECIDE_EVERY: usize = 2;
+const DECIDE_EVERY: usize = 1;
 
 /// A way of placement.
 pub(crate) trait Strategy {
@@ -19,7 +20,7 @@
     fn is_due(&self, second: usize) -> bool;
 
     /// Returns the next map, if there should be one.
-    fn decide(&mut self, map: &ExpertMap) -> Option<ExpertMap>;
+    fn decide(&mut self, now: Millis, map: &ExpertMap) -> Option<ExpertMap>;
 }
 
 /// Keeps the first map.
@@ -32,7 +33,7 @@
         false
     }
 
-    fn decide(&mut self, _: &ExpertMap) -> Option<ExpertMap> {
+    fn decide(&mut self, _: Millis, _: &ExpertMap) -> Option<ExpertMap> {
         None
     }
 }
@@ -47,7 +48,7 @@
 impl Full {
     pub(crate) fn new(shape: &Shape, settings: &PlacementSettings) -> Self {
         Self {
-            estimate: Estimate::new(shape.experts, settings.report_share),
+            estimate: Estimate::new(shape.experts, settings.report_share, settings.report_ahead),
             ranks: shape.ranks,
             per_rank: shape.per_rank(),
         }
@@ -63,7 +64,7 @@
         second > 0 && second.is_multiple_of(FULL_EVERY)
     }
 
-    fn decide(&mut self, _: &ExpertMap) -> Option<ExpertMap> {
+    fn decide(&mut self, _: Millis, _: &ExpertMap) -> Option<ExpertMap> {
         place(&self.estimate.loads(), self.ranks, self.per_rank)
     }
 }
@@ -77,7 +78,7 @@
 impl Sardinepin {
     pub(crate) fn new(shape: &Shape, settings: &PlacementSettings) -> Self {
         Self {
-            estimate: Estimate::new(shape.experts, settings.report_share),
+            estimate: Estimate::new(shape.experts, settings.report_share, settings.report_ahead),
             planner: Planner::new(*settings),
         }
     }
@@ -92,7 +93,7 @@
         second.is_multiple_of(DECIDE_EVERY)
     }
 
-    fn decide(&mut self, map: &ExpertMap) -> Option<ExpertMap> {
-        self.planner.decide(map, &self.estimate.loads()).map
+    fn decide(&mut self, now: Millis, map: &ExpertMap) -> Option<ExpertMap> {
+        self.planner.decide(now, map, &self.estimate.loads()).map
     }
 }
