Leave the nodes of the trial alone before measuring

Cause: each node still sent on the news of the start while it was measured. Ruled out: leaving it to longer runs, which only thins it out. Change: 15 s of quiet after all nodes see each other.

--- a/trials/src/control/run.rs
+++ b/trials/src/control/run.rs
@@ -15,6 +15,9 @@
 /// How long all nodes may take to see each other, or a change to be in force.
 const SETTLES_WITHIN: Millis = Millis(120_000);
 
+/// How long the nodes are left alone first, so that the news of their start has been sent on.
+const QUIET: Millis = Millis(15_000);
+
 /// The time between two looks.
 const LOOK: Millis = Millis(500);
 
@@ -36,6 +39,7 @@
     let total = processes.nodes().len();
     settle(&processes, &clock, |usage| usage.present == total as f64).await?;
 
+    tokio::time::sleep(QUIET.duration()).await;
     let before = usages(&processes).await?;
     let counts = counts(&processes).await?;
     let start = clock.now();
