Show a small deployment with one command of the trials

Cause: README's first command has to run the main job on a fresh machine, also on a small one; the stand-ins' own demo starts all 42 processes of the sample. Ruled out: a second demo beside the stand-ins' one; the trials call it with smaller counts. Change: sardinepin-trials demo starts one upstream of a service in each zone and two entries, sends calls for some seconds, prints the revision of every node as the first entry sees it, and fails on a wrong answer or a node that did not stop in order. Deployment::at_most takes the smaller part of a deployment.

--- a/standins/src/arguments.rs
+++ b/standins/src/arguments.rs
@@ -57,9 +57,14 @@
 ];
 
 /// Numbers that set the demo.
-const DEMO_NUMBERS: [(&str, &str); 3] = [
+const DEMO_NUMBERS: [(&str, &str); 5] = [
     ("entries", "How many entries are started"),
     ("requests", "How many calls are made"),
+    ("seconds", "How long calls are begun"),
+    (
+        "upstreams",
+        "How many upstreams of a service are started in each zone; 0 for all",
+    ),
     ("seed", "The seed that calls are drawn from"),
 ];
 
@@ -157,6 +162,8 @@
             .unwrap_or(default.deployment),
         entries: size(matches, "entries", default.entries)?,
         requests: number(matches, "requests", default.requests),
+        seconds: number(matches, "seconds", default.seconds),
+        upstreams: size(matches, "upstreams", default.upstreams)?,
         seed: number(matches, "seed", default.seed),
     })
 }
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -1,10 +1,11 @@
 //! Starts a deployment on loopback, sends some calls and tells what it saw.
 
-use std::fmt::{self, Write};
+use std::fmt;
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
 
 use anyhow::{Context, Result};
+use sardinepin_common::{Clock, Millis};
 use sardinepin_config::{Service, ServiceKind};
 use serde_json::Value;
 
@@ -20,6 +21,12 @@
 /// The share of keyed calls that are sent twice, in thousandths.
 const COPIES_MILLI: u32 = 200;
 
+/// How long all nodes may take to have the same configuration.
+const SETTLES_WITHIN: Millis = Millis(10_000);
+
+/// The time between two looks at it.
+const LOOK: Millis = Millis(100);
+
 /// Settings of the demo.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -29,6 +36,10 @@
     pub entries: usize,
     /// How many calls are made.
     pub requests: u64,
+    /// How many upstreams of a service are started in each availability zone; 0 for all.
+    pub upstreams: usize,
+    /// How long calls are begun, in seconds; 0 for no bound.
+    pub seconds: u64,
     /// The seed that calls are drawn from.
     pub seed: u64,
 }
@@ -40,6 +51,8 @@
             deployment: root.unwrap_or(Path::new(".")).join(DEPLOYMENT),
             entries: 3,
             requests: 600,
+            upstreams: 0,
+            seconds: 0,
             seed: 1,
         }
     }
@@ -50,17 +63,25 @@
 pub struct Seen {
     processes: usize,
     report: Report,
-    status: Vec<Value>,
+    nodes: Vec<Value>,
     ended: Vec<(String, ExitStatus)>,
 }
 
+impl Seen {
+    /// Returns whether no answer was wrong and every node stopped in order.
+    #[must_use]
+    pub fn is_good(&self) -> bool {
+        self.report.wrong == 0 && self.ended.iter().all(|(_, status)| status.success())
+    }
+}
+
 /// Runs the demo; nothing is left running.
 ///
 /// # Errors
 ///
 /// Fails if the deployment cannot be read, started, called or stopped.
 pub async fn run(settings: Settings) -> Result<Seen> {
-    let deployment = Deployment::read(&settings.deployment)?;
+    let deployment = Deployment::read(&settings.deployment)?.at_most(settings.upstreams);
     let load = load_settings(&deployment, &settings)?;
     let plan = Plan {
         deployment,
@@ -73,19 +94,34 @@
         ..load
     };
     let report = load::run(load).await?;
-    let mut status = Vec::new();
-    for entry in &fleet.entries {
-        status.push(fleet.read(entry, "/v1/status").await?);
-    }
+    let nodes = settled(&fleet).await?;
     let processes = 1 + fleet.upstreams.len() + fleet.agents.len() + fleet.entries.len();
     Ok(Seen {
         processes,
         report,
-        status,
+        nodes,
         ended: fleet.stop().await?,
     })
 }
 
+/// Returns the nodes as the first entry sees them, once all are there with its configuration or
+/// after a bounded wait.
+async fn settled(fleet: &Fleet) -> Result<Vec<Value>> {
+    let clock = Clock::start();
+    let wanted = fleet.entries.len() + fleet.agents.len();
+    let first = fleet.entries.first().context("no entry")?;
+    loop {
+        let status = fleet.read(first, "/v1/status").await?;
+        let nodes = status["nodes"].as_array().cloned().unwrap_or_default();
+        let is_same = |node: &Value| node["revision"] == status["revision"];
+        let settled = nodes.len() == wanted && nodes.iter().all(is_same);
+        if settled || clock.now() >= SETTLES_WITHIN {
+            return Ok(nodes);
+        }
+        tokio::time::sleep(LOOK.duration()).await;
+    }
+}
+
 /// Calls what the deployment serves, for all of its organisations.
 fn load_settings(deployment: &Deployment, settings: &Settings) -> Result<load::Settings> {
     let services = &deployment.services;
@@ -96,6 +132,7 @@
     let organisations = deployment.organisations.iter();
     Ok(load::Settings {
         requests: settings.requests,
+        seconds: settings.seconds,
         seed: settings.seed,
         concurrency: CONCURRENCY,
         organisations: organisations.map(|one| one.name.clone()).collect(),
@@ -138,12 +175,11 @@
                 latency.count, latency.p50, latency.p95, latency.p99
             )?;
         }
-        let mut versions = String::new();
-        for status in &self.status {
-            let node = status["node"].as_str().unwrap_or_default();
-            write!(versions, " {node} {}", status["revision"])?;
+        writeln!(out, "configuration revision, by node:")?;
+        for node in &self.nodes {
+            let name = node["name"].as_str().unwrap_or_default();
+            writeln!(out, "  {name:<16} {}", node["revision"])?;
         }
-        writeln!(out, "configuration version:{versions}")?;
         let failed = self.ended.iter().filter(|(_, status)| !status.success());
         writeln!(
             out,
--- a/standins/src/fleet/deployment.rs
+++ b/standins/src/fleet/deployment.rs
@@ -48,6 +48,30 @@
         self
     }
 
+    /// Keeps at most `count` upstreams of a service in each availability zone; 0 keeps all.
+    #[must_use]
+    pub fn at_most(mut self, count: usize) -> Self {
+        if count == 0 {
+            return self;
+        }
+        let mut kept: Vec<Upstream> = Vec::new();
+        for upstream in self.upstreams {
+            let is_beside =
+                |one: &&Upstream| one.service == upstream.service && one.zone == upstream.zone;
+            if kept.iter().filter(is_beside).count() < count {
+                kept.push(upstream);
+            }
+        }
+        for group in &mut self.groups {
+            group
+                .ranks
+                .retain(|rank| kept.iter().any(|one| one.name == *rank));
+        }
+        self.groups.retain(|group| !group.ranks.is_empty());
+        self.upstreams = kept;
+        self
+    }
+
     /// Returns the availability zones of the upstreams, each once.
     #[must_use]
     pub fn zones(&self) -> Vec<String> {
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,7 +1,9 @@
 //! Trials: each prints one JSON line a run.
 
+mod arguments;
 mod control;
 mod decide;
+mod demo;
 mod placement;
 
 use anyhow::Context;
@@ -44,6 +46,10 @@
             command: decide::command(),
             run: decide::run,
         },
+        Trial {
+            command: demo::command(),
+            run: demo::run,
+        },
         Trial {
             command: placement::command(),
             run: placement::run,
