--- a/crates/sardinepin/tests/integration/samples.rs
+++ b/crates/sardinepin/tests/integration/samples.rs
@@ -28,7 +28,7 @@
 #[test]
 fn every_sample_is_in_order() {
     let files = files();
-    assert_eq!(files.len(), 8, "{files:?}");
+    assert_eq!(files.len(), 11, "{files:?}");
     for file in files {
         let kind = check_file(&file).unwrap_or_else(|faults| panic!("{faults}"));
         let deployment = file.ends_with("deployment.yaml");
