--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod decide;
 mod placement;
+mod switch;
 
 use anyhow::Context;
 use clap::{ArgMatches, Command};
@@ -48,5 +49,9 @@
             command: placement::command(),
             run: placement::run,
         },
+        Trial {
+            command: switch::command(),
+            run: switch::run,
+        },
     ]
 }
