--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -5,6 +5,7 @@
 mod decide;
 mod demo;
 mod placement;
+mod switch;
 
 use anyhow::Context;
 use clap::{ArgMatches, Command};
@@ -54,5 +55,9 @@
             command: placement::command(),
             run: placement::run,
         },
+        Trial {
+            command: switch::command(),
+            run: switch::run,
+        },
     ]
 }
