Count a link's silence from the question, in a module of its own

Cause: an idle link may have been silent for ten seconds when an attempt starts on it; the second look, 250 ms after the question, would then have taken it for dead. Found by reading; the reports on idle links made it likelier. The states of a key repeated two transitions. Ruled out: more reports on idle links. Change: silence.rs decides from the time of the question; a superstate holds what claiming and running share. Conclusion: a dead agent is still found within 2.25 s of the first attempt that waits on it.

--- a/crates/decisions/src/claims/machine.rs
+++ b/crates/decisions/src/claims/machine.rs
@@ -142,7 +142,7 @@
 )]
 impl Key {
     /// An attempt is claiming it.
-    #[state]
+    #[state(superstate = "open")]
     fn claiming(&mut self, event: &KeyEvent) -> Outcome<KeyState> {
         match event {
             KeyEvent::Write(nonce) => {
@@ -151,23 +151,23 @@
             }
             KeyEvent::Run => Transition(KeyState::running()),
             KeyEvent::NotClaimed => Transition(KeyState::idle()),
-            KeyEvent::Finish(answer) => {
-                self.forget();
-                Transition(KeyState::done(answer.clone()))
-            }
-            KeyEvent::Lose => {
-                self.forget();
-                Transition(KeyState::unknown())
-            }
-            _ => Handled,
+            _ => Super,
         }
     }
 
     /// The call may have reached the upstream.
-    #[state]
-    fn running(&mut self, event: &KeyEvent) -> Outcome<KeyState> {
+    #[state(superstate = "open")]
+    fn running(event: &KeyEvent) -> Outcome<KeyState> {
         match event {
             KeyEvent::NotRun => Transition(KeyState::idle()),
+            _ => Super,
+        }
+    }
+
+    /// An attempt is claiming or running it; the answer may come, or be lost.
+    #[superstate]
+    fn open(&mut self, event: &KeyEvent) -> Outcome<KeyState> {
+        match event {
             KeyEvent::Finish(answer) => {
                 self.forget();
                 Transition(KeyState::done(answer.clone()))
--- a/crates/sardinepin/src/entry.rs
+++ b/crates/sardinepin/src/entry.rs
@@ -10,6 +10,7 @@
 mod live;
 mod quarantine;
 mod server;
+mod silence;
 mod sse;
 mod uplink;
 
--- a/crates/sardinepin/src/entry/uplink.rs
+++ b/crates/sardinepin/src/entry/uplink.rs
@@ -11,6 +11,7 @@
 
 use crate::entry::core::Core;
 use crate::entry::flight::{Flights, FromLink};
+use crate::entry::silence::{Look, Silence};
 use crate::link::{self, Identity, Link};
 
 /// The wait before the first new try to connect.
@@ -19,10 +20,6 @@
 /// The longest wait between two tries to connect.
 const RECONNECT_MAX: Millis = Millis(1_000);
 
-/// How long a link with attempts under way may be silent before the agent is asked for a sign of
-/// life, and how long that may take.
-const SILENCE_MAX: Millis = Millis(1_000);
-
 /// The time between two looks at whether a link is silent.
 const SILENCE_POLL: Millis = Millis(250);
 
@@ -177,10 +174,10 @@
         up: true,
     });
     log::info!(event = "link_up", peer = link.peer.name.as_str(); "link up");
-    let heard = Heard::new(shared.clock.now());
+    let silence = Silence::new(shared.clock.now());
     tokio::select! {
-        () = read(shared, &heard, link.reader) => {}
-        () = write(shared, commands, &heard, link.writer) => {}
+        () = read(shared, &silence, link.reader) => {}
+        () = write(shared, commands, &silence, link.writer) => {}
         () = shared.closed.cancelled() => {}
     }
     shared.set_agent(None);
@@ -192,33 +189,11 @@
     log::info!(event = "link_down", peer = link.peer.name.as_str(); "link down");
 }
 
-/// When the agent was last heard.
-#[derive(Debug)]
-struct Heard {
-    at: Mutex<Millis>,
-}
-
-impl Heard {
-    fn new(now: Millis) -> Self {
-        Self {
-            at: Mutex::new(now),
-        }
-    }
-
-    fn set(&self, now: Millis) {
-        *self.at.lock().unwrap_or_else(PoisonError::into_inner) = now;
-    }
-
-    fn silent_for(&self, now: Millis) -> Millis {
-        now.since(*self.at.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-}
-
-async fn read(shared: &Shared, heard: &Heard, mut reader: FrameReader) {
+async fn read(shared: &Shared, silence: &Silence, mut reader: FrameReader) {
     loop {
         match link::receive(&mut reader).await {
             Ok(Some(frame)) => {
-                heard.set(shared.clock.now());
+                silence.hear(shared.clock.now());
                 shared.take(frame);
             }
             Ok(None) => return,
@@ -234,20 +209,21 @@
 async fn write(
     shared: &Shared,
     commands: &mut mpsc::UnboundedReceiver<ToAgent>,
-    heard: &Heard,
+    silence: &Silence,
     mut writer: FrameWriter,
 ) {
     let mut looks = tokio::time::interval(SILENCE_POLL.duration());
-    let mut asked = false;
     loop {
         let frame = tokio::select! {
             frame = commands.recv() => frame,
             _ = looks.tick() => {
-                match shared.look(heard, asked) {
-                    Look::Fine => { asked = false; continue }
-                    Look::Ask => { asked = true; Some(ToAgent::Ping) }
-                    Look::Wait => continue,
-                    Look::Silent => return,
+                match silence.look(shared.clock.now(), shared.flights.any_sent()) {
+                    Look::Fine => continue,
+                    Look::Ask => Some(ToAgent::Ping),
+                    Look::Silent => {
+                        log::warn!(event = "link_silent", address:% = shared.address; "no sign of life");
+                        return;
+                    }
                 }
             }
         };
@@ -276,18 +252,6 @@
     link::flush(writer).await
 }
 
-/// What a look at a link says.
-enum Look {
-    /// It is alive, or nothing is under way on it.
-    Fine,
-    /// It has been silent; ask for a sign of life.
-    Ask,
-    /// It was asked and may still answer.
-    Wait,
-    /// It was asked and did not answer.
-    Silent,
-}
-
 impl Shared {
     fn agent(&self) -> Option<Incarnation> {
         *self.agent.lock().unwrap_or_else(PoisonError::into_inner)
@@ -301,21 +265,6 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn look(&self, heard: &Heard, asked: bool) -> Look {
-        let silence = heard.silent_for(self.clock.now());
-        if silence < SILENCE_MAX || !self.flights.any_sent() {
-            return Look::Fine;
-        }
-        if !asked {
-            return Look::Ask;
-        }
-        if silence < SILENCE_MAX + SILENCE_MAX {
-            return Look::Wait;
-        }
-        log::warn!(event = "link_silent", address:% = self.address; "the agent gives no sign of life");
-        Look::Silent
-    }
-
     async fn feed(&self, writer: &mut FrameWriter, frame: &ToAgent) -> anyhow::Result<()> {
         if let ToAgent::Run(attempt) = frame
             && !self.flights.mark_sent(attempt.id)
