Let the moves preference wait for larger gains

Cause: with the same thresholds for both preferences, the one that weighs pauses more switched as often as the other, and its p95 reached 1.2417. Ruled out: a higher weight alone; it leaves the number of switches as it is. Change: the moves preference acts above a predicted skew of 1.10 and for gains of at least 0.05.

--- a/crates/groups/src/placement/settings.rs
+++ b/crates/groups/src/placement/settings.rs
@@ -50,6 +50,8 @@
         Self {
             skew_weight: 1.0,
             moves_weight: 30.0,
+            gain_min: 0.05,
+            skew_allowed: 1.1,
             ..Self::default()
         }
     }
