--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -50,6 +50,8 @@
 
     tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
     tokio::spawn(sweep(Arc::clone(&agent)));
+    let snapshots = node.control.snapshot();
+    tokio::spawn(session::read_engine(Arc::clone(&agent), snapshots));
     tokio::spawn(group::run(
         Arc::clone(&agent),
         group_events,
@@ -58,8 +60,8 @@
     ));
     signals.first().await;
 
-    log::info!(event = "leaving"; "no new work is taken");
     agent.leave();
+    log::info!(event = "leaving"; "no new work is taken");
     node.control.leave();
     let finished = stop::until_done(&mut signals, || agent.is_idle()).await;
     Ok(stop::exit_code(finished, agent.open()))
