Measure what the path adds and what one entry carries

Cause: the targets of the path (wrong = 0, added p99 <= 1 ms at today's load, under 64 MB with 1,000 streams, 10,000 small requests a second through one entry) had no run behind them. Ruled out: measuring through and direct one after the other; other work on the machine would count as the path's. One engine for 1,000 streams: an entry lets at most 512 of them onto one upstream and refuses more, and four engines got 856 begun within a minute, as the limits grow with finished answers only; ten engines of 100 streams are used. Change: sardinepin-trials path: paced calls in turn through two entries and directly to the same stand-in, then as many calls as one entry takes, then 1,000 streams held open; every answer is checked.

--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod decide;
 mod demo;
+mod path;
 mod placement;
 
 use anyhow::Context;
@@ -50,6 +51,10 @@
             command: demo::command(),
             run: demo::run,
         },
+        Trial {
+            command: path::command(),
+            run: path::run,
+        },
         Trial {
             command: placement::command(),
             run: placement::run,
--- /dev/null
+++ b/trials/src/path/system.rs
@@ -0,0 +1,55 @@
+//! The processes of the trial.
+
+use anyhow::Result;
+use sardinepin_config::{Service, ServiceKind};
+use sardinepin_standins::fleet::{Deployment, Fleet, Plan};
+use serde_json::json;
+
+/// The model of the streams.
+pub(super) const MODEL: &str = "m";
+
+/// How many entries there are.
+const ENTRIES: usize = 2;
+
+/// The time of an engine's step, in microseconds.
+const STEP: &str = "50000";
+
+/// The most streams on one engine; an entry's limit of an upstream does not grow without bound.
+const STREAMS_PER_ENGINE: usize = 100;
+
+/// Starts two entries, one plain upstream and engines with room for `streams`.
+pub(super) async fn start(streams: usize) -> Result<Fleet> {
+    let plain = Service {
+        name: "app".to_owned(),
+        paths: vec!["/".to_owned()],
+        deadline_ms: 20_000,
+        ..Service::default()
+    };
+    let model = Service {
+        name: "llm".to_owned(),
+        kind: ServiceKind::Model,
+        paths: vec!["/v1/".to_owned()],
+        models: vec![MODEL.to_owned()],
+        deadline_ms: 600_000,
+        ..Service::default()
+    };
+    let engines = streams.div_ceil(STREAMS_PER_ENGINE).max(1);
+    let words = [
+        "--slots",
+        &streams.to_string(),
+        "--step-us",
+        STEP,
+        "--batch-us",
+        "0",
+    ];
+    Fleet::start(Plan {
+        deployment: Deployment::default()
+            .with_service(plain, 1, &["zone-a"])
+            .with_service(model, engines, &["zone-a"]),
+        entries: ENTRIES,
+        engine_arguments: words.map(str::to_owned).to_vec(),
+        settings: json!({"agent": {"slots": streams, "queue_max": streams}}),
+        ..Plan::default()
+    })
+    .await
+}
