--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod decide;
 mod demo;
+mod outcomes;
 mod path;
 mod placement;
 
@@ -51,6 +52,10 @@
             command: demo::command(),
             run: demo::run,
         },
+        Trial {
+            command: outcomes::command(),
+            run: outcomes::run,
+        },
         Trial {
             command: path::command(),
             run: path::run,
