--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -4,6 +4,8 @@
 mod control;
 mod decide;
 mod demo;
+mod outcomes;
+mod path;
 mod placement;
 mod switch;
 
@@ -51,6 +53,14 @@
             command: demo::command(),
             run: demo::run,
         },
+        Trial {
+            command: outcomes::command(),
+            run: outcomes::run,
+        },
+        Trial {
+            command: path::command(),
+            run: path::run,
+        },
         Trial {
             command: placement::command(),
             run: placement::run,
