--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -50,6 +50,11 @@
 
     tokio::spawn(session::accept_all(Arc::clone(&agent), listener));
     tokio::spawn(sweep(Arc::clone(&agent)));
+    tokio::spawn(claims::sweep::run(
+        Arc::clone(&node.control),
+        node.identity.name.clone(),
+        Millis(agent.settings.agent.claim_keep_ms),
+    ));
     let snapshots = node.control.snapshot();
     tokio::spawn(session::read_engine(Arc::clone(&agent), snapshots));
     tokio::spawn(group::run(
--- a/crates/sardinepin/src/agent/claims.rs
+++ b/crates/sardinepin/src/agent/claims.rs
@@ -1,6 +1,7 @@
 //! Claims a key in the platform's store before its call runs.
 
 mod record;
+pub(crate) mod sweep;
 
 use std::net::SocketAddr;
 
--- a/crates/sardinepin/src/agent/claims/record.rs
+++ b/crates/sardinepin/src/agent/claims/record.rs
@@ -13,6 +13,9 @@
 
 use crate::agent::state::Agent;
 
+/// How many shards the claims are listed in; a shard is the first byte of a claim's digest.
+pub(super) const SHARDS: u16 = 256;
+
 /// The value of a claim.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct ClaimRecord {
@@ -23,7 +26,7 @@
     nonce: u64,
     digest: String,
     /// When the claim was made, by the wall clock.
-    made: Millis,
+    pub(super) made: Millis,
     answer: Option<AnswerRecord>,
 }
 
@@ -42,7 +45,12 @@
         key.service.as_bytes(),
         key.key.as_bytes(),
     ]);
-    format!("claims/{digest}")
+    format!("{}{digest}", shard_prefix(u16::from(digest.0[0])))
+}
+
+/// Returns the prefix of the claims of one shard, below [`SHARDS`].
+pub(super) fn shard_prefix(shard: u16) -> String {
+    format!("claims/{shard:02x}/")
 }
 
 impl ClaimRecord {
--- /dev/null
+++ b/crates/sardinepin/src/agent/claims/sweep.rs
@@ -0,0 +1,75 @@
+//! Deletes claims that are older than they are kept, shard by shard.
+
+use std::sync::Arc;
+
+use sardinepin_common::{Clock, Millis, top};
+use sardinepin_membership::{Row, Standing};
+use sardinepin_platform::{Change, Expect, Object, Store};
+use sardinepin_protocol::Role;
+
+use crate::agent::claims::record::{ClaimRecord, SHARDS, shard_prefix};
+use crate::agent::claims::write_id;
+use crate::control::Control;
+
+/// The most claims that are deleted in one round, so that the platform's rates are kept.
+const DELETES_MAX: usize = 100;
+
+/// Sweeps one shard after the other for as long as the process lives.
+///
+/// Each shard is swept by the agent that rendezvous hashing picks; two that both think it theirs
+/// do no harm, since deletions are conditional.
+pub(crate) async fn run(control: Arc<Control>, name: String, keep: Millis) {
+    let Some(store) = control.store().cloned() else {
+        return;
+    };
+    let pause = Millis((keep.0 / u64::from(SHARDS)).max(1));
+    loop {
+        for shard in 0..SHARDS {
+            tokio::time::sleep(pause.duration()).await;
+            if is_picked(&control, &name, shard) {
+                sweep(store.as_ref(), shard, keep).await;
+            }
+        }
+    }
+}
+
+fn is_picked(control: &Control, name: &str, shard: u16) -> bool {
+    let takes_part = |row: &Row| row.role == Role::Agent && row.standing == Standing::Alive;
+    let agents: Vec<String> = control
+        .members()
+        .into_iter()
+        .filter(takes_part)
+        .map(|row| row.name)
+        .collect();
+    top(&("claims", shard), &agents).is_some_and(|at| agents[at] == name)
+}
+
+async fn sweep(store: &dyn Store, shard: u16, keep: Millis) {
+    let listing = match store.list(&shard_prefix(shard)).await {
+        Ok(listing) => listing,
+        Err(error) => {
+            log::warn!(event = "claims_not_swept", error:% = error; "claims could not be listed");
+            return;
+        }
+    };
+    let now = Clock::wall();
+    let old = listing
+        .objects
+        .iter()
+        .filter(|object| is_old(object, now, keep));
+    for object in old.take(DELETES_MAX) {
+        let change = Change {
+            key: &object.key,
+            expect: Expect::Revision(object.revision),
+            write_id: &write_id(),
+            value: None,
+        };
+        if store.put(change).await.is_ok() {
+            metrics::counter!("sardinepin_claims_deleted_total").increment(1);
+        }
+    }
+}
+
+fn is_old(object: &Object, now: Millis, keep: Millis) -> bool {
+    ClaimRecord::read(object).is_some_and(|(record, _)| now.since(record.made) >= keep)
+}
--- a/crates/sardinepin/src/agent/runner.rs
+++ b/crates/sardinepin/src/agent/runner.rs
@@ -31,6 +31,10 @@
     let Some(stop) = agent.with_answer(id, |answer| answer.stop()) else {
         return;
     };
+    log::debug!(
+        event = "attempt", request = attempt.request.as_str(), attempt:% = id;
+        "an attempt has come"
+    );
     let budget = Millis(u64::from(attempt.budget_ms));
     let is_keyed = attempt.key.is_some();
     let work = async {
--- a/crates/sardinepin/src/options/fields.rs
+++ b/crates/sardinepin/src/options/fields.rs
@@ -96,6 +96,10 @@
     field("agent.window", number(1, 65_536, "chunks")),
     field("agent.keep_ms", span()),
     field("agent.answer_max", number(0, 512 * 1024, "bytes")),
+    field(
+        "agent.claim_keep_ms",
+        number(256, 2_592_000_000, "milliseconds"),
+    ),
     field("agent.report_ms", span()),
     field("platform", MAPPING),
     field(
--- a/crates/sardinepin/src/options/settings.rs
+++ b/crates/sardinepin/src/options/settings.rs
@@ -106,6 +106,8 @@
     pub keep_ms: u64,
     /// The largest answer to a keyed call that is kept in the platform, in bytes.
     pub answer_max: usize,
+    /// How long a claim is kept in the platform, in milliseconds; a repeat after it runs anew.
+    pub claim_keep_ms: u64,
     /// The time between two load reports on an idle link, in milliseconds.
     pub report_ms: u64,
 }
@@ -120,6 +122,7 @@
             window: 64,
             keep_ms: 60_000,
             answer_max: 64 * 1024,
+            claim_keep_ms: 24 * 60 * 60 * 1_000,
             report_ms: 500,
         }
     }
--- a/crates/sardinepin/tests/outcomes/at_most_once.rs
+++ b/crates/sardinepin/tests/outcomes/at_most_once.rs
@@ -167,6 +167,21 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_claims_are_deleted_when_they_are_old() -> Result<()> {
+    let fleet = start(app(), 2, 1, json!({"agent": {"claim_keep_ms": 512}})).await?;
+    book(&fleet, 0, "k", "seat").await?;
+    until("no claim is left", async || {
+        let path = "/v1/objects?prefix=claims/";
+        let listing: sardinepin_platform::Listing =
+            fleet.caller.get(fleet.platform.address(), path).await?;
+        Ok(listing.objects.is_empty())
+    })
+    .await?;
+    assert_eq!(runs(&fleet, "k").await?, 1);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn at_most_once_platform_loses_the_answer_to_the_claim() -> Result<()> {
     let fleet = bookings().await?;
