--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,8 +1,13 @@
 //! Trials: each prints one JSON line a run.
 
+mod arguments;
 mod control;
 mod decide;
+mod demo;
+mod outcomes;
+mod path;
 mod placement;
+mod switch;
 
 use anyhow::Context;
 use clap::{ArgMatches, Command};
@@ -44,9 +49,25 @@
             command: decide::command(),
             run: decide::run,
         },
+        Trial {
+            command: demo::command(),
+            run: demo::run,
+        },
+        Trial {
+            command: outcomes::command(),
+            run: outcomes::run,
+        },
+        Trial {
+            command: path::command(),
+            run: path::run,
+        },
         Trial {
             command: placement::command(),
             run: placement::run,
         },
+        Trial {
+            command: switch::command(),
+            run: switch::run,
+        },
     ]
 }
