Measure the policies under overload with real processes

Cause: the targets of overload and routing had no run of real entries, agents and engines behind them, nor a comparison with the simple policies.

Ruled out: the load client of the stand-ins, which keeps a set number of calls open and so slows down with what it measures. The calls here come when they are due, and latency counts from then.

Change: trial `overload`. Capacity is computed from the engines' settings; `engine_use` is what the engines say they computed. Faults: none, stall, crash. Lag, zone and prefix hits are not there yet.

Nothing was tuned.

--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod decide;
+mod overload;
 mod placement;
 
 use anyhow::Context;
@@ -44,6 +45,10 @@
             command: decide::command(),
             run: decide::run,
         },
+        Trial {
+            command: overload::command(),
+            run: overload::run,
+        },
         Trial {
             command: placement::command(),
             run: placement::run,
