Send the trace of the overload trial when it is due

Cause: the client of the trial fell behind its trace: a sleep of no length lasts to the timer's next tick, so about 1,000 calls a second was the most, and a burst left it up to half a second late.

Ruled out: the machine.

Change: no sleep when a call is already due; the line bears `client_lag_p99_ms`.

--- a/trials/src/overload/client.rs
+++ b/trials/src/overload/client.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Sample {
     pub(super) call: Call,
+    /// When the client began to send it, in microseconds after the start.
+    pub(super) begun: u64,
     /// When it ended, in microseconds after the start.
     pub(super) done: u64,
     pub(super) ending: Ending,
@@ -55,7 +57,10 @@
 /// Waits until so many microseconds have passed on a clock.
 pub(super) async fn wait_until(clock: Clock, at: u64) {
     let left = at.saturating_sub(clock.micros());
-    tokio::time::sleep(Duration::from_micros(left)).await;
+    // Even a sleep of no length lasts to the timer's next tick, and a trace would fall behind.
+    if left > 0 {
+        tokio::time::sleep(Duration::from_micros(left)).await;
+    }
 }
 
 /// Sends all calls and returns what became of them.
@@ -71,12 +76,18 @@
         let caller = caller.clone();
         let (call, to) = (*call, entries[call.entry]);
         tasks.push(tokio::spawn(async move {
+            let begun = clock.micros();
             let exchange = exchange(&caller, &call, to);
             let ending = tokio::time::timeout(GIVES_UP.duration(), exchange)
                 .await
                 .unwrap_or_else(|_| Ending::Unknown("timeout".to_owned()));
             let done = clock.micros();
-            Sample { call, done, ending }
+            Sample {
+                call,
+                begun,
+                done,
+                ending,
+            }
         }));
     }
     let mut samples = Vec::new();
--- a/trials/src/overload/figures.rs
+++ b/trials/src/overload/figures.rs
@@ -50,7 +50,12 @@
     let retries: u64 = run.retries.values().sum();
     // Not all sends are counted, so this is the most that the ratio can be.
     let sends = (answered as u64 + retries).max(1);
-    let (refusals, bare) = refusals(run);
+    let (refused, bare) = refusals(run, |_| true);
+    let (urgent_refused, _) = refusals(run, |one| one.call.urgent);
+    let p50 = |urgent: bool| {
+        quantile(latencies(run, Some(urgent), &phases.measured), 0.5)
+            .map(|micros| round(micros / 1_000.0))
+    };
     json!({
         "trial": "overload", "policy": policy, "seed": plan.seed, "load": plan.load,
         "fault": format!("{:?}", plan.fault).to_lowercase(),
@@ -61,6 +66,7 @@
         "engine_use": round(run.engine_use),
         "urgent_p99_ms": busy[0].map(round), "urgent_p99_ratio": ratio(0),
         "normal_p99_ms": busy[1].map(round), "normal_p99_ratio": ratio(1),
+        "urgent_p50_ms": p50(true), "normal_p50_ms": p50(false),
         "urgent_answered": round(answered_share(run, true)),
         "normal_answered": round(answered_share(run, false)),
         "fair_min": round(fair_min(run, available)),
@@ -68,8 +74,10 @@
         "late_answers": count(run, is_late),
         "wrong": count(run, |one| matches!(one.ending, Ending::Wrong(_))),
         "recovery_ms": recovery(run),
+        "client_lag_p99_ms": quantile(lags(run), 0.99).map(|micros| round(micros / 1_000.0)),
         "calls": run.samples.len(), "answered": answered,
-        "refusals": refusals, "refusals_without_retry_after": bare,
+        "refusals": refused, "refusals_without_retry_after": bare,
+        "urgent_refusals": urgent_refused,
         "unknown": unknown(run), "retries": run.retries,
     })
 }
@@ -149,6 +157,12 @@
         .collect()
 }
 
+/// Returns how late the client sent each call, in microseconds.
+fn lags(run: &Run) -> Vec<u64> {
+    let lag = |one: &Sample| one.begun.saturating_sub(one.call.at);
+    run.samples.iter().map(lag).collect()
+}
+
 /// Returns a quantile of values; `None` if there are none.
 fn quantile(mut values: Vec<u64>, quantile: f64) -> Option<f64> {
     values.sort_unstable();
@@ -169,11 +183,14 @@
     run.samples.iter().filter(|one| holds(one)).count()
 }
 
-/// Returns refusals by reason, and those of them that lacked Retry-After.
-fn refusals(run: &Run) -> (BTreeMap<&str, u64>, BTreeMap<&str, u64>) {
+/// Returns refusals of some calls by reason, and those of them that lacked Retry-After.
+fn refusals(
+    run: &Run,
+    wanted: impl Fn(&Sample) -> bool,
+) -> (BTreeMap<&str, u64>, BTreeMap<&str, u64>) {
     let mut all = BTreeMap::new();
     let mut bare = BTreeMap::new();
-    for one in &run.samples {
+    for one in run.samples.iter().filter(|one| wanted(one)) {
         if let Ending::Refused { reason, has_retry } = &one.ending {
             *all.entry(reason.as_str()).or_default() += 1;
             if !has_retry {
