Show what share each organisation was served in the overload trial

Cause: `fair_min` alone does not say whether large or small organisations lose.

Ruled out: a line for each organisation, which would break one line a policy.

Change: `fair_shares` lists the share of its max-min fair share that each organisation was served, the one with the most calls first.

--- a/trials/src/overload/figures.rs
+++ b/trials/src/overload/figures.rs
@@ -40,6 +40,7 @@
     let rate = capacity(plan.upstreams);
     let available = available(run);
     let served: u64 = served(run).iter().sum();
+    let fair = fair_shares(run, available);
     let p99 = |urgent: bool, phase: &Range<u64>| {
         quantile(latencies(run, Some(urgent), phase), 0.99).map(|micros| micros / 1_000.0)
     };
@@ -69,7 +70,8 @@
         "urgent_p50_ms": p50(true), "normal_p50_ms": p50(false),
         "urgent_answered": round(answered_share(run, true)),
         "normal_answered": round(answered_share(run, false)),
-        "fair_min": round(fair_min(run, available)),
+        "fair_min": fair.iter().copied().fold(f64::INFINITY, f64::min),
+        "fair_shares": fair,
         "retry_ratio": round(retries as f64 / sends as f64),
         "late_answers": count(run, is_late),
         "wrong": count(run, |one| matches!(one.ending, Ending::Wrong(_))),
@@ -106,8 +108,9 @@
     served
 }
 
-/// Returns the least share of an organisation's max-min fair share that it was served.
-fn fair_min(run: &Run, available: f64) -> f64 {
+/// Returns the share of its max-min fair share that each organisation with calls was served, the
+/// organisation with the most calls first.
+fn fair_shares(run: &Run, available: f64) -> Vec<f64> {
     let mut wanted = vec![0; run.plan.organisations];
     for one in &run.samples {
         if run.phases.measured.contains(&one.call.at) {
@@ -119,8 +122,8 @@
         .into_iter()
         .zip(fair)
         .filter(|(_, fair)| *fair > 0.0)
-        .map(|(served, fair)| served as f64 / fair)
-        .fold(f64::INFINITY, f64::min)
+        .map(|(served, fair)| round(served as f64 / fair))
+        .collect()
 }
 
 /// Shares `available` out: the smallest demands whole, the others equally.
