--- a/crates/sardinepin/src/agent/claims/sweep.rs
+++ b/crates/sardinepin/src/agent/claims/sweep.rs
@@ -11,8 +11,8 @@
 use crate::agent::claims::write_id;
 use crate::control::Control;
 
-/// The most claims that are deleted in one round, so that the platform's rates are kept.
-const DELETES_MAX: usize = 100;
+/// The wait after each deletion, so that the platform's rates are kept.
+const DELETE_PAUSE: Millis = Millis(50);
 
 /// Sweeps one shard after the other for as long as the process lives.
 ///
@@ -57,7 +57,7 @@
         .objects
         .iter()
         .filter(|object| is_old(object, now, keep));
-    for object in old.take(DELETES_MAX) {
+    for object in old {
         let change = Change {
             key: &object.key,
             expect: Expect::Revision(object.revision),
@@ -67,6 +67,7 @@
         if store.put(change).await.is_ok() {
             metrics::counter!("sardinepin_claims_deleted_total").increment(1);
         }
+        tokio::time::sleep(DELETE_PAUSE.duration()).await;
     }
 }
 
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -5,6 +5,7 @@
 mod decide;
 mod demo;
 mod outcomes;
+mod overload;
 mod path;
 mod placement;
 mod switch;
@@ -60,6 +61,8 @@
         Trial {
             command: path::command(),
             run: path::run,
+            command: overload::command(),
+            run: overload::run,
         },
         Trial {
             command: placement::command(),
