--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -61,6 +61,8 @@
         Trial {
             command: path::command(),
             run: path::run,
+        },
+        Trial {
             command: overload::command(),
             run: overload::run,
         },
