Carry load reports on links in use only

Cause: worked out for 390 entries before 2,200 agents, even one idle report in ten seconds a link is about 220 frames a second at each entry, several times the 6 KB/s for control; and the balancer does not trust a report older than 2 s anyway. Ruled out: longer periods (of no use to the balancer). Change: a link carries reports while attempts move on it and for four periods after; the engine's load and the reports stand in a module of their own. Bytes are worked out in CAPACITY.md, not measured. Conclusion: an idle link costs nothing for load reports.

--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -5,6 +5,7 @@
 mod group;
 mod keys;
 mod load;
+mod reports;
 mod runner;
 mod session;
 mod state;
@@ -56,7 +57,7 @@
         Millis(agent.settings.agent.claim_keep_ms),
     ));
     let snapshots = node.control.snapshot();
-    tokio::spawn(session::read_engine(Arc::clone(&agent), snapshots));
+    tokio::spawn(reports::read_engine(Arc::clone(&agent), snapshots));
     tokio::spawn(group::run(
         Arc::clone(&agent),
         group_events,
--- a/crates/sardinepin/src/agent/session.rs
+++ b/crates/sardinepin/src/agent/session.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
-use sardinepin_config::{ServiceKind, Snapshot};
 use sardinepin_protocol::{FrameReader, FrameWriter, Role, ToAgent, ToEntry};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::answer::ToLink;
 use crate::agent::group::GroupEvent;
+use crate::agent::reports::{self, Activity};
 use crate::agent::runner;
 use crate::agent::state::{LinkId, SharedAgent};
 use crate::link;
@@ -33,9 +33,6 @@
     }
 }
 
-/// How many rounds an idle upstream lets pass between two load reports.
-const IDLE_ROUNDS: u32 = 20;
-
 async fn serve(agent: SharedAgent, stream: TcpStream) {
     let link = match link::accept(stream, &agent.identity).await {
         Ok(link) => link,
@@ -55,19 +52,29 @@
         ),
     };
     log::info!(event = "link_up", peer = link.peer.name.as_str(); "link up");
+    let activity = Activity::default();
     tokio::select! {
-        () = read(&agent, id, &sender, link.reader) => {}
+        () = read(&agent, id, &sender, &activity, link.reader) => {}
         () = write(link.writer, frames) => {}
-        () = report(&agent, &sender), if is_entry => {}
+        () = reports::send_all(&agent, &sender, &activity), if is_entry => {}
         () = replaced.cancelled() => {}
     }
     log::info!(event = "link_down", peer = link.peer.name.as_str(); "link down");
 }
 
-async fn read(agent: &SharedAgent, link: LinkId, sender: &ToLink, mut reader: FrameReader) {
+async fn read(
+    agent: &SharedAgent,
+    link: LinkId,
+    sender: &ToLink,
+    activity: &Activity,
+    mut reader: FrameReader,
+) {
     loop {
         match link::receive(&mut reader).await {
-            Ok(Some(frame)) => take(agent, link, sender, frame),
+            Ok(Some(frame)) => {
+                activity.mark(agent.clock.now());
+                take(agent, link, sender, frame);
+            }
             Ok(None) => return,
             Err(error) => {
                 log::warn!(event = "link_broken", error:% = error; "a link broke");
@@ -128,43 +135,3 @@
     }
     link::flush(writer).await
 }
-
-async fn report(agent: &SharedAgent, sender: &ToLink) {
-    let period = Millis(agent.settings.agent.report_ms);
-    let mut last = agent.load();
-    let mut idle_rounds = 0;
-    let _ = sender.send(ToEntry::Load(last));
-    loop {
-        tokio::time::sleep(period.duration()).await;
-        let load = agent.load();
-        let busy = (load.running, load.waiting) != (0, 0) || load.running != last.running;
-        idle_rounds += 1;
-        // An idle upstream has little to say, and every entry would have to hear it.
-        if busy || idle_rounds >= IDLE_ROUNDS {
-            idle_rounds = 0;
-            last = load;
-            let _ = sender.send(ToEntry::Load(load));
-        }
-    }
-}
-
-/// Reads the load of a model engine for as long as the process lives.
-pub(crate) async fn read_engine(agent: SharedAgent, snapshots: watch::Receiver<Arc<Snapshot>>) {
-    let period = Millis(agent.settings.agent.report_ms);
-    loop {
-        tokio::time::sleep(period.duration()).await;
-        if !is_model(&agent.identity.name, &snapshots.borrow()) {
-            continue;
-        }
-        if let Some(load) = agent.upstream.load(period).await {
-            agent.gauge.hear_engine(agent.clock.now(), load);
-        }
-    }
-}
-
-/// Returns whether the configuration has this upstream serve a model.
-fn is_model(name: &str, snapshot: &Snapshot) -> bool {
-    let upstream = snapshot.upstream(name);
-    let service = upstream.and_then(|upstream| snapshot.service(&upstream.service));
-    service.is_some_and(|service| service.kind == ServiceKind::Model)
-}
