Leave nothing running when the demo is interrupted

Cause: a process that ends without dropping its fleet leaves the fleet's processes behind. Ruled out: a parent-death signal; it needs unsafe code. A killed demo or test can still leave processes. Change: an interrupt drops the fleet, which kills what it has started. Conclusion: an interrupted demo cleans up.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -31,8 +31,7 @@
         return send_load(matches).await;
     }
     if name == "demo" {
-        print!("{}", demo::run(demo_settings(matches)?).await?);
-        return Ok(ExitCode::SUCCESS);
+        return show_demo(matches).await;
     }
     let (handler, ranks) = handler(name, matches).await?;
     let listen: SocketAddr = given(matches, "listen")?;
@@ -63,6 +62,15 @@
     }
 }
 
+async fn show_demo(matches: &ArgMatches) -> Result<ExitCode> {
+    // What was started is killed when the demo is dropped, so that an interrupt leaves nothing.
+    tokio::select! {
+        seen = demo::run(demo_settings(matches)?) => print!("{}", seen?),
+        _ = tokio::signal::ctrl_c() => bail!("interrupted"),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn send_load(matches: &ArgMatches) -> Result<ExitCode> {
     let report = load::run(load_settings(matches)?).await?;
     println!("{}", serde_json::to_string(&report)?);
