Revert "Give the engines of the path trial room beyond its streams"

The trial is measured with 1,000 streams over ten engines; 100 streams on one engine are open in part only, and why an entry holds the rest back is open (its limit of an upstream grows with finished answers).

--- a/trials/src/path/system.rs
+++ b/trials/src/path/system.rs
@@ -14,10 +14,6 @@
 /// The time of an engine's step, in microseconds.
 const STEP: &str = "50000";
 
-/// How many calls an engine and its agent take at once, far more than the streams need, as each
-/// entry gets a share of them.
-const SLOTS: usize = 1_000;
-
 /// The most streams on one engine; an entry's limit of an upstream does not grow without bound.
 const STREAMS_PER_ENGINE: usize = 100;
 
@@ -40,7 +36,7 @@
     let engines = streams.div_ceil(STREAMS_PER_ENGINE).max(1);
     let words = [
         "--slots",
-        &SLOTS.to_string(),
+        &streams.to_string(),
         "--step-us",
         STEP,
         "--batch-us",
@@ -52,7 +48,7 @@
             .with_service(model, engines, &["zone-a"]),
         entries: ENTRIES,
         engine_arguments: words.map(str::to_owned).to_vec(),
-        settings: json!({"agent": {"slots": SLOTS, "queue_max": SLOTS}}),
+        settings: json!({"agent": {"slots": streams, "queue_max": streams}}),
         ..Plan::default()
     })
     .await
