--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -8,6 +8,7 @@
 mod reports;
 mod runner;
 mod session;
+mod slots;
 mod state;
 mod upstream;
 
--- a/crates/sardinepin/src/agent/runner.rs
+++ b/crates/sardinepin/src/agent/runner.rs
@@ -68,7 +68,7 @@
         agent.refuse(id, ErrorKind::Busy);
         return;
     };
-    let Ok(_slot) = agent.slots.acquire().await else {
+    let Some(_slot) = agent.slots.acquire(attempt.priority).await else {
         return;
     };
     drop(waiting);
--- /dev/null
+++ b/crates/sardinepin/src/agent/slots.rs
@@ -0,0 +1,107 @@
+//! The places at the upstream, given to urgent attempts first.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::oneshot;
+
+/// How many urgent attempts in a row may pass others that wait.
+const STREAK_MAX: u32 = 4;
+
+/// The places at one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Slots {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    free: usize,
+    urgent: VecDeque<oneshot::Sender<Slot>>,
+    others: VecDeque<oneshot::Sender<Slot>>,
+    streak: u32,
+}
+
+/// A place at the upstream, held until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    slots: Slots,
+}
+
+impl Slots {
+    /// Makes `count` free places.
+    pub(crate) fn new(count: usize) -> Self {
+        let state = State {
+            free: count,
+            urgent: VecDeque::new(),
+            others: VecDeque::new(),
+            streak: 0,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Waits for a place; priority 0 goes first. `None` only if the places are gone.
+    pub(crate) async fn acquire(&self, priority: u8) -> Option<Slot> {
+        let waiting = {
+            let mut state = self.state();
+            if state.free > 0 {
+                state.free -= 1;
+                return Some(self.slot());
+            }
+            let (sender, receiver) = oneshot::channel();
+            match priority {
+                0 => state.urgent.push_back(sender),
+                _ => state.others.push_back(sender),
+            }
+            receiver
+        };
+        waiting.await.ok()
+    }
+
+    fn slot(&self) -> Slot {
+        Slot {
+            slots: self.clone(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Returns who gets the next free place; one that has given up is passed over.
+    fn next(&mut self) -> Option<oneshot::Sender<Slot>> {
+        self.urgent.retain(|waiting| !waiting.is_closed());
+        self.others.retain(|waiting| !waiting.is_closed());
+        let passes = self.streak < STREAK_MAX || self.others.is_empty();
+        if passes && let Some(waiting) = self.urgent.pop_front() {
+            self.streak += 1;
+            return Some(waiting);
+        }
+        self.streak = 0;
+        self.others.pop_front()
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let next = {
+            let mut state = self.slots.state();
+            let next = state.next();
+            if next.is_none() {
+                state.free += 1;
+            }
+            next
+        };
+        // A receiver that goes away meanwhile drops the new slot, which passes it on in turn.
+        if let Some(waiting) = next {
+            let _ = waiting.send(self.slots.slot());
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinepin/src/agent/slots/tests.rs
@@ -0,0 +1,70 @@
+//! Tests of the places at the upstream.
+
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker};
+
+use super::{STREAK_MAX, Slot, Slots};
+
+type Waiting<'a> = Pin<&'a mut dyn Future<Output = Option<Slot>>>;
+
+/// Returns the place if it has been given.
+fn poll(waiting: &mut Waiting<'_>) -> Option<Slot> {
+    let mut context = Context::from_waker(Waker::noop());
+    match waiting.as_mut().poll(&mut context) {
+        Poll::Ready(slot) => slot,
+        Poll::Pending => None,
+    }
+}
+
+#[test]
+fn overload_urgent_attempt_gets_the_next_place() {
+    let slots = Slots::new(1);
+    let mut first: Waiting<'_> = pin!(slots.acquire(1));
+    let held = poll(&mut first).expect("a free place");
+    let mut other: Waiting<'_> = pin!(slots.acquire(1));
+    let mut urgent: Waiting<'_> = pin!(slots.acquire(0));
+    assert!(poll(&mut other).is_none());
+    assert!(poll(&mut urgent).is_none());
+    drop(held);
+    assert!(poll(&mut other).is_none());
+    let held = poll(&mut urgent).expect("the urgent one is next");
+    drop(held);
+    assert!(poll(&mut other).is_some());
+}
+
+#[test]
+fn overload_others_are_not_starved() {
+    let slots = Slots::new(1);
+    let mut first: Waiting<'_> = pin!(slots.acquire(1));
+    let mut held = poll(&mut first);
+    let mut other: Waiting<'_> = pin!(slots.acquire(1));
+    assert!(poll(&mut other).is_none());
+    for _ in 0..STREAK_MAX {
+        let mut urgent: Waiting<'_> = pin!(slots.acquire(0));
+        assert!(poll(&mut urgent).is_none());
+        drop(held);
+        held = poll(&mut urgent);
+        assert!(held.is_some());
+    }
+    let mut urgent: Waiting<'_> = pin!(slots.acquire(0));
+    assert!(poll(&mut urgent).is_none());
+    drop(held);
+    assert!(poll(&mut urgent).is_none());
+    assert!(poll(&mut other).is_some());
+}
+
+#[test]
+fn overload_place_of_one_that_gave_up_goes_on() {
+    let slots = Slots::new(1);
+    let mut first: Waiting<'_> = pin!(slots.acquire(1));
+    let held = poll(&mut first);
+    {
+        let mut gone: Waiting<'_> = pin!(slots.acquire(0));
+        assert!(poll(&mut gone).is_none());
+        drop(held);
+        // The place has been given to it, and it goes away without a look.
+    }
+    let mut next: Waiting<'_> = pin!(slots.acquire(1));
+    assert!(poll(&mut next).is_some());
+}
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -8,7 +8,7 @@
     AttemptEvent, AttemptSettings, AttemptState, Attempts, KeptAnswer, Taken,
 };
 use sardinepin_protocol::{Attempt, ErrorKind, Load, Settled, ToEntry};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::admin::Health;
@@ -16,6 +16,7 @@
 use crate::agent::group::GroupEvent;
 use crate::agent::keys::Keys;
 use crate::agent::load::Gauge;
+use crate::agent::slots::Slots;
 use crate::agent::upstream::UpstreamClient;
 use crate::link::Identity;
 use crate::node::Node;
@@ -27,7 +28,7 @@
     pub(crate) settings: Settings,
     pub(crate) identity: Identity,
     pub(crate) clock: Clock,
-    pub(crate) slots: Semaphore,
+    pub(crate) slots: Slots,
     pub(crate) gauge: Gauge,
     pub(crate) upstream: UpstreamClient,
     pub(crate) keys: Keys,
@@ -79,7 +80,7 @@
             ..AttemptSettings::default()
         });
         Self {
-            slots: Semaphore::new(settings.agent.slots),
+            slots: Slots::new(settings.agent.slots),
             gauge: Gauge::default(),
             upstream: UpstreamClient::new(settings.agent.upstream),
             group,
