--- a/crates/sardinepin/src/options/settings.rs
+++ b/crates/sardinepin/src/options/settings.rs
@@ -123,7 +123,7 @@
             keep_ms: 60_000,
             answer_max: 64 * 1024,
             claim_keep_ms: 24 * 60 * 60 * 1_000,
-            report_ms: 500,
+            report_ms: 100,
         }
     }
 }
