Break no busy caller's connection when an entry stops

Ruled out: a longer grace (the callers keep their connections through it). Change: while it is leaving, an entry answers HTTP/1.1 callers with 'connection: close', takes in who waits to be accepted before it closes the listener, and lingers 250 ms before idle connections are closed.

--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -5,8 +5,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
@@ -33,6 +35,9 @@
 /// The wait after a failed accept, such as when no file descriptor is left.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
+/// How long open connections may still send a request after no more are accepted.
+const LINGER: Millis = Millis(250);
+
 /// How long a caller may take over the head of a request.
 const HEAD_MAX: Millis = Millis(10_000);
 
@@ -249,7 +254,12 @@
             () = entry.closed.cancelled() => break,
         }
     }
+    // Callers that connected before the end are still served, one request each.
+    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+        connect(&entry, &graceful, stream, peer);
+    }
     drop(listener);
+    tokio::time::sleep(LINGER.duration()).await;
     graceful.shutdown().await;
 }
 
@@ -268,8 +278,17 @@
         .max_header_list_size(u32::try_from(headers_max).unwrap_or(u32::MAX));
     let shared = Arc::clone(entry);
     let service = service_fn(move |request| {
-        let answer = Arc::clone(&shared).answer(peer.ip(), request);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        let entry = Arc::clone(&shared);
+        let keeps_open = request.version() != Version::HTTP_11;
+        async move {
+            let mut response = Arc::clone(&entry).answer(peer.ip(), request).await;
+            // A caller that is told so sends its next request elsewhere, not into a closing end.
+            if entry.leaving.load(Ordering::Acquire) && !keeps_open {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection.into_owned());
--- a/crates/sardinepin/tests/outcomes/shutdown.rs
+++ b/crates/sardinepin/tests/outcomes/shutdown.rs
@@ -1,6 +1,11 @@
 //! A graceful shutdown cuts off no request in flight.
 
+use std::net::SocketAddr;
+
 use anyhow::Result;
+use bytes::Bytes;
+use http::Method;
+use sardinepin_standins::http::Caller;
 use serde_json::json;
 
 use crate::util::*;
@@ -52,3 +57,34 @@
     assert!(call.await?.is_err());
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_of_an_entry_breaks_no_connection_of_busy_callers() -> Result<()> {
+    let mut fleet = start(app(), 1, 1, json!({"stop": {"grace_ms": 300}})).await?;
+    let entry = fleet.entries[0].address();
+    let callers: Vec<_> = (0..16)
+        .map(|_| tokio::spawn(call_until_refused(fleet.caller.clone(), entry)))
+        .collect();
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    fleet.entries[0].child.terminate()?;
+    for caller in callers {
+        let error = caller.await?;
+        let refused = error
+            .downcast_ref::<hyper_util::client::legacy::Error>()
+            .is_some_and(hyper_util::client::legacy::Error::is_connect);
+        assert!(refused, "a call was cut off: {error:?}");
+    }
+    assert!(fleet.entries[0].child.wait_exit().await?.success());
+    Ok(())
+}
+
+/// Calls one after the other over kept connections, and returns the first error.
+async fn call_until_refused(caller: Caller, entry: SocketAddr) -> anyhow::Error {
+    loop {
+        let headers = [("x-organisation", "o1")];
+        let call = caller.call(Method::GET, entry, "/status", &headers, Bytes::new());
+        if let Err(error) = call.await {
+            return error;
+        }
+    }
+}
