Switch expert maps by agents beside the engines

Change: crates/ranks (agent, coordinator, orders), groups: even_change (placement with even shares) and next_step (a switch on a held step, derived from the reports alone), the platform's engine client.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,4 +39,4 @@
 pub use source::{Item, Read, Reading, Source, SourceError};
 pub use sync::UpstreamList;
 pub use table::{Organisation, RouteTable};
-pub use upstream::UpstreamSpec;
+pub use upstream::{GroupPlace, UpstreamSpec};
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -109,6 +109,8 @@
     pub places: usize,
     /// The most experts of a set that one preparation may add to a rank.
     pub spare: usize,
+    /// How long a rank takes to load one expert.
+    pub load_time: Millis,
 }
 
 /// Who may call.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,4 +21,17 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Its place in a rank group, if it is in one.
+    pub group: Option<GroupPlace>,
+}
+
+/// A place in a rank group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupPlace {
+    /// The name of the group.
+    pub name: Arc<str>,
+    /// The rank, from 0.
+    pub rank: usize,
+    /// Whether a rank of the group is missing, so that none works.
+    pub broken: bool,
 }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -4,6 +4,7 @@
 mod switch;
 
 pub use placement::estimate::Estimate;
+pub use placement::even::{EvenChange, EvenSettings, LayerMap, even_change, even_skew};
 pub use placement::full::place;
 pub use placement::map::ExpertMap;
 pub use placement::planner::{Planner, Proposal, Reason};
@@ -11,6 +12,7 @@
 pub use placement::split::split;
 pub use switch::coordinator::{Coordinator, CoordinatorInput, CoordinatorOutput};
 pub use switch::gate::{Armed, Fencing, Gate, MapId, Order, OrderReply, Rejection, Staged};
+pub use switch::held::{HeldStep, RankReport, next_step};
 pub use switch::messages::{
     Command, GroupMessage, RankId, Refusal, Report, Request, term_counter, term_for,
 };
--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -1,6 +1,7 @@
 //! Which rank holds which experts of a layer, and when a change of that pays for itself.
 
 pub(crate) mod estimate;
+pub(crate) mod even;
 pub(crate) mod full;
 pub(crate) mod map;
 pub(crate) mod planner;
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod coordinator;
 pub(crate) mod gate;
+pub(crate) mod held;
 pub(crate) mod messages;
 pub(crate) mod rank;
 pub(crate) mod settings;
--- /dev/null
+++ b/crates/ranks/src/agent.rs
@@ -0,0 +1,123 @@
+//! The agent beside one engine: answers coordinators, and remembers that one is at work.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use sardinepin_common::{Clock, Millis};
+
+use crate::engine::{EngineOrder, Engines, OrderReply};
+use crate::messages::{Call, Reply, View};
+
+/// How long a single call to the engine may take.
+const ENGINE_MAX: Millis = Millis(200);
+
+/// The agent beside one engine.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) clock: Clock,
+    engines: Arc<dyn Engines>,
+    engine: SocketAddr,
+    heard: Mutex<Heard>,
+}
+
+/// The last coordinator that was heard.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Heard {
+    /// When.
+    pub(crate) at: Millis,
+    /// The highest term that was heard.
+    pub(crate) term: u64,
+}
+
+impl Agent {
+    /// Makes the agent beside the engine at `engine`.
+    pub(crate) fn new(clock: Clock, engines: Arc<dyn Engines>, engine: SocketAddr) -> Self {
+        Self {
+            clock,
+            engines,
+            engine,
+            heard: Mutex::default(),
+        }
+    }
+
+    fn heard_mut(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the last coordinator that was heard.
+    pub(crate) fn heard(&self) -> Heard {
+        *self.heard_mut()
+    }
+
+    /// Answers a call.
+    pub(crate) async fn answer(&self, call: Call) -> Reply {
+        match call {
+            Call::Look { term, experts } => {
+                self.note(term);
+                match self.view(experts).await {
+                    Some(view) => Reply::View(Box::new(view)),
+                    None => Reply::Silent,
+                }
+            }
+            Call::Order(order) => match self.order(&order).await {
+                Some(reply) => Reply::Order(reply),
+                None => Reply::Silent,
+            },
+        }
+    }
+
+    fn note(&self, term: u64) {
+        let now = self.clock.now();
+        let mut heard = self.heard_mut();
+        if term >= heard.term {
+            *heard = Heard { at: now, term };
+        }
+    }
+
+    /// Looks at the engine.
+    pub(crate) async fn view(&self, experts: bool) -> Option<View> {
+        let report = within(self.engines.report(self.engine)).await?;
+        let counts = within(self.engines.counts(self.engine)).await;
+        let experts = match experts {
+            true => within(self.engines.experts(self.engine)).await,
+            false => None,
+        };
+        Some(View {
+            report,
+            counts,
+            experts,
+        })
+    }
+
+    /// Gives the engine an order.
+    pub(crate) async fn order(&self, order: &EngineOrder) -> Option<OrderReply> {
+        let reply = within(self.engines.order(self.engine, order)).await;
+        let label = match reply {
+            Some(OrderReply::Accepted) => "accepted",
+            Some(OrderReply::Conflict) => "conflict",
+            Some(OrderReply::Superseded) => "superseded",
+            Some(OrderReply::Refused) => "refused",
+            None => "no_answer",
+        };
+        metrics::counter!("sardinepin_rank_orders_total", "action" => order.action.label(), "reply" => label)
+            .increment(1);
+        log::debug!(
+            event = "order", action = order.action.label(), reply = label, term = order.term,
+            epoch = order.epoch;
+            "order given to the engine"
+        );
+        reply
+    }
+}
+
+/// Waits for an engine's answer, but not for long.
+async fn within<T, E: std::fmt::Display>(call: impl Future<Output = Result<T, E>>) -> Option<T> {
+    match tokio::time::timeout(ENGINE_MAX.duration(), call).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(error)) => {
+            log::debug!(event = "engine_silent", error:% = error; "the engine gave no answer");
+            None
+        }
+        Err(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/ranks/src/coordinator.rs
@@ -0,0 +1,384 @@
+//! The coordinator of a group: any of its agents may be it, and two at once do no harm.
+
+mod orders;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::future::join_all;
+use sardinepin_common::{Clock, Millis};
+use sardinepin_groups::{EvenSettings, HeldStep, LayerMap, RankReport, even_change, next_step};
+
+use crate::agent::Agent;
+use crate::demand::Demand;
+use crate::engine::{Directory, EngineReport, Engines, Member, Shape};
+use crate::messages::{Call, Reply, View};
+use crate::peer::Peer;
+
+/// The time between two looks at a group.
+const LOOK: Millis = Millis(150);
+
+/// The silence of other coordinators after which the first rank takes over.
+const TAKE_OVER: Millis = Millis(400);
+
+/// How much longer each further rank waits before it takes over.
+const TAKE_OVER_STEP: Millis = Millis(150);
+
+/// How long a coordinator that met a higher term rests.
+const STEP_DOWN: Millis = Millis(1_500);
+
+/// The time between two readings of the list of members while the group is not whole.
+const MEMBERS: Millis = Millis(1_000);
+
+/// How long counts are gathered before the first plan.
+const GATHER: Millis = Millis(400);
+
+/// The pause between a switch and the next plan.
+const SETTLE: Millis = Millis(250);
+
+/// How long a preparation may take before it is given up.
+const PREPARE_MAX: Millis = Millis(9_000);
+
+/// How long after a preparation ranks that show no sign of it are ordered again.
+const PREPARE_AGAIN: Millis = Millis(600);
+
+/// The bits of a term or version that name the rank that drew it.
+const RANK_BITS: u32 = 8;
+
+/// What a coordinator needs.
+#[derive(Debug)]
+pub(crate) struct CoordinatorSettings {
+    pub(crate) engine: SocketAddr,
+    pub(crate) peer_port: u16,
+    pub(crate) shape: Shape,
+}
+
+/// A map whose loading was ordered.
+#[derive(Debug)]
+struct Pending {
+    version: u64,
+    layers: Vec<LayerMap>,
+    ordered: Millis,
+    again: Millis,
+}
+
+/// One member of the group and the way to its agent.
+#[derive(Debug)]
+struct Seat {
+    member: Member,
+    peer: Peer,
+}
+
+/// The coordinator of a group.
+#[derive(Debug)]
+pub(crate) struct Coordinator {
+    agent: Arc<Agent>,
+    engines: Arc<dyn Engines>,
+    directory: Arc<dyn Directory>,
+    settings: CoordinatorSettings,
+    clock: Clock,
+    seats: Vec<Seat>,
+    members_at: Option<Millis>,
+    rank: usize,
+    term: u64,
+    last_version: u64,
+    rests_until: Millis,
+    demand: Demand,
+    /// The maps in use, with the epoch and the version that they belong to.
+    maps: Option<(u64, u64, Vec<LayerMap>)>,
+    pending: Option<Pending>,
+    switched: Millis,
+    leading: bool,
+}
+
+impl Coordinator {
+    /// Makes a coordinator that knows nothing of its group.
+    pub(crate) fn new(
+        agent: Arc<Agent>,
+        engines: Arc<dyn Engines>,
+        directory: Arc<dyn Directory>,
+        settings: CoordinatorSettings,
+    ) -> Self {
+        Self {
+            clock: agent.clock,
+            agent,
+            engines,
+            directory,
+            settings,
+            seats: Vec::new(),
+            members_at: None,
+            rank: 0,
+            term: 0,
+            last_version: 0,
+            rests_until: Millis::ZERO,
+            demand: Demand::default(),
+            maps: None,
+            pending: None,
+            switched: Millis::ZERO,
+            leading: false,
+        }
+    }
+
+    /// Looks after the group for as long as the process lives, whenever no other does.
+    pub(crate) async fn run(mut self) {
+        loop {
+            tokio::time::sleep(LOOK.duration()).await;
+            if !self.is_due() {
+                self.set_leading(false);
+                continue;
+            }
+            let Some(view) = self.agent.view(false).await else {
+                continue;
+            };
+            self.rank = view.report.rank.rank;
+            if !self.is_due() || !self.is_silent() {
+                self.set_leading(false);
+                continue;
+            }
+            self.set_leading(true);
+            self.lead(&view.report).await;
+        }
+    }
+
+    fn set_leading(&mut self, leading: bool) {
+        if leading != self.leading {
+            self.leading = leading;
+            self.pending = None;
+            self.maps = None;
+            self.demand = Demand::default();
+            if leading {
+                self.renew_term();
+            }
+            log::info!(event = "coordinator", leading = leading, rank = self.rank, term = self.term; "coordinator changes");
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        self.clock.now() >= self.rests_until
+    }
+
+    /// Returns whether no coordinator that goes before this one has been heard for long enough.
+    fn is_silent(&self) -> bool {
+        let heard = self.agent.heard();
+        if heard.term == 0 && self.clock.now() < TAKE_OVER {
+            return false;
+        }
+        // The coordinator's own looks come back to its own agent only through this one.
+        let wait = TAKE_OVER + Millis(TAKE_OVER_STEP.0 * self.rank as u64);
+        self.clock.now().since(heard.at) >= wait
+    }
+
+    /// Draws a term above any that was heard.
+    fn renew_term(&mut self) {
+        let heard = self.agent.heard().term >> RANK_BITS;
+        let drawn = (Clock::wall().0)
+            .max(heard + 1)
+            .max((self.term >> RANK_BITS) + 1);
+        self.term = drawn << RANK_BITS | self.rank as u64;
+    }
+
+    fn draw_version(&mut self, reports: &[RankReport]) -> u64 {
+        let known = reports.iter().flat_map(|report| {
+            [
+                report.active,
+                report.prepared.unwrap_or_default(),
+                report.armed.unwrap_or_default(),
+            ]
+        });
+        let highest = known.max().unwrap_or_default().max(self.last_version) >> RANK_BITS;
+        self.last_version = (highest + 1) << RANK_BITS | self.rank as u64;
+        self.last_version
+    }
+
+    fn step_down(&mut self, why: &str) {
+        log::info!(event = "step_down", term = self.term, why = why; "another coordinator has a higher term");
+        self.rests_until = self.clock.now() + STEP_DOWN;
+        self.set_leading(false);
+    }
+
+    async fn lead(&mut self, own: &EngineReport) {
+        if !self.know_members(own).await {
+            return;
+        }
+        let views = self.look().await;
+        let reports: Vec<RankReport> = views.iter().map(|view| view.report.rank).collect();
+        let step = next_step(&reports);
+        log::debug!(event = "look", step:? = step, seen = views.len(); "group looked at");
+        match step {
+            HeldStep::Unclear => {
+                self.pending = None;
+                self.members_at = None;
+            }
+            HeldStep::Loading => {}
+            HeldStep::Hold { version } => self.hold(version, &reports).await,
+            HeldStep::Arm {
+                version,
+                step,
+                holder,
+            } => self.arm(version, step, holder, &reports).await,
+            HeldStep::Abort {
+                versions,
+                step,
+                holder,
+            } => self.abort(&versions, step, holder, &reports).await,
+            HeldStep::Idle => self.plan(&views, &reports).await,
+        }
+    }
+
+    /// Finds out who belongs to the group; returns whether all of them are known.
+    async fn know_members(&mut self, own: &EngineReport) -> bool {
+        let size = own.rank.size;
+        let now = self.clock.now();
+        let known = self.seats.len() == size && self.members_at.is_some();
+        if known {
+            return true;
+        }
+        if let Some(at) = self.members_at
+            && now.since(at) < MEMBERS
+        {
+            return false;
+        }
+        self.members_at = Some(now);
+        let members = match self.directory.members().await {
+            Ok(members) => members,
+            Err(error) => {
+                log::debug!(event = "members_unknown", error:% = error; "the list of members cannot be read");
+                return self.seats.len() == size;
+            }
+        };
+        let mut members: Vec<Member> = members
+            .into_iter()
+            .filter(|member| member.group == own.group)
+            .collect();
+        members.sort_by_key(|member| member.rank);
+        members.dedup_by_key(|member| member.rank);
+        self.seat(members);
+        self.seats.len() == size
+    }
+
+    fn seat(&mut self, members: Vec<Member>) {
+        let same = members
+            .iter()
+            .eq(self.seats.iter().map(|seat| &seat.member));
+        if same {
+            return;
+        }
+        let port = self.settings.peer_port;
+        let seats = members.into_iter().map(|member| Seat {
+            peer: Peer::new(SocketAddr::new(member.engine.ip(), port)),
+            member,
+        });
+        self.seats = seats.collect();
+    }
+
+    /// Looks at every member at once.
+    async fn look(&mut self) -> Vec<View> {
+        let looks = self.seats.iter().map(|seat| self.look_at(seat));
+        let views: Vec<Option<View>> = join_all(looks).await;
+        let complete = views.iter().all(Option::is_some);
+        let views: Vec<View> = views.into_iter().flatten().collect();
+        if complete {
+            let epoch = views.first().map_or(0, |view| view.report.rank.epoch);
+            let counts: Vec<_> = views.iter().map(|view| view.counts.clone()).collect();
+            self.demand.observe(self.clock.now(), epoch, &counts);
+            self.learn_maps(&views);
+        }
+        views
+    }
+
+    async fn look_at(&self, seat: &Seat) -> Option<View> {
+        let experts = self.maps.is_none();
+        if seat.member.engine == self.settings.engine {
+            return self.agent.view(experts).await;
+        }
+        let call = Call::Look {
+            term: self.term,
+            experts,
+        };
+        match seat.peer.call(&call).await {
+            Some(Reply::View(view)) => Some(*view),
+            _ => None,
+        }
+    }
+
+    /// Puts the maps in use together from what every rank holds.
+    fn learn_maps(&mut self, views: &[View]) {
+        let Some(first) = views.first().map(|view| view.report.rank) else {
+            return;
+        };
+        let current = (first.epoch, first.active);
+        if self
+            .maps
+            .as_ref()
+            .is_some_and(|(epoch, version, _)| (*epoch, *version) != current)
+        {
+            self.maps = None;
+        }
+        if self.maps.is_some() {
+            return;
+        }
+        let held: Option<Vec<_>> = views.iter().map(|view| view.experts.as_ref()).collect();
+        let Some(held) = held else {
+            return;
+        };
+        if held.iter().any(|experts| experts.version != first.active) {
+            return;
+        }
+        let layers = (0..self.settings.shape.layers)
+            .map(|layer| {
+                let ranks = held
+                    .iter()
+                    .map(|experts| experts.layers.get(layer).cloned());
+                ranks.map(Option::unwrap_or_default).collect()
+            })
+            .collect();
+        self.maps = Some((current.0, current.1, layers));
+    }
+
+    /// Plans a change of the maps, and has it loaded if it is worth it.
+    async fn plan(&mut self, views: &[View], reports: &[RankReport]) {
+        let now = self.clock.now();
+        if let Some(pending) = &self.pending {
+            if now.since(pending.ordered) > PREPARE_MAX {
+                log::info!(event = "prepare_abandoned", version = pending.version; "experts were not loaded in time");
+                self.pending = None;
+            } else {
+                self.prepare_again(views, now).await;
+            }
+            return;
+        }
+        let busy = views.iter().any(|view| view.report.busy);
+        let settled = now.since(self.switched) >= SETTLE && self.demand.span() >= GATHER;
+        if busy || !settled {
+            return;
+        }
+        let shape = self.settings.shape;
+        let Some((_, _, layers)) = &self.maps else {
+            return;
+        };
+        let Some(demand) = self.demand.layers(&shape) else {
+            return;
+        };
+        let settings = EvenSettings {
+            places: shape.places,
+            layer_loads: shape.spare,
+            ..EvenSettings::default()
+        };
+        let Some(change) = even_change(&settings, layers, &demand) else {
+            return;
+        };
+        let version = self.draw_version(reports);
+        log::info!(
+            event = "map_planned", version = version, skew_now = change.skew_now,
+            skew_then = change.skew_then, loads = change.loads;
+            "a change of the expert maps pays"
+        );
+        self.pending = Some(Pending {
+            version,
+            layers: change.layers,
+            ordered: now,
+            again: now,
+        });
+        self.prepare(reports).await;
+    }
+}
--- /dev/null
+++ b/crates/ranks/src/lib.rs
@@ -0,0 +1,17 @@
+//! The rank agent: beside each engine of a rank group, it keeps the group on one expert map in
+//! every step, and changes the map as the popularity of experts shifts.
+
+mod agent;
+mod coordinator;
+mod demand;
+mod engine;
+mod messages;
+mod peer;
+mod run;
+
+pub use engine::{
+    Action, Directory, EngineCall, EngineCounts, EngineError, EngineExperts, EngineOrder,
+    EngineReport, Engines, Member, OrderReply, Shape,
+};
+pub use messages::{Call, Reply, View};
+pub use run::{RankSettings, run};
--- /dev/null
+++ b/crates/ranks/src/run.rs
@@ -0,0 +1,74 @@
+//! Runs a rank agent until it is told to stop.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::Context;
+use sardinepin_common::Clock;
+use sardinepin_store::BoxFuture;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::agent::Agent;
+use crate::coordinator::{Coordinator, CoordinatorSettings};
+use crate::engine::{Directory, Engines, Shape};
+use crate::peer;
+
+/// Settings of a rank agent.
+#[derive(Debug, Clone)]
+pub struct RankSettings {
+    /// The name of the instance, for logs.
+    pub name: String,
+    /// The address of the engine on the same instance.
+    pub engine: SocketAddr,
+    /// Where coordinators call; the port is the same on all instances.
+    pub listen: SocketAddr,
+}
+
+/// Runs a rank agent until it is told to stop.
+///
+/// `shape` resolves once the expert layers of the engine's service are known; until then the agent
+/// serves coordinators only.
+///
+/// # Errors
+///
+/// Returns an error if the agent cannot listen.
+pub async fn run(
+    settings: RankSettings,
+    engines: Arc<dyn Engines>,
+    directory: Arc<dyn Directory>,
+    shape: BoxFuture<'static, Option<Shape>>,
+) -> anyhow::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .with_context(|| format!("cannot listen on {}", settings.listen))?;
+    let agent = Arc::new(Agent::new(
+        Clock::start(),
+        Arc::clone(&engines),
+        settings.engine,
+    ));
+    tokio::spawn(peer::serve(Arc::clone(&agent), listener));
+    log::info!(event = "started", node = settings.name.as_str(), engine:% = settings.engine; "rank agent started");
+    let lead = async {
+        let Some(shape) = shape.await else {
+            log::info!(event = "no_experts"; "the engine's service has no expert layers");
+            return std::future::pending().await;
+        };
+        let settings = CoordinatorSettings {
+            engine: settings.engine,
+            peer_port: settings.listen.port(),
+            shape,
+        };
+        Coordinator::new(agent, engines, directory, settings)
+            .run()
+            .await;
+    };
+    tokio::select! {
+        () = lead => {}
+        _ = terminate.recv() => {}
+    }
+    log::info!(event = "stopped"; "stopped");
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use sardinepin::options::{
-    self, GatewayArguments, Invocation, LogSettings, RoleArguments, Settings,
+    self, Invocation, LogSettings, PlatformArguments, RoleArguments, Settings,
 };
 use sardinepin::telemetry::Telemetry;
 use sardinepin::{agent, check, ctl, entry, logs};
@@ -30,7 +30,14 @@
 fn dispatch(invocation: Invocation) -> anyhow::Result<ExitCode> {
     match invocation {
         Invocation::Role(arguments) => run_role(&arguments),
-        Invocation::Gateway(arguments) => run_gateway(&arguments),
+        Invocation::Gateway(arguments) => run_single(
+            &arguments,
+            sardinepin_platform::run_gateway(&arguments.settings),
+        ),
+        Invocation::Rank(arguments) => run_single(
+            &arguments,
+            sardinepin_platform::run_rank(&arguments.settings),
+        ),
         Invocation::PrintDefault => {
             print!("{}", options::default_yaml()?);
             Ok(ExitCode::SUCCESS)
@@ -54,8 +61,11 @@
     serve(arguments.role, settings)
 }
 
-/// Runs a gateway on one thread: the instances that it is made for have one core or less.
-fn run_gateway(arguments: &GatewayArguments) -> anyhow::Result<ExitCode> {
+/// Runs a role on one thread: the instances that it is made for have one core or less.
+fn run_single(
+    arguments: &PlatformArguments,
+    role: impl Future<Output = anyhow::Result<ExitCode>>,
+) -> anyhow::Result<ExitCode> {
     logs::start(&LogSettings {
         level: arguments.level.clone(),
     })?;
@@ -64,7 +74,7 @@
         .enable_all()
         .build()
         .context("the runtime cannot be started")?;
-    runtime.block_on(sardinepin_platform::run_gateway(&arguments.settings))
+    runtime.block_on(role)
 }
 
 fn serve(role: Role, settings: Settings) -> anyhow::Result<ExitCode> {
--- a/crates/sardinepin/src/options.rs
+++ b/crates/sardinepin/src/options.rs
@@ -9,7 +9,7 @@
 mod settings;
 pub(crate) mod validate;
 
-pub use arguments::{GatewayArguments, Invocation, RoleArguments, command, parse_arguments};
+pub use arguments::{Invocation, PlatformArguments, RoleArguments, command, parse_arguments};
 pub use faults::{FileFault, FileFaults};
 pub use load::{default_yaml, load_settings, parse_settings};
 pub use settings::{
--- a/crates/sardinepin/src/options/arguments.rs
+++ b/crates/sardinepin/src/options/arguments.rs
@@ -16,7 +16,9 @@
     /// Run a role.
     Role(RoleArguments),
     /// Run a gateway with the settings file of the platform.
-    Gateway(GatewayArguments),
+    Gateway(PlatformArguments),
+    /// Run a rank agent with the settings file of the platform.
+    Rank(PlatformArguments),
     /// Print the default settings.
     PrintDefault,
     /// Check files offline.
@@ -36,9 +38,9 @@
     pub level: Option<String>,
 }
 
-/// The arguments of a gateway.
+/// The arguments of a role whose settings the platform writes.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GatewayArguments {
+pub struct PlatformArguments {
     /// The settings file that the platform writes.
     pub settings: PathBuf,
     /// The level of the log.
@@ -59,7 +61,8 @@
     Ok(match matches.subcommand() {
         Some(("entry", given)) => role(Role::Entry, given),
         Some(("agent", given)) => role(Role::Agent, given),
-        Some(("gateway", given)) => Invocation::Gateway(gateway(given)),
+        Some(("gateway", given)) => Invocation::Gateway(platform_role(given)),
+        Some(("rank", given)) => Invocation::Rank(platform_role(given)),
         Some(("check", given)) => Invocation::Check(paths(given)),
         Some(("ctl", given)) => Invocation::Ctl(given.clone()),
         // The command requires one of the four.
@@ -77,7 +80,14 @@
         .arg_required_else_help(true)
         .subcommand(role_command("entry").about("Take requests from callers"))
         .subcommand(role_command("agent").about("Stand before one upstream"))
-        .subcommand(gateway_command())
+        .subcommand(
+            platform_command("gateway")
+                .about("Take requests from callers and send them to upstreams over HTTP"),
+        )
+        .subcommand(
+            platform_command("rank")
+                .about("Keep a rank group on one expert map, beside one of its engines"),
+        )
         .subcommand(check_command())
         .subcommand(ctl_command())
 }
@@ -109,9 +119,8 @@
         )
 }
 
-fn gateway_command() -> Command {
-    Command::new("gateway")
-        .about("Take requests from callers and send them to upstreams over HTTP")
+fn platform_command(name: &'static str) -> Command {
+    Command::new(name)
         .arg(
             Arg::new("settings")
                 .long("settings")
@@ -132,10 +141,10 @@
         )
 }
 
-fn gateway(given: &ArgMatches) -> GatewayArguments {
+fn platform_role(given: &ArgMatches) -> PlatformArguments {
     let settings: Option<&PathBuf> = given.get_one("settings");
     let level: Option<&String> = given.get_one("log-level");
-    GatewayArguments {
+    PlatformArguments {
         // Both are there: one is required and the other has a default.
         settings: settings.cloned().unwrap_or_default(),
         level: level.cloned().unwrap_or_default(),
