Arm no group whose armed step has not begun

Change: an armed rank without a held step means that the step is about to begin; a held step is armed only if no rank is armed for another one; orders to arm carry the sequence number of the report; SIGHUP is taken.

--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -12,7 +12,7 @@
 pub use placement::split::split;
 pub use switch::coordinator::{Coordinator, CoordinatorInput, CoordinatorOutput};
 pub use switch::gate::{Armed, Fencing, Gate, MapId, Order, OrderReply, Rejection, Staged};
-pub use switch::held::{HeldStep, RankReport, next_step};
+pub use switch::held::{ArmedAt, HeldStep, RankReport, next_step};
 pub use switch::messages::{
     Command, GroupMessage, RankId, Refusal, Report, Request, term_counter, term_for,
 };
--- a/crates/groups/src/switch/held.rs
+++ b/crates/groups/src/switch/held.rs
@@ -10,6 +10,15 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A version that comes into use as a step begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ArmedAt {
+    /// The version.
+    pub version: u64,
+    /// The step.
+    pub step: u64,
+}
+
 /// What an engine reports of its part in a switch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct RankReport {
@@ -30,7 +39,7 @@
     /// The version whose experts are loaded, if there is one.
     pub prepared: Option<u64>,
     /// The version that comes into use at a step, if one is armed.
-    pub armed: Option<u64>,
+    pub armed: Option<ArmedAt>,
     /// The step that is held, if one is.
     pub held: Option<u64>,
 }
@@ -82,9 +91,8 @@
     if !whole {
         return HeldStep::Unclear;
     }
-    let loaded = common(reports);
     if let Some((holder, step)) = held(reports) {
-        return match loaded {
+        return match ready_for(reports, step) {
             Some(version) => HeldStep::Arm {
                 version,
                 step,
@@ -97,23 +105,35 @@
             },
         };
     }
-    let newest = reports.iter().map(|report| report.active).max();
-    match loaded {
-        Some(version) if Some(version) > newest => HeldStep::Hold { version },
-        // An armed version without a held step comes into use as its step begins.
-        _ if reports.iter().any(|report| report.armed.is_some()) => HeldStep::Loading,
-        _ => HeldStep::Idle,
+    // An armed version without a held step comes into use as its step begins. To arm it anew for
+    // another step would let the step in between begin with two maps.
+    if reports.iter().any(|report| report.armed.is_some()) {
+        return HeldStep::Loading;
+    }
+    match common(reports) {
+        Some(version) => HeldStep::Hold { version },
+        None => HeldStep::Idle,
     }
 }
 
-/// Returns the version that every rank has loaded, armed or not.
+/// Returns the version that can be armed everywhere for a held step, if no rank is armed for
+/// anything else.
+fn ready_for(reports: &[RankReport], step: u64) -> Option<u64> {
+    let version = common(reports)?;
+    let wanted = ArmedAt { version, step };
+    reports
+        .iter()
+        .all(|report| report.armed.is_none_or(|armed| armed == wanted))
+        .then_some(version)
+}
+
+/// Returns the version that every rank has loaded and none uses yet.
 fn common(reports: &[RankReport]) -> Option<u64> {
-    let version = |report: &RankReport| report.armed.or(report.prepared);
-    let first = version(reports.first()?)?;
+    let version = reports.first()?.prepared?;
     reports
         .iter()
-        .all(|report| version(report) == Some(first) && report.active < first)
-        .then_some(first)
+        .all(|report| report.prepared == Some(version) && report.active < version)
+        .then_some(version)
 }
 
 fn held(reports: &[RankReport]) -> Option<(usize, u64)> {
@@ -123,9 +143,10 @@
 }
 
 fn versions(reports: &[RankReport]) -> Vec<u64> {
-    let named = reports
-        .iter()
-        .flat_map(|report| [report.armed, report.prepared]);
+    let named = reports.iter().flat_map(|report| {
+        let armed = report.armed.map(|armed| armed.version);
+        [armed, report.prepared]
+    });
     let mut versions: Vec<u64> = named.flatten().collect();
     versions.sort_unstable();
     versions.dedup();
--- a/crates/ranks/src/agent.rs
+++ b/crates/ranks/src/agent.rs
@@ -92,13 +92,7 @@
     /// Gives the engine an order.
     pub(crate) async fn order(&self, order: &EngineOrder) -> Option<OrderReply> {
         let reply = within(self.engines.order(self.engine, order)).await;
-        let label = match reply {
-            Some(OrderReply::Accepted) => "accepted",
-            Some(OrderReply::Conflict) => "conflict",
-            Some(OrderReply::Superseded) => "superseded",
-            Some(OrderReply::Refused) => "refused",
-            None => "no_answer",
-        };
+        let label = reply.map_or("no_answer", OrderReply::label);
         metrics::counter!("sardinepin_rank_orders_total", "action" => order.action.label(), "reply" => label)
             .increment(1);
         log::debug!(
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -18,6 +18,9 @@
 /// The time between two looks at a group.
 const LOOK: Millis = Millis(150);
 
+/// The time between two looks at a group whose switch is under way.
+const LOOK_URGENT: Millis = Millis(15);
+
 /// The silence of other coordinators after which the first rank takes over.
 const TAKE_OVER: Millis = Millis(400);
 
@@ -89,6 +92,8 @@
     pending: Option<Pending>,
     switched: Millis,
     leading: bool,
+    /// Whether a switch is under way that must not wait for the next look.
+    urgent: bool,
 }
 
 impl Coordinator {
@@ -116,13 +121,16 @@
             pending: None,
             switched: Millis::ZERO,
             leading: false,
+            urgent: false,
         }
     }
 
     /// Looks after the group for as long as the process lives, whenever no other does.
     pub(crate) async fn run(mut self) {
         loop {
-            tokio::time::sleep(LOOK.duration()).await;
+            let pause = if self.urgent { LOOK_URGENT } else { LOOK };
+            self.urgent = false;
+            tokio::time::sleep(pause.duration()).await;
             if !self.is_due() {
                 self.set_leading(false);
                 continue;
@@ -182,7 +190,7 @@
             [
                 report.active,
                 report.prepared.unwrap_or_default(),
-                report.armed.unwrap_or_default(),
+                report.armed.map_or(0, |armed| armed.version),
             ]
         });
         let highest = known.max().unwrap_or_default().max(self.last_version) >> RANK_BITS;
--- a/crates/ranks/src/coordinator/orders.rs
+++ b/crates/ranks/src/coordinator/orders.rs
@@ -77,7 +77,7 @@
         let all = replies.len() == orders.len()
             && replies
                 .iter()
-                .all(|reply| *reply == Some(OrderReply::Accepted));
+                .all(|reply| reply.is_some_and(OrderReply::is_taken));
         if all {
             Joint::Accepted
         } else {
@@ -86,24 +86,32 @@
     }
 
     /// Gives the same order to every rank at once.
-    async fn give_each(&self, epoch: u64, action: &Action) -> Joint {
-        let order = self.order(epoch, action.clone());
-        let orders: Vec<_> = (0..self.seats.len())
-            .map(|at| (at, order.clone()))
+    ///
+    /// With `sequenced`, the order has to be the next after a rank's report, so that a copy that
+    /// comes late does not fit any more.
+    async fn give_each(&self, reports: &[RankReport], action: &Action, sequenced: bool) -> Joint {
+        let orders: Vec<_> = reports
+            .iter()
+            .enumerate()
+            .map(|(at, report)| {
+                let mut order = self.order(report.epoch, action.clone());
+                order.sequence = sequenced.then_some(report.sequence);
+                (at, order)
+            })
             .collect();
         self.give_all(&orders).await
     }
 
     /// Has the pending map loaded at every rank.
     pub(super) async fn prepare(&mut self, reports: &[RankReport]) {
-        let (Some(pending), Some(first)) = (&self.pending, reports.first()) else {
+        let Some(pending) = &self.pending else {
             return;
         };
         let action = Action::Prepare {
             version: pending.version,
             layers: pending.layers.clone(),
         };
-        if self.give_each(first.epoch, &action).await == Joint::Superseded {
+        if self.give_each(reports, &action, false).await == Joint::Superseded {
             self.step_down("prepare");
         }
     }
@@ -151,10 +159,17 @@
             None => None,
         };
         match reply {
-            Some(OrderReply::Accepted) => self.arm(version, step, 0, reports).await,
+            Some(OrderReply::Done) => self.arm(version, step, 0, reports).await,
+            Some(OrderReply::Begun) => {
+                let mut held = reports.to_vec();
+                if let Some(holder) = held.first_mut() {
+                    holder.sequence += 1;
+                }
+                self.arm(version, step, 0, &held).await;
+            }
             Some(OrderReply::Superseded) => self.step_down("hold"),
             // The next look shows what became of it.
-            _ => {}
+            _ => self.urgent = true,
         }
     }
 
@@ -169,10 +184,12 @@
         let Some(epoch) = reports.first().map(|report| report.epoch) else {
             return;
         };
-        match self.give_each(epoch, &Action::Arm { version, step }).await {
+        let action = Action::Arm { version, step };
+        match self.give_each(reports, &action, true).await {
             Joint::Accepted => self.release(epoch, step, holder, version).await,
             Joint::Superseded => self.step_down("arm"),
             Joint::Incomplete => {
+                self.urgent = true;
                 log::info!(event = "arm_incomplete", version = version, step = step; "not every rank is armed yet");
             }
         }
@@ -205,7 +222,7 @@
         log::info!(event = "abort", versions:? = versions, step = step, term = self.term; "switch abandoned");
         for version in versions {
             let action = Action::Disarm { version: *version };
-            match self.give_each(epoch, &action).await {
+            match self.give_each(reports, &action, false).await {
                 Joint::Accepted => {}
                 Joint::Superseded => return self.step_down("disarm"),
                 Joint::Incomplete => return,
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -102,8 +102,10 @@
 /// An engine's answer to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderReply {
-    /// The order has begun, or what it asks for holds already.
-    Accepted,
+    /// The order has begun something, so the sequence number has grown.
+    Begun,
+    /// What the order asks for holds already, or was done at once.
+    Done,
     /// The order does not fit the engine's state.
     Conflict,
     /// The engine has seen a higher term.
@@ -112,6 +114,26 @@
     Refused,
 }
 
+impl OrderReply {
+    /// Returns whether the engine took the order.
+    #[must_use]
+    pub fn is_taken(self) -> bool {
+        matches!(self, Self::Begun | Self::Done)
+    }
+
+    /// Returns the label in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::Done => "done",
+            Self::Conflict => "conflict",
+            Self::Superseded => "superseded",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Why an engine gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineError(pub String);
--- a/crates/ranks/src/run.rs
+++ b/crates/ranks/src/run.rs
@@ -41,6 +41,8 @@
     shape: BoxFuture<'static, Option<Shape>>,
 ) -> anyhow::Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate())?;
+    // The agent's settings only change with its start, but the signal must not end it.
+    let mut reload = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(settings.listen)
         .await
         .with_context(|| format!("cannot listen on {}", settings.listen))?;
@@ -65,8 +67,14 @@
             .run()
             .await;
     };
+    let reloads = async {
+        while reload.recv().await.is_some() {
+            log::info!(event = "reload"; "told that the settings have changed");
+        }
+    };
     tokio::select! {
         () = lead => {}
+        () = reloads => {}
         _ = terminate.recv() => {}
     }
     log::info!(event = "stopped"; "stopped");
