--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -16,7 +16,7 @@
 use crate::peer::Peer;
 
 /// The time between two looks at a group.
-const LOOK: Millis = Millis(150);
+const LOOK: Millis = Millis(100);
 
 /// The time between two looks at a group whose switch is under way.
 const LOOK_URGENT: Millis = Millis(15);
@@ -43,7 +43,7 @@
 const GATHER: Millis = Millis(400);
 
 /// The pause between a switch and the next plan.
-const SETTLE: Millis = Millis(250);
+const SETTLE: Millis = Millis(100);
 
 /// How long a preparation may take before it is given up.
 const PREPARE_MAX: Millis = Millis(9_000);
