--- a/crates/groups/src/placement/even.rs
+++ b/crates/groups/src/placement/even.rs
@@ -29,7 +29,7 @@
         Self {
             places: 11,
             layer_loads: 4,
-            rank_loads: 3,
+            rank_loads: 2,
             load_gain: 0.004,
             change_gain: 0.02,
         }
--- a/crates/ranks/src/demand.rs
+++ b/crates/ranks/src/demand.rs
@@ -5,7 +5,7 @@
 use crate::engine::{EngineCounts, Shape};
 
 /// The time after which what was counted weighs half.
-const HALF_LIFE: Millis = Millis(300);
+const HALF_LIFE: Millis = Millis(200);
 
 /// The demand for the experts of a group.
 #[derive(Debug, Default)]
