Check the held switch against a model, and take nothing back that was released

Cause: a model check with two coordinators, late orders and looks that read one rank after the other (specs/held_switch) gave a step on two maps: in 21 actions (a release after a disarming of versions known from an old look), in 28 (a late copy of an order to disarm) and in 19 (a coordinator that held the next step took back, rank by rank, what another had released). Ruled out: holding the step anew at one's own term (no counter-example without it in 495,444 states, so it went). Change: next_step waits for what is armed before the held step; orders to disarm carry the sequence number; a step is released after an abort only once a second look shows no rank armed. Measured: 8 model tests pass, up to 598,643 states; four safeguards left out one at a time give a counter-example each. Conclusion: holds for engines that check terms; without that check two coordinators can break it (a test says so).

--- a/crates/groups/src/switch/held.rs
+++ b/crates/groups/src/switch/held.rs
@@ -92,6 +92,12 @@
         return HeldStep::Unclear;
     }
     if let Some((holder, step)) = held(reports) {
+        // What was armed for a step before the held one is about to come into use everywhere, and
+        // must neither be taken back nor be armed for another step meanwhile.
+        let earlier = |report: &RankReport| report.armed.is_some_and(|armed| armed.step < step);
+        if reports.iter().any(earlier) {
+            return HeldStep::Loading;
+        }
         return match ready_for(reports, step) {
             Some(version) => HeldStep::Arm {
                 version,
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -105,6 +105,8 @@
     pending: Option<Pending>,
     switched: Millis,
     leading: bool,
+    /// The epoch and the step for which every rank was disarmed, at the present term.
+    aborted: Option<(u64, u64)>,
     /// Whether a switch is under way that must not wait for the next look.
     urgent: bool,
 }
@@ -137,6 +139,7 @@
             pending: None,
             switched: Millis::ZERO,
             leading: false,
+            aborted: None,
             urgent: false,
         }
     }
@@ -170,6 +173,7 @@
             self.pending = None;
             self.maps = None;
             self.released = None;
+            self.aborted = None;
             self.demand = Demand::default();
             if leading {
                 self.renew_term();
--- a/crates/ranks/src/coordinator/orders.rs
+++ b/crates/ranks/src/coordinator/orders.rs
@@ -208,7 +208,7 @@
         log::info!(event = "switched", version = version, step = step, reply:? = reply; "step released on the new map");
     }
 
-    /// Disarms all ranks at a new term and, once all have confirmed it, releases the step.
+    /// Disarms all ranks at a new term; once a look shows that none is armed, releases the step.
     pub(super) async fn abort(
         &mut self,
         versions: &[u64],
@@ -219,21 +219,50 @@
         let Some(epoch) = reports.first().map(|report| report.epoch) else {
             return;
         };
-        // Orders of the present term that are still on their way must not come to effect.
-        self.renew_term();
-        log::info!(event = "abort", versions:? = versions, step = step, term = self.term; "switch abandoned");
-        for version in versions {
-            let action = Action::Disarm { version: *version };
-            match self.give_each(reports, &action, false).await {
-                Joint::Accepted => {}
-                Joint::Superseded => return self.step_down("disarm"),
-                Joint::Incomplete => return,
+        self.urgent = true;
+        let armed = reports.iter().any(|report| report.armed.is_some());
+        let disarmed = self.aborted == Some((epoch, step)) && !armed;
+        if !disarmed {
+            self.aborted = None;
+            // Orders of the present term that are still on their way must not come to effect.
+            self.renew_term();
+            log::info!(event = "abort", versions:? = versions, step = step, term = self.term; "switch abandoned");
+        }
+        match versions.first() {
+            Some(version) if !disarmed => self.disarm(*version, step, reports).await,
+            _ => self.give_up(epoch, step, holder).await,
+        }
+    }
+
+    /// Disarms what each rank has armed, or `version`, so that every engine sees the new term.
+    async fn disarm(&mut self, version: u64, step: u64, reports: &[RankReport]) {
+        let orders: Vec<_> = reports
+            .iter()
+            .enumerate()
+            .map(|(at, report)| {
+                let version = report.armed.map_or(version, |armed| armed.version);
+                let mut order = self.order(report.epoch, Action::Disarm { version });
+                order.sequence = Some(report.sequence);
+                (at, order)
+            })
+            .collect();
+        match self.give_all(&orders).await {
+            Joint::Accepted => {
+                self.aborted = reports.first().map(|report| (report.epoch, step));
             }
+            Joint::Superseded => self.step_down("disarm"),
+            Joint::Incomplete => {}
         }
+    }
+
+    /// Releases a step on the map in use.
+    async fn give_up(&mut self, epoch: u64, step: u64, holder: usize) {
         self.pending = None;
+        self.aborted = None;
         let order = self.order(epoch, Action::Release { step });
         if let Some(seat) = self.seats.get(holder) {
-            self.give(seat, &order).await;
+            let reply = self.give(seat, &order).await;
+            log::info!(event = "released", step = step, reply:? = reply; "step released on the map in use");
         }
     }
 }
--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod claims;
 pub mod config_spread;
 pub mod explore;
+pub mod held_switch;
 pub mod one_map;
