--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,234 @@
+//! The decisions of a gateway, without I/O: placing, waiting, refusing, retries and groups.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use sardinepin_common::Millis;
+use sardinepin_gateway::{
+    Balance, BalanceSettings, BudgetSettings, Demand, Ending, GroupPlace, LoadReport, RetryBudget,
+    Ticket, UpstreamId, UpstreamSpec, Verdict,
+};
+use sardinepin_protocol::ErrorKind;
+
+const NOW: Millis = Millis(10_000);
+
+fn spec(id: &str, zone: &str, group: Option<&str>) -> UpstreamSpec {
+    UpstreamSpec {
+        id: Arc::from(id),
+        born: 1,
+        service: Arc::from("llm"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: Arc::from(zone),
+        slots: 2,
+        leaving: false,
+        group: group.map(|name| GroupPlace {
+            name: Arc::from(name),
+            rank: 0,
+            broken: false,
+        }),
+    }
+}
+
+fn balance(specs: &[UpstreamSpec]) -> Balance {
+    let mut balance = Balance::new(BalanceSettings {
+        zone: "a".to_owned(),
+        ..BalanceSettings::default()
+    });
+    balance.replace(NOW, specs);
+    balance
+}
+
+fn demand(ticket: u64, priority: u8) -> Demand {
+    Demand {
+        ticket: Ticket(ticket),
+        service: Arc::from("llm"),
+        priority,
+        objective: Millis(400),
+        deadline: NOW + Millis(8_000),
+        tried: Vec::new(),
+    }
+}
+
+fn sent(verdict: Option<Verdict>) -> UpstreamId {
+    match verdict {
+        Some(Verdict::Send(id)) => id,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+fn name_of(balance: &Balance, id: UpstreamId) -> String {
+    balance.fleet().get(id).unwrap().spec.id.to_string()
+}
+
+#[test]
+fn requests_spread_over_upstreams_and_prefer_the_own_zone() {
+    let mut balance = balance(&[spec("near", "a", None), spec("far", "b", None)]);
+    let first = sent(balance.demand(NOW, demand(1, 1)));
+    let second = sent(balance.demand(NOW, demand(2, 1)));
+    assert_eq!(name_of(&balance, first), "near");
+    assert_eq!(name_of(&balance, second), "far");
+}
+
+#[test]
+fn a_burst_waits_for_room_in_order_of_rank_and_is_refused_when_it_has_waited() {
+    let mut balance = balance(&[spec("one", "a", None)]);
+    let first = sent(balance.demand(NOW, demand(1, 1)));
+    sent(balance.demand(NOW, demand(2, 1)));
+    assert_eq!(balance.demand(NOW, demand(3, 5)), None);
+    assert_eq!(balance.demand(NOW, demand(4, 1)), None);
+    let decided = balance.ended(NOW + Millis(10), first, Ending::Served);
+    assert_eq!(decided.len(), 1);
+    assert_eq!(decided[0].ticket, Ticket(4));
+    let decided = balance.pump(NOW + Millis(400));
+    assert_eq!(decided.len(), 1);
+    assert_eq!(decided[0].ticket, Ticket(3));
+    assert_matches!(
+        decided[0].verdict,
+        Verdict::Refuse { kind: ErrorKind::TooLate, retry_after } if retry_after > Millis::ZERO
+    );
+}
+
+#[test]
+fn what_can_never_be_served_is_refused_at_once() {
+    let mut balance = balance(&[]);
+    let verdict = balance.demand(NOW, demand(1, 1));
+    assert_matches!(
+        verdict,
+        Some(Verdict::Refuse {
+            kind: ErrorKind::NoUpstream,
+            ..
+        })
+    );
+}
+
+#[test]
+fn a_full_queue_refuses_at_once() {
+    let mut balance = Balance::new(BalanceSettings {
+        queue_max: 1,
+        ..BalanceSettings::default()
+    });
+    balance.replace(NOW, &[spec("one", "a", None)]);
+    sent(balance.demand(NOW, demand(1, 1)));
+    sent(balance.demand(NOW, demand(2, 1)));
+    assert_eq!(balance.demand(NOW, demand(3, 1)), None);
+    let verdict = balance.demand(NOW, demand(4, 1));
+    assert_matches!(
+        verdict,
+        Some(Verdict::Refuse {
+            kind: ErrorKind::QueueFull,
+            ..
+        })
+    );
+}
+
+#[test]
+fn refused_callers_come_back_spread_over_time() {
+    let mut balance = balance(&[]);
+    let times: Vec<Millis> = (0..200).map(|_| balance.come_back()).collect();
+    let (least, most) = (times.iter().min().unwrap(), times.iter().max().unwrap());
+    assert!(most.since(*least) > Millis(500), "{least} to {most}");
+}
+
+#[test]
+fn the_load_of_others_counts_until_it_is_old() {
+    let mut balance = balance(&[spec("near", "a", None), spec("far", "b", None)]);
+    let near = balance.fleet().named("near").unwrap();
+    let full = LoadReport {
+        running: 2,
+        waiting: 0,
+    };
+    balance.reported(NOW, near, full);
+    let id = sent(balance.demand(NOW, demand(1, 1)));
+    assert_eq!(name_of(&balance, id), "far");
+    let later = NOW + Millis(20_000);
+    let id = sent(balance.demand(later, demand(2, 1)));
+    assert_eq!(name_of(&balance, id), "near");
+}
+
+#[test]
+fn an_upstream_that_started_anew_is_another_one() {
+    let mut anew = spec("one", "a", None);
+    let mut balance = balance(&[anew.clone()]);
+    let before = sent(balance.demand(NOW, demand(1, 1)));
+    anew.born = 2;
+    balance.replace(NOW, &[anew]);
+    let after = balance.fleet().named("one").unwrap();
+    assert_ne!(before, after);
+    assert_eq!(balance.fleet().get(after).unwrap().own, 0);
+    // The end of what went to the first does not free a place of the second.
+    balance.ended(NOW, before, Ending::Served);
+    assert!(balance.fleet().get(before).is_none());
+}
+
+#[test]
+fn an_upstream_that_fails_gets_less_and_one_that_cannot_be_reached_rests() {
+    let mut balance = balance(&[spec("near", "a", None), spec("far", "b", None)]);
+    let near = sent(balance.demand(NOW, demand(1, 1)));
+    balance.ended(NOW, near, Ending::Failed);
+    let next = sent(balance.demand(NOW, demand(2, 1)));
+    assert_eq!(name_of(&balance, next), "far");
+    balance.ended(NOW, next, Ending::Unreached);
+    for ticket in 3..5 {
+        let id = sent(balance.demand(NOW, demand(ticket, 1)));
+        assert_eq!(name_of(&balance, id), "near");
+    }
+}
+
+/// Ranks of a group that has lost one turn requests away and so look empty.
+#[test]
+fn a_group_that_lost_a_rank_is_left_and_tried_again_one_request_at_a_time() {
+    let mut balance = balance(&[
+        spec("one", "a", Some("g0")),
+        spec("two", "a", Some("g0")),
+        spec("three", "b", Some("g1")),
+    ]);
+    let first = sent(balance.demand(NOW, demand(1, 1)));
+    balance.ended(NOW, first, Ending::GroupBroken);
+    let second = sent(balance.demand(NOW, demand(2, 1)));
+    assert_eq!(name_of(&balance, second), "three");
+    let later = NOW + Millis(200);
+    let trial = sent(balance.demand(later, demand(3, 1)));
+    assert_ne!(name_of(&balance, trial), "three");
+    let next = sent(balance.demand(later, demand(4, 1)));
+    assert_eq!(name_of(&balance, next), "three");
+    balance.progressed(later, trial);
+    let open = sent(balance.demand(later, demand(5, 1)));
+    assert_ne!(name_of(&balance, open), "three");
+}
+
+/// All streams of a group fall silent when one of its ranks is gone.
+#[test]
+fn a_stalled_group_is_left_if_another_has_room() {
+    let mut balance = balance(&[spec("one", "a", Some("g0")), spec("two", "b", Some("g1"))]);
+    let silent = sent(balance.demand(NOW, demand(1, 1)));
+    assert!(!balance.should_move(NOW + Millis(400), silent));
+    assert!(balance.should_move(NOW + Millis(600), silent));
+    let other = sent(balance.demand(NOW + Millis(600), demand(2, 1)));
+    assert_eq!(name_of(&balance, other), "two");
+    balance.progressed(NOW + Millis(600), silent);
+    assert!(!balance.should_move(NOW + Millis(700), silent));
+    let full = LoadReport {
+        running: 9,
+        waiting: 9,
+    };
+    balance.reported(NOW + Millis(1_200), other, full);
+    assert!(!balance.should_move(NOW + Millis(1_200), silent));
+}
+
+#[test]
+fn retries_keep_to_a_share_of_the_requests_of_a_window() {
+    let settings = BudgetSettings {
+        ratio: 0.1,
+        slack: 2.0,
+        window: Millis(1_000),
+    };
+    let mut budget = RetryBudget::default();
+    for _ in 0..30 {
+        budget.requested(NOW, &settings);
+    }
+    let taken = (0..50).filter(|_| budget.take(NOW, &settings)).count();
+    assert_eq!(taken, 5);
+    let later = NOW + Millis(1_001);
+    let taken = (0..50).filter(|_| budget.take(later, &settings)).count();
+    assert_eq!(taken, 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/upstream_list.rs
@@ -0,0 +1,69 @@
+//! The list of upstreams as a gateway believes it.
+
+use std::sync::Arc;
+
+use sardinepin_common::Millis;
+use sardinepin_gateway::{Item, UpstreamList, UpstreamSpec};
+
+const GRACE: Millis = Millis(2_000);
+
+fn item(id: &str, revision: u64, leaving: Option<bool>) -> Item<UpstreamSpec> {
+    Item {
+        name: Arc::from(id),
+        revision,
+        value: leaving.map(|leaving| UpstreamSpec {
+            id: Arc::from(id),
+            born: 1,
+            service: Arc::from("llm"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: Arc::from("a"),
+            slots: 2,
+            leaving,
+            group: None,
+        }),
+    }
+}
+
+fn ids(list: &mut UpstreamList, now: u64) -> Option<Vec<String>> {
+    let specs = list.take_changed(Millis(now))?;
+    let mut ids: Vec<String> = specs.iter().map(|spec| spec.id.to_string()).collect();
+    ids.sort();
+    Some(ids)
+}
+
+#[test]
+fn an_entry_that_goes_is_gone_at_once_while_the_store_is_there() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace(
+        Millis(0),
+        vec![item("a", 1, Some(false)), item("b", 2, Some(false))],
+    );
+    assert_eq!(ids(&mut list, 0).unwrap(), ["a", "b"]);
+    list.change(Millis(10), vec![item("a", 3, None)]);
+    assert_eq!(ids(&mut list, 10).unwrap(), ["b"]);
+    assert_eq!(ids(&mut list, 20), None);
+}
+
+#[test]
+fn an_entry_that_lapsed_while_the_store_was_away_is_believed_in_for_a_while() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace(
+        Millis(0),
+        vec![item("a", 1, Some(false)), item("b", 2, Some(false))],
+    );
+    ids(&mut list, 0);
+    list.returned(Millis(5_000));
+    list.replace(Millis(5_000), vec![]);
+    assert_eq!(ids(&mut list, 5_000).unwrap(), ["a", "b"]);
+    list.change(Millis(6_000), vec![item("a", 9, Some(false))]);
+    assert_eq!(ids(&mut list, 7_000).unwrap_or_default(), ["a"]);
+}
+
+#[test]
+fn an_older_reading_changes_nothing() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace(Millis(0), vec![item("a", 5, Some(true))]);
+    assert!(list.take_changed(Millis(0)).unwrap()[0].leaving);
+    list.change(Millis(1), vec![item("a", 4, Some(false))]);
+    assert_eq!(list.take_changed(Millis(1)), None);
+}
--- a/crates/groups/src/placement/even.rs
+++ b/crates/groups/src/placement/even.rs
@@ -304,6 +304,9 @@
         .collect();
     let mut rank_added = vec![0; ranks];
     let total: f64 = search.iter().map(Layer::mean).sum();
+    if total <= 0.0 {
+        return None;
+    }
     let skew_now = skew(&search);
     for layer in &mut search {
         layer.search(settings, &rank_added);
