Write logs on a thread of their own, bounded, and serve metrics of the platform roles

Cause: a reader that stops reading must not hold up a request, and on-call engineers need the metrics.

--- a/crates/sardinepin/src/logs.rs
+++ b/crates/sardinepin/src/logs.rs
@@ -1,6 +1,8 @@
 //! JSON lines on the standard output, one for each record of the log.
 
 use std::str::FromStr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::UNIX_EPOCH;
 
 use anyhow::Context;
@@ -12,9 +14,22 @@
 
 use crate::options::LogSettings;
 
+mod writer;
+
 #[cfg(test)]
 mod tests;
 
+use writer::Writer;
+
+/// The longest wait for the last lines.
+const FLUSH_MAX: Millis = Millis(100);
+
+/// The time between two looks at whether they are written.
+const FLUSH_POLL: Millis = Millis(1);
+
+/// How many lines of the process's log are still to be written.
+static WAITING: OnceLock<Arc<AtomicUsize>> = OnceLock::new();
+
 /// The fields that every line has; a pair of the record with such a name gets a trailing `_`.
 const FIXED_FIELDS: [&str; 4] = ["time", "level", "target", "message"];
 
@@ -26,14 +41,31 @@
 pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
     let level = LevelFilter::from_str(&settings.level)
         .with_context(|| format!("log.level: '{}' is no level", settings.level))?;
+    let writer = Writer::start(std::io::stdout(), settings.bytes_max);
+    let waiting = writer.waiting();
+    // A second log fails below, so the first one's count stands.
+    let _ = WAITING.set(waiting);
     fern::Dispatch::new()
         .level(level)
         .format(|out, _, record| out.finish(format_args!("{}", line(record, Clock::wall()))))
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| {
+            writer.push(record.args().to_string());
+        }))
         .apply()
         .context("the log cannot be started")
 }
 
+/// Waits a little for the lines that are still to be written; call it before the process ends.
+pub fn flush() {
+    let Some(waiting) = WAITING.get() else {
+        return;
+    };
+    let clock = Clock::start();
+    while waiting.load(Ordering::Relaxed) > 0 && clock.now() < FLUSH_MAX {
+        std::thread::sleep(FLUSH_POLL.duration());
+    }
+}
+
 /// Returns the line for `record`, without its end.
 fn line(record: &Record<'_>, wall: Millis) -> String {
     let mut pairs = Pairs::default();
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -6,7 +6,7 @@
 use sardinepin::options::{
     self, Invocation, LogSettings, PlatformArguments, RoleArguments, Settings,
 };
-use sardinepin::telemetry::Telemetry;
+use sardinepin::telemetry::{Telemetry, serve as serve_metrics};
 use sardinepin::{agent, check, ctl, entry, logs};
 use sardinepin_protocol::Role;
 
@@ -68,13 +68,19 @@
 ) -> anyhow::Result<ExitCode> {
     logs::start(&LogSettings {
         level: arguments.level.clone(),
+        ..LogSettings::default()
     })?;
-    Telemetry::install()?;
+    let telemetry = Telemetry::install()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("the runtime cannot be started")?;
-    runtime.block_on(role)
+    let ended = runtime.block_on(async {
+        tokio::spawn(serve_metrics(telemetry, arguments.metrics));
+        role.await
+    });
+    logs::flush();
+    ended
 }
 
 fn serve(role: Role, settings: Settings) -> anyhow::Result<ExitCode> {
--- a/crates/sardinepin/src/options/arguments.rs
+++ b/crates/sardinepin/src/options/arguments.rs
@@ -10,6 +10,9 @@
 use super::fields::LEVELS;
 use crate::ctl::ctl_command;
 
+/// The port at which metrics are served unless the command line names another.
+const METRICS_PORT: &str = "9464";
+
 /// What a command line asks for.
 #[derive(Debug)]
 pub enum Invocation {
@@ -45,6 +48,8 @@
     pub settings: PathBuf,
     /// The level of the log.
     pub level: String,
+    /// The port at which metrics are served.
+    pub metrics: u16,
 }
 
 /// Reads a command line, the program's name first.
@@ -139,6 +144,14 @@
                 .default_value("info")
                 .help("The level of the log"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .value_parser(value_parser!(u16))
+                .default_value(METRICS_PORT)
+                .help("The port at which metrics are served, under /metrics"),
+        )
 }
 
 fn platform_role(given: &ArgMatches) -> PlatformArguments {
@@ -148,6 +161,7 @@
         // Both are there: one is required and the other has a default.
         settings: settings.cloned().unwrap_or_default(),
         level: level.cloned().unwrap_or_default(),
+        metrics: given.get_one("metrics-port").copied().unwrap_or_default(),
     }
 }
 
--- a/crates/sardinepin/src/options/fields.rs
+++ b/crates/sardinepin/src/options/fields.rs
@@ -17,6 +17,12 @@
 /// The fewest bytes of a secret.
 const SECRET_MIN: u64 = 16;
 
+/// The least bound on the log, in bytes a second: some lines have to fit.
+const LOG_BYTES_MIN: u64 = 4_096;
+
+/// The largest bound on the log, in bytes a second.
+const LOG_BYTES_MAX: u64 = 1 << 30;
+
 const SOCKET: Allowed = Allowed::Shape("an IP number and port, such as 127.0.0.1:8080");
 const MAPPING: Allowed = Allowed::Shape("a mapping of fields");
 
@@ -144,6 +150,10 @@
     ),
     field("log", MAPPING),
     field("log.level", Allowed::OneOf(LEVELS)),
+    field(
+        "log.bytes_max",
+        number(LOG_BYTES_MIN, LOG_BYTES_MAX, "bytes a second"),
+    ),
     field("stop", MAPPING),
     field("stop.grace_ms", number(0, SPAN_MAX_MS, "milliseconds")),
 ];
--- a/crates/sardinepin/src/options/settings.rs
+++ b/crates/sardinepin/src/options/settings.rs
@@ -217,12 +217,15 @@
 pub struct LogSettings {
     /// The least severe level that is written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
     pub level: String,
+    /// The most that is written in a second, in bytes; the lines beyond it are counted.
+    pub bytes_max: usize,
 }
 
 impl Default for LogSettings {
     fn default() -> Self {
         Self {
             level: "info".to_owned(),
+            bytes_max: 256 * 1024,
         }
     }
 }
--- a/crates/sardinepin/src/telemetry.rs
+++ b/crates/sardinepin/src/telemetry.rs
@@ -5,9 +5,13 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use sardinepin_protocol::ErrorKind;
 
+mod serve;
+
 #[cfg(test)]
 mod tests;
 
+pub use serve::serve;
+
 /// Counts answers other than a whole one, by the reason of [`ErrorKind`].
 pub const REFUSALS: &str = "sardinepin_refusals_total";
 
