--- a/crates/gateway/src/constants.rs
+++ b/crates/gateway/src/constants.rs
@@ -3,7 +3,7 @@
 use sardinepin_common::Millis;
 
 /// The longest time over opening a connection to an upstream.
-pub(crate) const CONNECT_MAX: Millis = Millis(400);
+pub(crate) const CONNECT_MAX: Millis = Millis(200);
 
 /// How long sent bytes may stay unacknowledged before a connection is given up.
 pub(crate) const UNACKED_MAX: Millis = Millis(1_500);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -65,7 +65,8 @@
             return;
         };
         group.in_flight = group.in_flight.saturating_sub(1);
-        if ending == Ending::GroupBroken {
+        // A rank that this gateway cannot reach is most often missing for its whole group.
+        if matches!(ending, Ending::GroupBroken | Ending::Unreached) {
             group.broken += 1;
             group.shut_until = now + shut_time(group.broken);
         }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -196,6 +196,20 @@
     assert_ne!(name_of(&balance, open), "three");
 }
 
+/// In a partition each rank that is tried costs the time of a connection that never opens.
+#[test]
+fn a_group_with_a_rank_out_of_reach_is_left_like_one_that_lost_it() {
+    let mut balance = balance(&[
+        spec("one", "a", Some("g0")),
+        spec("two", "a", Some("g0")),
+        spec("three", "b", Some("g1")),
+    ]);
+    let first = sent(balance.demand(NOW, demand(1, 1)));
+    balance.ended(NOW, first, Ending::Unreached);
+    let second = sent(balance.demand(NOW, demand(2, 1)));
+    assert_eq!(name_of(&balance, second), "three");
+}
+
 /// All streams of a group fall silent when one of its ranks is gone.
 #[test]
 fn a_stalled_group_is_left_if_another_has_room() {
