Ask callers back later from an outage, tell each placement, and explain a request

Cause: in a partition or after a loss of power groups take seconds to come back; callers that were asked back within 0.3 to 1.2 s were refused again. On-call engineers had no line for a placement and no way to put lines of one request together. Change: no_upstream asks callers back after 1.2 to 2.6 s, spread; lines placed and answered; sardinepin explain ID FILE.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -94,6 +94,13 @@
 /// The spread of the times at which refused callers come back.
 const COME_BACK_SPREAD: Millis = Millis(900);
 
+/// The shortest such time while no upstream can be used: processes and groups take seconds to
+/// come back.
+const OUTAGE_MIN: Millis = Millis(1_200);
+
+/// The spread of such times.
+const OUTAGE_SPREAD: Millis = Millis(1_400);
+
 /// Decides over the requests of one gateway.
 #[derive(Debug)]
 pub struct Balance {
@@ -252,14 +259,19 @@
     }
 
     fn refuse(&mut self, kind: ErrorKind) -> Verdict {
-        Verdict::Refuse {
-            kind,
-            retry_after: self.come_back(),
-        }
+        let retry_after = match kind {
+            ErrorKind::NoUpstream => self.spread(OUTAGE_MIN, OUTAGE_SPREAD),
+            _ => self.come_back(),
+        };
+        Verdict::Refuse { kind, retry_after }
     }
 
     /// Returns when a refused caller should come back, spread so that not all come at once.
     pub fn come_back(&mut self) -> Millis {
-        COME_BACK_MIN + Millis(self.rng.random_range(0..COME_BACK_SPREAD.0))
+        self.spread(COME_BACK_MIN, COME_BACK_SPREAD)
+    }
+
+    fn spread(&mut self, least: Millis, over: Millis) -> Millis {
+        least + Millis(self.rng.random_range(0..over.0))
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -150,6 +150,11 @@
         Ok(request)
     }
 
+    /// Returns the identifier as text, for the log.
+    pub(crate) fn name(&self) -> &str {
+        self.id.to_str().unwrap_or("unreadable")
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) fn repeatable(&self) -> bool {
         self.route.repeat.allowed()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -58,7 +58,7 @@
 
     fn give_up(&self, call: &Call, tries: &Tries, end: GivenUp) -> Response<Body> {
         log::info!(
-            event = "given_up", request:? = call.id, service = &*call.service,
+            event = "given_up", request = call.name(), service = &*call.service,
             route = &*call.route.name, reason = end.kind.answer().label, sent = tries.sent,
             ran = tries.ran, after_ms = self.clock.now().since(call.came).0,
             retry_ms = end.retry_after.0;
@@ -155,11 +155,23 @@
         })?;
         tries.tried.push(place.id);
         tries.sent += 1;
-        log::debug!(
-            event = "placed", request:? = call.id, upstream = &*place.spec.id, sent = tries.sent;
+        self.log_placed(call, tries, &place);
+        Ok(place)
+    }
+
+    fn log_placed(&self, call: &Call, tries: &Tries, place: &Place) {
+        let held = self.dispatch.with(|balance, now| {
+            let upstream = balance.fleet().get(place.id);
+            upstream.map_or(0.0, |upstream| upstream.occupancy(now))
+        });
+        let group = place.spec.group.as_ref().map_or("", |group| &*group.name);
+        let waited = self.clock.now().since(call.came);
+        log::info!(
+            event = "placed", request = call.name(), service = &*call.service,
+            upstream = &*place.spec.id, zone = &*place.spec.zone, group = group, held = held,
+            sent = tries.sent, waited_ms = waited.0;
             "request placed"
         );
-        Ok(place)
     }
 
     /// Returns until when an upstream may take over a plain answer before another is tried.
@@ -211,7 +223,7 @@
         if paid {
             metrics::counter!("sardinepin_retries_total", "reason" => failure.label()).increment(1);
             log::info!(
-                event = "again", request:? = call.id, service = &*call.service,
+                event = "again", request = call.name(), service = &*call.service,
                 reason = failure.label(), sent = tries.sent, left_ms = left.0;
                 "request tried again"
             );
@@ -222,6 +234,13 @@
     /// Passes on a plain answer.
     fn pass_on(&self, call: &Call, plain: Plain) -> Response<Body> {
         let names = &self.names;
+        let after = self.clock.now().since(call.came);
+        metrics::histogram!("sardinepin_request_milliseconds").record(after.as_f64());
+        log::info!(
+            event = "answered", request = call.name(), service = &*call.service,
+            status = plain.parts.status.as_u16(), after_ms = after.0;
+            "plain answer passed on"
+        );
         let signed = plain.parts.headers.contains_key(&names.signature);
         let status = plain.parts.status;
         // These statuses promise that the request did not run, which the upstream did not say.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -128,7 +128,7 @@
         let first = self.timing.first.unwrap_or_default().since(call.came);
         let whole = self.gateway.clock.now().since(call.came);
         log::info!(
-            event = "streamed", request:? = call.id, service = &*call.service,
+            event = "streamed", request = call.name(), service = &*call.service,
             route = &*call.route.name, upstream = &*begun.place.spec.id, sent = self.tries.sent,
             chunks = self.timing.chunks, first_ms = first.0, pause_ms = self.timing.pause.0,
             after_ms = whole.0;
@@ -142,7 +142,7 @@
 
     fn cut(&self, failure: Failure) -> io::Error {
         log::info!(
-            event = "cut", request:? = self.call.id, service = &*self.call.service,
+            event = "cut", request = self.call.name(), service = &*self.call.service,
             reason = failure.label(), sent = self.tries.sent, chunks = self.timing.chunks,
             last = self.last, after_ms = self.gateway.clock.now().since(self.call.came).0;
             "stream cut off"
@@ -232,7 +232,7 @@
         if self.begun.is_some() {
             let after = self.gateway.clock.now().since(self.call.came);
             log::info!(
-                event = "caller_left", request:? = self.call.id, service = &*self.call.service,
+                event = "caller_left", request = self.call.name(), service = &*self.call.service,
                 chunks = self.timing.chunks, after_ms = after.0;
                 "caller left its stream"
             );
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -134,8 +134,9 @@
     match read(gateway, parts, body, came).await {
         Ok(call) => gateway.follow(call).await,
         Err(kind) => {
+            let name = id.as_ref().and_then(|id| id.to_str().ok());
             log::info!(
-                event = "turned_down", request:? = id, reason = kind.answer().label;
+                event = "turned_down", request = name, reason = kind.answer().label;
                 "request turned down"
             );
             let id = id.as_ref().map(|id| (&gateway.names.request_id, id));
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -1,5 +1,8 @@
 //! The decisions of a gateway, without I/O: placing, waiting, refusing, retries and groups.
 
+// The helpers of a test file are part of its tests.
+#![allow(clippy::unwrap_used)]
+
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -1,5 +1,8 @@
 //! The list of upstreams as a gateway believes it.
 
+// The helpers of a test file are part of its tests.
+#![allow(clippy::unwrap_used)]
+
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod ctl;
 pub mod entry;
+pub mod explain;
 mod link;
 pub mod logs;
 mod node;
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -7,7 +7,7 @@
     self, Invocation, LogSettings, PlatformArguments, RoleArguments, Settings,
 };
 use sardinepin::telemetry::{Telemetry, serve as serve_metrics};
-use sardinepin::{agent, check, ctl, entry, logs};
+use sardinepin::{agent, check, ctl, entry, explain, logs};
 use sardinepin_protocol::Role;
 
 /// The exit code for a command line or a file that is not in order.
@@ -42,6 +42,7 @@
             print!("{}", options::default_yaml()?);
             Ok(ExitCode::SUCCESS)
         }
+        Invocation::Explain(id, files) => Ok(explain::run(&id, &files)),
         Invocation::Check(files) => Ok(check::run(&files)),
         Invocation::Ctl(given) => ctl::run(&given),
     }
--- a/crates/sardinepin/src/options/arguments.rs
+++ b/crates/sardinepin/src/options/arguments.rs
@@ -24,6 +24,8 @@
     Rank(PlatformArguments),
     /// Print the default settings.
     PrintDefault,
+    /// Tell what happened to a request, from the logs in these files.
+    Explain(String, Vec<PathBuf>),
     /// Check files offline.
     Check(Vec<PathBuf>),
     /// Call the administration API, with the arguments of `ctl`.
@@ -68,6 +70,10 @@
         Some(("agent", given)) => role(Role::Agent, given),
         Some(("gateway", given)) => Invocation::Gateway(platform_role(given)),
         Some(("rank", given)) => Invocation::Rank(platform_role(given)),
+        Some(("explain", given)) => {
+            let id: Option<&String> = given.get_one("request");
+            Invocation::Explain(id.cloned().unwrap_or_default(), paths(given))
+        }
         Some(("check", given)) => Invocation::Check(paths(given)),
         Some(("ctl", given)) => Invocation::Ctl(given.clone()),
         // The command requires one of the four.
@@ -93,6 +99,7 @@
             platform_command("rank")
                 .about("Keep a rank group on one expert map, beside one of its engines"),
         )
+        .subcommand(explain_command())
         .subcommand(check_command())
         .subcommand(ctl_command())
 }
@@ -165,6 +172,26 @@
     }
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Tell what happened to a request, from the logs of several processes")
+        .after_help("Ends with 0 if a line names the request, 1 if none does, 2 on misuse.")
+        .arg(
+            Arg::new("request")
+                .value_name("ID")
+                .required(true)
+                .help("The identifier of the request"),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .num_args(1..)
+                .required(true)
+                .help("The logs"),
+        )
+}
+
 fn check_command() -> Command {
     Command::new("check")
         .about("Check settings, rule lists and deployment files offline")
