--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -9,6 +9,9 @@
 mod peer;
 mod run;
 
+#[cfg(test)]
+mod tests;
+
 pub use engine::{
     Action, Directory, EngineCall, EngineCounts, EngineError, EngineExperts, EngineOrder,
     EngineReport, Engines, Member, OrderReply, Shape,
