--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -54,6 +54,17 @@
     }
 }
 
+/// How one attempt is made.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    /// Until when the answer has to begin.
+    pub(crate) until: Millis,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// Whether the request may be sent to one more upstream while this one is silent.
+    pub(crate) movable: bool,
+}
+
 /// An attempt whose answer has begun.
 #[derive(Debug)]
 pub(crate) struct Begun {
@@ -71,15 +82,14 @@
 }
 
 impl Gateway {
-    /// Sends a request to the upstream of `place` and waits until `until` for the answer to begin.
+    /// Sends a request to the upstream of `place` and waits for the answer to begin.
     pub(crate) async fn attempt(
         &self,
         call: &Call,
         mut place: Place,
-        until: Millis,
-        last_event: Option<u64>,
+        plan: Plan,
     ) -> Result<Begun, Failure> {
-        let result = self.exchange(call, &mut place, until, last_event).await;
+        let result = self.exchange(call, &mut place, plan).await;
         match &result {
             Err(Failure::NotSent) => place.end(Ending::Unreached),
             Err(Failure::Rejected) => place.end(Ending::Rejected),
@@ -102,9 +112,13 @@
         &self,
         call: &Call,
         place: &mut Place,
-        until: Millis,
-        last_event: Option<u64>,
+        plan: Plan,
     ) -> Result<(Parts, Incoming, Connection), Failure> {
+        let Plan {
+            until,
+            last_event,
+            movable,
+        } = plan;
         let fresh = !call.repeatable();
         let pool = &self.dispatch.pool;
         let mut connection = pool
@@ -119,7 +133,7 @@
         let request = call
             .to_upstream(&self.names, &place.spec, left, last_event)
             .map_err(|_| Failure::NotSent)?;
-        let answer = self.wait(call, place.id, until, connection.send(request));
+        let answer = self.wait(movable, place.id, until, connection.send(request));
         let response = match answer.await {
             Err(failure) => return Err(failure),
             Ok(Err(SendError::NotSent)) => return Err(Failure::NotSent),
@@ -136,9 +150,11 @@
     }
 
     /// Waits for an upstream, until it should be left or the time is up.
+    ///
+    /// `movable` tells whether the request may be sent to one more upstream.
     pub(crate) async fn wait<T>(
         &self,
-        call: &Call,
+        movable: bool,
         id: UpstreamId,
         until: Millis,
         work: impl Future<Output = T>,
@@ -153,7 +169,7 @@
             if let Ok(done) = tokio::time::timeout(look.duration(), work.as_mut()).await {
                 return Ok(done);
             }
-            let stalled = call.resumable()
+            let stalled = movable
                 && self
                     .dispatch
                     .with(|balance, now| balance.should_move(now, id));
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -201,10 +201,17 @@
         self.fleet.progressed(now, id);
     }
 
-    /// Returns whether an attempt without a sign of life should go to another upstream.
+    /// Returns whether an attempt without a sign of life should go to another upstream: its group
+    /// has stalled, another has room, and the budget allows a retry.
     #[must_use]
-    pub fn should_move(&self, now: Millis, id: UpstreamId) -> bool {
-        self.fleet.should_move(now, id, self.settings.backlog)
+    pub fn should_move(&mut self, now: Millis, id: UpstreamId) -> bool {
+        let Some(upstream) = self.fleet.get(id) else {
+            return false;
+        };
+        let service = Arc::clone(&upstream.spec.service);
+        let budget = self.budgets.entry(service).or_default();
+        budget.has_left(now, &self.settings.budget)
+            && self.fleet.should_move(now, id, self.settings.backlog)
     }
 
     /// Marks an upstream as taking no new work, before the list says so.
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -39,16 +39,21 @@
         self.requests.push_back(now);
     }
 
-    /// Counts a retry if the budget allows one, and returns whether it does.
-    pub fn take(&mut self, now: Millis, settings: &BudgetSettings) -> bool {
+    /// Returns whether the budget allows a retry.
+    pub fn has_left(&mut self, now: Millis, settings: &BudgetSettings) -> bool {
         expire(&mut self.requests, now, settings.window);
         expire(&mut self.retries, now, settings.window);
         let allowed = settings.ratio * self.requests.len() as f64 + settings.slack;
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        self.retries.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Counts a retry if the budget allows one, and returns whether it does.
+    pub fn take(&mut self, now: Millis, settings: &BudgetSettings) -> bool {
+        let allowed = self.has_left(now, settings);
+        if allowed {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        allowed
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use sardinepin_protocol::ErrorKind;
 
 use crate::answer::{self, Body};
-use crate::attempt::{Begun, Failure, Plain};
+use crate::attempt::{Begun, Failure, Plain, Plan};
 use crate::balance::{Demand, Verdict};
 use crate::call::Call;
 use crate::dispatch::Place;
@@ -79,7 +79,17 @@
         loop {
             let place = self.place(call, tries).await?;
             let until = self.attempt_until(call, tries);
-            let begun = self.attempt(call, place, until, None).await;
+            let begun = self
+                .attempt(
+                    call,
+                    place,
+                    Plan {
+                        until,
+                        last_event: None,
+                        movable: false,
+                    },
+                )
+                .await;
             let plain = match begun {
                 Ok(begun) => begun.read_whole(self, until).await,
                 Err(failure) => Err(failure),
@@ -107,7 +117,12 @@
         loop {
             let place = self.place(call, tries).await?;
             let last = call.last_event(&self.names);
-            match self.attempt(call, place, call.deadline, last).await {
+            let plan = Plan {
+                until: call.deadline,
+                last_event: last,
+                movable: is_movable(call, tries),
+            };
+            match self.attempt(call, place, plan).await {
                 Ok(begun) if begun.parts.status == StatusCode::OK => {
                     return Ok(self.stream(call, tries, begun));
                 }
@@ -272,6 +287,11 @@
     }
 }
 
+/// Returns whether a stream may be sent to one more upstream.
+pub(crate) fn is_movable(call: &Call, tries: &Tries) -> bool {
+    call.resumable() && tries.sent < call.route.attempts
+}
+
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,11 +11,11 @@
 use sardinepin_common::Millis;
 
 use crate::answer::Body;
-use crate::attempt::{Begun, Failure};
+use crate::attempt::{Begun, Failure, Plan};
 use crate::call::Call;
 use crate::events::{EventSplitter, after};
 use crate::fleet::Ending;
-use crate::follow::Tries;
+use crate::follow::{Tries, is_movable};
 use crate::gateway::Gateway;
 
 /// A stream on its way to the caller.
@@ -181,13 +181,14 @@
     }
 
     async fn frame(&mut self) -> Result<Option<Frame<Bytes>>, Failure> {
+        let movable = is_movable(&self.call, &self.tries);
         let Some(begun) = &mut self.begun else {
             return Err(Failure::Broken);
         };
         let id = begun.place.id;
         let until = self.call.deadline;
         let frame = begun.body.frame();
-        match self.gateway.wait(&self.call, id, until, frame).await? {
+        match self.gateway.wait(movable, id, until, frame).await? {
             None => Ok(None),
             Some(Ok(frame)) => {
                 self.gateway.progressed(id);
@@ -207,8 +208,12 @@
             let Ok(place) = gateway.place(&call, &mut self.tries).await else {
                 return false;
             };
-            let attempt = gateway.attempt(&call, place, call.deadline, self.last);
-            match attempt.await {
+            let plan = Plan {
+                until: call.deadline,
+                last_event: self.last,
+                movable: is_movable(&call, &self.tries),
+            };
+            match gateway.attempt(&call, place, plan).await {
                 Ok(begun) if begun.parts.status == StatusCode::OK => {
                     self.begun = Some(begun);
                     self.resumed = self.last;
--- a/crates/gateway/tests/path/streams.rs
+++ b/crates/gateway/tests/path/streams.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use sardinepin_common::Millis;
+use sardinepin_gateway::GroupPlace;
+
 use crate::util::{
     Act, Upstream, chunk, exchange, field, gateway, last_chunk, request, stream_head,
 };
@@ -99,3 +102,52 @@
     assert_eq!(numbers(&answer), [5]);
     assert_eq!(field(&one.head(0), "last-event-id").as_deref(), Some("4"));
 }
+
+/// A group that stalls falls silent on all its streams.
+const STALL: Millis = Millis(1_200);
+
+fn place(group: &str) -> Option<GroupPlace> {
+    Some(GroupPlace {
+        name: Arc::from(group),
+        rank: 0,
+        broken: false,
+    })
+}
+
+#[tokio::test]
+async fn a_stream_of_a_stalled_group_goes_on_at_another_group() {
+    let stalls = vec![stream_head(), chunk(&event(1)), Act::Hang];
+    let goes_on = vec![stream_head(), chunk(&event(2)), last_chunk()];
+    let mut one = Upstream::start("one", vec![stalls]).await;
+    let mut two = Upstream::start("two", vec![goes_on]).await;
+    one.spec.group = place("g0");
+    two.spec.group = place("g1");
+    two.spec.zone = Arc::from("zone-b");
+    let (running, _) = gateway(&[&one, &two]).await;
+    let answer = exchange(running.callers(), &request("/stream/a", "r", "")).await;
+    assert_eq!(numbers(&answer), [1, 2], "{answer}");
+    assert!(is_complete(&answer), "{answer}");
+}
+
+/// A day of our own found this one: streams of a stalled group were given up when no retry was
+/// left, though the group went on a moment later.
+#[tokio::test]
+async fn a_stream_of_a_stalled_group_stays_if_it_may_not_be_sent_again() {
+    let stalls = vec![
+        stream_head(),
+        chunk(&event(1)),
+        Act::Pause(STALL),
+        chunk(&event(2)),
+        last_chunk(),
+    ];
+    let mut one = Upstream::start("one", vec![stalls]).await;
+    let mut two = Upstream::start("two", vec![vec![Act::Hang]]).await;
+    one.spec.group = place("g0");
+    two.spec.group = place("g1");
+    two.spec.zone = Arc::from("zone-b");
+    let (running, _) = gateway(&[&one, &two]).await;
+    let answer = exchange(running.callers(), &request("/stream/single/a", "r", "")).await;
+    assert_eq!(numbers(&answer), [1, 2], "{answer}");
+    assert!(is_complete(&answer), "{answer}");
+    assert_eq!(two.count(), 0);
+}
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -29,6 +29,8 @@
     Reset,
     /// Waits for as long as the connection lives.
     Hang,
+    /// Says nothing for a while.
+    Pause(Millis),
 }
 
 /// What has reached an upstream.
@@ -143,6 +145,7 @@
                     }
                 }
                 Act::Close => return,
+                Act::Pause(time) => tokio::time::sleep(time.duration()).await,
                 Act::Reset => {
                     socket2::SockRef::from(&stream)
                         .set_linger(Some(std::time::Duration::ZERO))
@@ -319,6 +322,7 @@
             route("/once/", Repeat::Once, 3),
             route("/stream/", Repeat::Stream { resumable: true }, 2),
             route("/stream/fixed/", Repeat::Stream { resumable: false }, 2),
+            route("/stream/single/", Repeat::Stream { resumable: true }, 1),
         ],
         services: Vec::new(),
         organisations: vec![OrganisationSpec {
