--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -241,7 +241,7 @@
         if group.cut == Some(order.term) {
             return Box::pin(async { Err(EngineError("cut".to_owned())) });
         }
-        if group.lose_each > 0 && group.orders % group.lose_each == 0 {
+        if group.lose_each > 0 && group.orders.is_multiple_of(group.lose_each) {
             group.late.push((at, order.clone()));
             return Box::pin(async { Err(EngineError("lost".to_owned())) });
         }
