--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -18,7 +18,10 @@
         Ok(invocation) => invocation,
         Err(error) => error.exit(),
     };
-    match dispatch(invocation) {
+    let ended = dispatch(invocation);
+    // The last lines say why the process ends.
+    logs::flush();
+    match ended {
         Ok(code) => code,
         Err(error) => {
             eprintln!("sardinepin: {error:#}");
@@ -76,12 +79,10 @@
         .enable_all()
         .build()
         .context("the runtime cannot be started")?;
-    let ended = runtime.block_on(async {
+    runtime.block_on(async {
         tokio::spawn(serve_metrics(telemetry, arguments.metrics));
         role.await
-    });
-    logs::flush();
-    ended
+    })
 }
 
 fn serve(role: Role, settings: Settings) -> anyhow::Result<ExitCode> {
