Follow a shift of the experts' popularity sooner, with smaller changes

Three loads a rank: worse than two. Full re-placement: worse.

Change: one load a rank and change, 6% least gain, counts of before a shift are dropped, no pause after a switch, the next look when the load should be done, two steps ahead in place of three. Trial `maps` compares the ways on drawn or recorded counts.

--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -8,6 +8,7 @@
 pub use placement::full::place;
 pub use placement::map::ExpertMap;
 pub use placement::planner::{Planner, Proposal, Reason};
+pub use placement::popularity::{Popularity, PopularitySettings};
 pub use placement::settings::PlacementSettings;
 pub use placement::split::split;
 pub use switch::coordinator::{Coordinator, CoordinatorInput, CoordinatorOutput};
--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -5,5 +5,6 @@
 pub(crate) mod full;
 pub(crate) mod map;
 pub(crate) mod planner;
+pub(crate) mod popularity;
 pub(crate) mod settings;
 pub(crate) mod split;
--- a/crates/groups/src/placement/even.rs
+++ b/crates/groups/src/placement/even.rs
@@ -3,11 +3,12 @@
 //!
 //! The load that this answers is a popularity that shifts every few seconds: a few experts take
 //! much of the tokens, the ranks that hold them slow every step, and loading takes long against
-//! the time until the next shift. So the changes that gain most per load come first.
+//! the time until the next shift. So the changes that gain most per load come first, a few at a time,
+//! and what gains less than the steps slowed by its loads is left.
 
-/// The exponent of the norm that stands for the slowest rank, so that a search sees progress where
-/// several ranks are equally slow.
-const NORM: i32 = 8;
+mod layer;
+
+use crate::placement::even::layer::Layer;
 
 /// Settings of the placement with even shares.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -29,9 +30,9 @@
         Self {
             places: 11,
             layer_loads: 4,
-            rank_loads: 2,
+            rank_loads: 1,
             load_gain: 0.004,
-            change_gain: 0.02,
+            change_gain: 0.06,
         }
     }
 }
@@ -50,235 +51,14 @@
     pub skew_then: f64,
     /// How many experts are loaded in all.
     pub loads: usize,
-}
-
-/// One expert put on one rank of a layer, and what leaves for it.
-#[derive(Debug, Clone, Copy)]
-struct Move {
-    expert: usize,
-    to: usize,
-    /// The expert that leaves the rank for it, if the rank is full.
-    evicted: Option<usize>,
-    /// Whether the expert leaves the rank that it came from.
-    leaves: bool,
-    from: usize,
-    /// The norm of the layer after the move.
-    norm: f64,
-}
-
-/// One layer under search.
-#[derive(Debug)]
-struct Layer<'a> {
-    demand: &'a [f64],
-    held: Vec<Vec<bool>>,
-    counts: Vec<usize>,
-    copies: Vec<usize>,
-    loads: Vec<f64>,
-    added: Vec<usize>,
-    before: Vec<Vec<bool>>,
-    best: Option<Move>,
-}
-
-impl<'a> Layer<'a> {
-    fn new(map: &LayerMap, demand: &'a [f64]) -> Self {
-        let mut held = vec![vec![false; demand.len()]; map.len()];
-        let mut copies = vec![0; demand.len()];
-        for (rank, experts) in map.iter().enumerate() {
-            for expert in experts {
-                held[rank][usize::from(*expert)] = true;
-                copies[usize::from(*expert)] += 1;
-            }
-        }
-        let mut layer = Self {
-            demand,
-            counts: map.iter().map(Vec::len).collect(),
-            copies,
-            loads: vec![0.0; map.len()],
-            added: vec![0; map.len()],
-            before: held.clone(),
-            held,
-            best: None,
-        };
-        layer.weigh();
-        layer
-    }
-
-    fn weigh(&mut self) {
-        for (rank, held) in self.held.iter().enumerate() {
-            let shares = held.iter().enumerate().filter(|(_, held)| **held);
-            self.loads[rank] = shares.map(|(expert, _)| self.share(expert, 0)).sum();
-        }
-    }
-
-    /// Returns the share of an expert's tokens at each of its ranks with `more` further copies.
-    fn share(&self, expert: usize, more: isize) -> f64 {
-        let copies = self.copies[expert].saturating_add_signed(more);
-        self.demand[expert] / copies.max(1) as f64
-    }
-
-    fn slowest(&self) -> f64 {
-        self.loads.iter().copied().fold(0.0, f64::max)
-    }
-
-    fn mean(&self) -> f64 {
-        self.demand.iter().sum::<f64>() / self.loads.len().max(1) as f64
-    }
-
-    fn norm(&self, loads: &[f64]) -> f64 {
-        let mean = self.mean().max(f64::MIN_POSITIVE);
-        let sum: f64 = loads.iter().map(|load| (load / mean).powi(NORM)).sum();
-        mean * sum.powf(1.0 / f64::from(NORM))
-    }
-
-    /// Adds to `loads` what a change of an expert's copies does to the ranks that hold it.
-    fn shift(&self, loads: &mut [f64], expert: usize, more: isize) {
-        let change = self.share(expert, more) - self.share(expert, 0);
-        for (rank, held) in self.held.iter().enumerate() {
-            if held[expert] {
-                loads[rank] += change;
-            }
-        }
-    }
-
-    /// Finds the move that relieves the slowest rank most.
-    fn search(&mut self, settings: &EvenSettings, rank_added: &[usize]) {
-        let slowest =
-            (0..self.loads.len()).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
-        let Some(from) = slowest else {
-            return;
-        };
-        let mut best: Option<Move> = None;
-        for expert in (0..self.demand.len()).filter(|expert| self.held[from][*expert]) {
-            for to in 0..self.loads.len() {
-                if self.held[to][expert] || !self.may_load(settings, rank_added, to, expert) {
-                    continue;
-                }
-                for leaves in [false, true] {
-                    let found = self.try_move(settings, expert, from, to, leaves);
-                    if let Some(found) = found
-                        && best.is_none_or(|best| found.norm < best.norm)
-                    {
-                        best = Some(found);
-                    }
-                }
-            }
-        }
-        self.best = best;
-    }
-
-    fn may_load(
-        &self,
-        settings: &EvenSettings,
-        rank_added: &[usize],
-        to: usize,
-        expert: usize,
-    ) -> bool {
-        self.before[to][expert]
-            || (self.added[to] < settings.layer_loads && rank_added[to] < settings.rank_loads)
-    }
-
-    fn try_move(
-        &self,
-        settings: &EvenSettings,
-        expert: usize,
-        from: usize,
-        to: usize,
-        leaves: bool,
-    ) -> Option<Move> {
-        let mut loads = self.loads.clone();
-        if leaves {
-            let share = self.share(expert, 0);
-            loads[from] -= share;
-            loads[to] += share;
-        } else {
-            self.shift(&mut loads, expert, 1);
-            loads[to] += self.share(expert, 1);
-        }
-        let mut found = Move {
-            expert,
-            to,
-            evicted: None,
-            leaves,
-            from,
-            norm: 0.0,
-        };
-        if self.counts[to] < settings.places {
-            found.norm = self.norm(&loads);
-            return Some(found);
-        }
-        let (evicted, norm) = self.cheapest_eviction(&loads, to, expert)?;
-        found.evicted = Some(evicted);
-        found.norm = norm;
-        Some(found)
-    }
-
-    /// Finds the expert of a rank that is held elsewhere too and whose leaving costs least.
-    fn cheapest_eviction(&self, loads: &[f64], to: usize, incoming: usize) -> Option<(usize, f64)> {
-        (0..self.demand.len())
-            .filter(|expert| {
-                self.held[to][*expert] && *expert != incoming && self.copies[*expert] > 1
-            })
-            .map(|expert| {
-                let mut after = loads.to_vec();
-                self.shift(&mut after, expert, -1);
-                after[to] -= self.share(expert, -1);
-                (expert, self.norm(&after))
-            })
-            .min_by(|a, b| a.1.total_cmp(&b.1))
-    }
-
-    fn make(&mut self, chosen: Move, rank_added: &mut [usize]) {
-        let Move {
-            expert, to, from, ..
-        } = chosen;
-        self.put(to, expert, rank_added);
-        if chosen.leaves {
-            self.drop(from, expert, rank_added);
-        }
-        if let Some(evicted) = chosen.evicted {
-            self.drop(to, evicted, rank_added);
-        }
-        self.weigh();
-    }
-
-    fn put(&mut self, rank: usize, expert: usize, rank_added: &mut [usize]) {
-        self.held[rank][expert] = true;
-        self.counts[rank] += 1;
-        self.copies[expert] += 1;
-        if !self.before[rank][expert] {
-            self.added[rank] += 1;
-            rank_added[rank] += 1;
-        }
-    }
-
-    fn drop(&mut self, rank: usize, expert: usize, rank_added: &mut [usize]) {
-        self.held[rank][expert] = false;
-        self.counts[rank] -= 1;
-        self.copies[expert] -= 1;
-        if !self.before[rank][expert] {
-            self.added[rank] -= 1;
-            rank_added[rank] -= 1;
-        }
-    }
-
-    fn map(&self) -> LayerMap {
-        let experts = |held: &Vec<bool>| {
-            let held = held.iter().enumerate().filter(|(_, held)| **held);
-            held.map(|(expert, _)| expert as u16).collect()
-        };
-        self.held.iter().map(experts).collect()
-    }
+    /// How many the rank with most to load loads.
+    pub rank_loads: usize,
 }
 
 /// Returns the slowest rank over the mean, over all layers one after the other.
 #[must_use]
 pub fn even_skew(layers: &[LayerMap], demand: &[Vec<f64>]) -> f64 {
-    let layers: Vec<Layer<'_>> = layers
-        .iter()
-        .zip(demand)
-        .map(|(map, demand)| Layer::new(map, demand))
-        .collect();
-    skew(&layers)
+    skew(&layers_of(layers, demand))
 }
 
 fn skew(layers: &[Layer<'_>]) -> f64 {
@@ -297,11 +77,7 @@
     demand: &[Vec<f64>],
 ) -> Option<EvenChange> {
     let ranks = layers.first()?.len();
-    let mut search: Vec<Layer<'_>> = layers
-        .iter()
-        .zip(demand)
-        .map(|(map, demand)| Layer::new(map, demand))
-        .collect();
+    let mut search = layers_of(layers, demand);
     let mut rank_added = vec![0; ranks];
     let total: f64 = search.iter().map(Layer::mean).sum();
     if total <= 0.0 {
@@ -311,18 +87,20 @@
     for layer in &mut search {
         layer.search(settings, &rank_added);
     }
+    let mut gained = 0.0;
     // Each move loads one expert; the bound keeps a search without progress from going on.
     for _ in 0..ranks * settings.rank_loads {
-        let gains = search.iter().enumerate().filter_map(|(at, layer)| {
-            let best = layer.best?;
-            Some((layer.norm(&layer.loads) - best.norm, at, best))
-        });
-        let Some((gain, at, best)) = gains.max_by(|a, b| a.0.total_cmp(&b.0)) else {
+        let best = search
+            .iter()
+            .enumerate()
+            .filter_map(|(at, layer)| Some((at, layer.best()?)));
+        let Some((at, best)) = best.max_by(|a, b| a.1.gain.total_cmp(&b.1.gain)) else {
             break;
         };
-        if gain < settings.load_gain * total {
+        if best.gain < settings.load_gain * total {
             break;
         }
+        gained += best.gain;
         search[at].make(best, &mut rank_added);
         // A rank that has no load left changes what other layers may do, too.
         let full = rank_added[best.to] >= settings.rank_loads;
@@ -332,14 +110,22 @@
             }
         }
     }
-    let skew_then = skew(&search);
-    if (skew_now - skew_then) < settings.change_gain * skew_now {
+    if gained < settings.change_gain * skew_now * total {
         return None;
     }
     Some(EvenChange {
+        skew_then: skew(&search),
         layers: search.iter().map(Layer::map).collect(),
         skew_now,
-        skew_then,
         loads: rank_added.iter().sum(),
+        rank_loads: rank_added.iter().copied().max().unwrap_or_default(),
     })
 }
+
+fn layers_of<'a>(layers: &[LayerMap], demand: &'a [Vec<f64>]) -> Vec<Layer<'a>> {
+    layers
+        .iter()
+        .zip(demand)
+        .map(|(map, demand)| Layer::new(map, demand))
+        .collect()
+}
--- a/crates/groups/tests/even.rs
+++ b/crates/groups/tests/even.rs
@@ -1,6 +1,9 @@
 //! Placement with even shares: popularity that shifts, and few loads at a time.
 
-use sardinepin_groups::{EvenSettings, LayerMap, even_change, even_skew};
+use sardinepin_common::Millis;
+use sardinepin_groups::{
+    EvenSettings, LayerMap, Popularity, PopularitySettings, even_change, even_skew,
+};
 
 const RANKS: usize = 8;
 const EXPERTS: usize = 64;
@@ -100,3 +103,100 @@
         None
     );
 }
+
+/// How long a rank loads one expert.
+const LOAD: Millis = Millis(150);
+
+/// How long a switch takes beyond its loads.
+const SWITCH: Millis = Millis(80);
+
+/// Returns the skew over the first two seconds after a shift, as a mean over time.
+fn skew_after_a_shift(settings: &EvenSettings) -> f64 {
+    let before = vec![popularity(3), popularity(20), popularity(40)];
+    let after = vec![popularity(13), popularity(30), popularity(50)];
+    let mut layers = vec![in_turn(), in_turn(), in_turn()];
+    while let Some(change) = even_change(settings, &layers, &before) {
+        layers = change.layers;
+    }
+    let (mut at, end, mut sum) = (Millis::ZERO, Millis(2_000), 0.0);
+    while at < end {
+        let skew = even_skew(&layers, &after);
+        let change = even_change(settings, &layers, &after);
+        let time = change.as_ref().map_or(end.since(at), |change| {
+            Millis(LOAD.0 * change.rank_loads as u64) + SWITCH
+        });
+        let time = time.min(end.since(at));
+        sum += skew * time.as_f64();
+        at = at + time;
+        layers = change.map_or(layers, |change| change.layers);
+    }
+    sum / end.as_f64()
+}
+
+#[test]
+fn after_a_shift_small_changes_help_sooner_than_large_ones() {
+    let small = skew_after_a_shift(&EvenSettings::default());
+    let large = skew_after_a_shift(&EvenSettings {
+        rank_loads: 2,
+        ..EvenSettings::default()
+    });
+    assert!(small < large, "{small} {large}");
+}
+
+#[test]
+fn a_change_that_gains_less_than_its_loads_cost_is_left() {
+    let settings = EvenSettings::default();
+    let demand = vec![popularity(3), popularity(20)];
+    let mut layers = vec![in_turn(), in_turn()];
+    while let Some(change) = even_change(&settings, &layers, &demand) {
+        assert!(change.skew_now - change.skew_then >= 0.03, "{change:?}");
+        layers = change.layers;
+    }
+}
+
+/// The counts of one rank after so many looks at one popularity and then at another.
+fn counts(first: usize, then: usize) -> Vec<u64> {
+    let sum = popularity(3)
+        .into_iter()
+        .zip(popularity(20))
+        .map(|(one, other)| one * first as f64 + other * then as f64);
+    sum.map(|count| count as u64).collect()
+}
+
+#[test]
+fn counts_from_before_a_shift_weigh_nothing() {
+    let mut popularity = Popularity::default();
+    for look in 0..10_usize {
+        let (first, then) = (look.min(8), look.saturating_sub(8));
+        let at = Millis(100 * look as u64);
+        popularity.observe(at, 1, &[Some(counts(first, then))], EXPERTS);
+    }
+    let demand = popularity.demand(1, EXPERTS).expect("counts are known");
+    assert!(demand[0][3] <= 1.0 && demand[0][20] >= 60.0, "{demand:?}");
+}
+
+#[test]
+fn counts_of_a_steady_popularity_add_up() {
+    let mut popularity = Popularity::new(PopularitySettings {
+        half_life: Millis(100),
+        ..PopularitySettings::default()
+    });
+    for look in 0..4_usize {
+        let at = Millis(100 * look as u64);
+        popularity.observe(at, 1, &[Some(counts(look, 0))], EXPERTS);
+    }
+    let demand = popularity.demand(1, EXPERTS).expect("counts are known");
+    assert!(demand[0][3] > 100.0 && demand[0][3] < 110.0, "{demand:?}");
+    assert_eq!(popularity.span(), Millis(300));
+    assert_eq!(popularity.demand(2, EXPERTS), None);
+}
+
+#[test]
+fn a_group_that_forms_anew_is_counted_anew() {
+    let mut popularity = Popularity::default();
+    popularity.observe(Millis(0), 1, &[Some(counts(0, 0))], EXPERTS);
+    popularity.observe(Millis(100), 1, &[Some(counts(5, 0))], EXPERTS);
+    popularity.observe(Millis(200), 2, &[Some(counts(1, 0))], EXPERTS);
+    assert_eq!(popularity.demand(1, EXPERTS), None);
+    assert_eq!(popularity.span(), Millis::ZERO);
+}
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -7,10 +7,11 @@
 use std::sync::Arc;
 
 use sardinepin_common::{Clock, Millis};
-use sardinepin_groups::{EvenSettings, HeldStep, LayerMap, RankReport, even_change, next_step};
+use sardinepin_groups::{
+    EvenSettings, HeldStep, LayerMap, Popularity, RankReport, even_change, next_step,
+};
 
 use crate::agent::Agent;
-use crate::demand::Demand;
 use crate::engine::{Directory, EngineReport, Engines, Member, Shape};
 use crate::messages::View;
 use crate::peer::Peer;
@@ -42,9 +43,6 @@
 /// How long counts are gathered before the first plan.
 const GATHER: Millis = Millis(400);
 
-/// The pause between a switch and the next plan.
-const SETTLE: Millis = Millis(100);
-
 /// How long a preparation may take before it is given up.
 const PREPARE_MAX: Millis = Millis(9_000);
 
@@ -69,6 +67,8 @@
     layers: Vec<LayerMap>,
     ordered: Millis,
     again: Millis,
+    /// How long the rank with most to load takes.
+    load_time: Millis,
 }
 
 /// One member of the group and the way to its agent.
@@ -97,13 +97,12 @@
     term: u64,
     last_version: u64,
     rests_until: Millis,
-    demand: Demand,
+    popularity: Popularity,
     /// The maps in use, with the epoch and the version that they belong to.
     maps: Option<(u64, u64, Vec<LayerMap>)>,
     /// The maps of the last switch, until their step begins.
     released: Option<(u64, u64, Vec<LayerMap>)>,
     pending: Option<Pending>,
-    switched: Millis,
     leading: bool,
     /// The epoch and the step for which every rank was disarmed, at the present term.
     aborted: Option<(u64, u64)>,
@@ -133,11 +132,10 @@
             term: 0,
             last_version: 0,
             rests_until: Millis::ZERO,
-            demand: Demand::default(),
+            popularity: Popularity::default(),
             maps: None,
             released: None,
             pending: None,
-            switched: Millis::ZERO,
             leading: false,
             aborted: None,
             urgent: false,
@@ -147,9 +145,8 @@
     /// Looks after the group for as long as the process lives, whenever no other does.
     pub(crate) async fn run(mut self) {
         loop {
-            let pause = if self.urgent { LOOK_URGENT } else { LOOK };
+            tokio::time::sleep(self.pause().duration()).await;
             self.urgent = false;
-            tokio::time::sleep(pause.duration()).await;
             if !self.is_due() {
                 self.set_leading(false);
                 continue;
@@ -167,6 +164,20 @@
         }
     }
 
+    /// Returns the time until the next look: the moment at which experts should be loaded, if that
+    /// comes first.
+    fn pause(&self) -> Millis {
+        if self.urgent {
+            return LOOK_URGENT;
+        }
+        let Some(pending) = &self.pending else {
+            return LOOK;
+        };
+        let taken = self.clock.now().since(pending.ordered);
+        let left = pending.load_time.since(taken);
+        left.max(LOOK_URGENT).min(LOOK)
+    }
+
     fn set_leading(&mut self, leading: bool) {
         if leading != self.leading {
             self.leading = leading;
@@ -174,7 +185,7 @@
             self.maps = None;
             self.released = None;
             self.aborted = None;
-            self.demand = Demand::default();
+            self.popularity = Popularity::default();
             if leading {
                 self.renew_term();
             }
@@ -267,15 +278,14 @@
             return;
         }
         let busy = views.iter().any(|view| view.report.busy);
-        let settled = now.since(self.switched) >= SETTLE && self.demand.span() >= GATHER;
-        if busy || !settled {
+        if busy || self.popularity.span() < GATHER {
             return;
         }
         let shape = self.settings.shape;
         let Some((_, _, layers)) = &self.maps else {
             return;
         };
-        let Some(demand) = self.demand.layers(&shape) else {
+        let Some(demand) = self.popularity.demand(shape.layers, shape.experts) else {
             return;
         };
         let settings = EvenSettings {
@@ -297,6 +307,7 @@
             layers: change.layers,
             ordered: now,
             again: now,
+            load_time: Millis(shape.load_time.0 * change.rank_loads as u64),
         });
         self.prepare(reports).await;
     }
--- a/crates/ranks/src/coordinator/looks.rs
+++ b/crates/ranks/src/coordinator/looks.rs
@@ -67,8 +67,14 @@
         let views: Vec<View> = views.into_iter().flatten().collect();
         if complete {
             let epoch = views.first().map_or(0, |view| view.report.rank.epoch);
-            let counts: Vec<_> = views.iter().map(|view| view.counts.clone()).collect();
-            self.demand.observe(self.clock.now(), epoch, &counts);
+            let counts = views.iter().map(|view| {
+                let counts = view.counts.as_ref()?;
+                Some(counts.counts.clone())
+            });
+            let counts: Vec<_> = counts.collect();
+            let experts = self.settings.shape.experts;
+            self.popularity
+                .observe(self.clock.now(), epoch, &counts, experts);
             self.learn_maps(&views);
         }
         views
--- a/crates/ranks/src/coordinator/orders.rs
+++ b/crates/ranks/src/coordinator/orders.rs
@@ -9,7 +9,7 @@
 use crate::messages::{Call, Reply, View};
 
 /// How many steps ahead of the last one the switch is held.
-const AHEAD: u64 = 3;
+const AHEAD: u64 = 2;
 
 /// How often an order without an answer is given.
 const TRIES: u32 = 6;
@@ -204,7 +204,6 @@
         let pending = self.pending.take();
         let pending = pending.filter(|pending| pending.version == version);
         self.released = pending.map(|pending| (epoch, version, pending.layers));
-        self.switched = self.clock.now();
         log::info!(event = "switched", version = version, step = step, reply:? = reply; "step released on the new map");
     }
 
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod agent;
 mod coordinator;
-mod demand;
 mod engine;
 mod messages;
 mod peer;
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod decide;
 mod demo;
+mod maps;
 mod outcomes;
 mod overload;
 mod path;
@@ -54,6 +55,10 @@
             command: demo::command(),
             run: demo::run,
         },
+        Trial {
+            command: maps::command(),
+            run: maps::run,
+        },
         Trial {
             command: outcomes::command(),
             run: outcomes::run,
