Ask for counts only where they are due, and put a switch further ahead after a miss

Cause: on the grown site 94 of 125 holds came after their step had begun: every look of the coordinator carried the counts of 32 ranks (some 170 kB over a link of 8 Mbit/s), so that what it knew of the last step was old, and switches took up to 2.4 s. One load a rank and change was too little where an expert loads in 36 ms.

Ruled out: processor time (0.026 of 0.15 of a core at most).

Change: counts are asked for at most each 100 ms and after a pause of three times what the last took; a missed hold puts the next switch one step further ahead; a change loads what fits in 160 ms.

--- a/crates/ranks/src/agent.rs
+++ b/crates/ranks/src/agent.rs
@@ -6,7 +6,7 @@
 use sardinepin_common::{Clock, Millis};
 
 use crate::engine::{EngineOrder, Engines, OrderReply};
-use crate::messages::{Call, Reply, View};
+use crate::messages::{Call, Reply, Scope, View};
 
 /// How long a question to the engine may take.
 const QUESTION_MAX: Millis = Millis(200);
@@ -55,9 +55,9 @@
     /// Answers a call.
     pub(crate) async fn answer(&self, call: Call) -> Reply {
         match call {
-            Call::Look { term, experts } => {
+            Call::Look { term, scope } => {
                 self.note(term);
-                match self.view(experts).await {
+                match self.view(scope).await {
                     Some(view) => Reply::View(Box::new(view)),
                     None => Reply::Silent,
                 }
@@ -81,10 +81,13 @@
     }
 
     /// Looks at the engine.
-    pub(crate) async fn view(&self, experts: bool) -> Option<View> {
+    pub(crate) async fn view(&self, scope: Scope) -> Option<View> {
         let report = within(QUESTION_MAX, self.engines.report(self.engine)).await?;
-        let counts = within(QUESTION_MAX, self.engines.counts(self.engine)).await;
-        let experts = match experts {
+        let counts = match scope.counts {
+            true => within(QUESTION_MAX, self.engines.counts(self.engine)).await,
+            false => None,
+        };
+        let experts = match scope.experts {
             true => within(QUESTION_MAX, self.engines.experts(self.engine)).await,
             false => None,
         };
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -1,7 +1,10 @@
 //! The coordinator of a group: any of its agents may be it, and two at once do no harm.
 
+mod ahead;
 mod looks;
 mod orders;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,8 +15,10 @@
 };
 
 use crate::agent::Agent;
+use crate::coordinator::ahead::Ahead;
+use crate::coordinator::looks::Counted;
 use crate::engine::{Directory, EngineReport, Engines, Member, Shape};
-use crate::messages::View;
+use crate::messages::{Scope, View};
 use crate::peer::Peer;
 
 /// The time between two looks at a group.
@@ -98,6 +103,9 @@
     last_version: u64,
     rests_until: Millis,
     popularity: Popularity,
+    counted: Counted,
+    /// How far ahead a switch is put.
+    ahead: Ahead,
     /// The maps in use, with the epoch and the version that they belong to.
     maps: Option<(u64, u64, Vec<LayerMap>)>,
     /// The maps of the last switch, until their step begins.
@@ -133,6 +141,8 @@
             last_version: 0,
             rests_until: Millis::ZERO,
             popularity: Popularity::default(),
+            counted: Counted::default(),
+            ahead: Ahead::default(),
             maps: None,
             released: None,
             pending: None,
@@ -151,7 +161,7 @@
                 self.set_leading(false);
                 continue;
             }
-            let Some(view) = self.agent.view(false).await else {
+            let Some(view) = self.agent.view(Scope::default()).await else {
                 continue;
             };
             self.rank = view.report.rank.rank;
@@ -291,6 +301,7 @@
         let settings = EvenSettings {
             places: shape.places,
             layer_loads: shape.spare,
+            rank_loads: shape.rank_loads(),
             ..EvenSettings::default()
         };
         let Some(change) = even_change(&settings, layers, &demand) else {
--- a/crates/ranks/src/coordinator/looks.rs
+++ b/crates/ranks/src/coordinator/looks.rs
@@ -3,12 +3,36 @@
 use std::net::SocketAddr;
 
 use futures_util::future::join_all;
+use sardinepin_common::Millis;
 
-use super::{Coordinator, DIRECT_MAX, DIRECT_PAUSE, MEMBERS, Seat};
+use super::{Coordinator, DIRECT_MAX, DIRECT_PAUSE, LOOK, MEMBERS, Seat};
 use crate::engine::{EngineReport, Member};
-use crate::messages::{Call, Reply, View};
+use crate::messages::{Call, Reply, Scope, View};
 use crate::peer::Peer;
 
+/// How many times longer than a look with counts the pause until the next one is: the counts of a
+/// large group fill the links of its instances.
+const COUNT_PAUSES: u64 = 3;
+
+/// The last look with counts.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Counted {
+    at: Millis,
+    took: Millis,
+}
+
+impl Counted {
+    pub(super) fn new(at: Millis, took: Millis) -> Self {
+        Self { at, took }
+    }
+
+    /// Returns whether the counts may be asked for again.
+    pub(super) fn is_due(self, now: Millis) -> bool {
+        let pause = LOOK.max(Millis(self.took.0 * COUNT_PAUSES));
+        now.since(self.at) >= pause
+    }
+}
+
 impl Coordinator {
     /// Finds out who belongs to the group; returns whether all of them are known.
     pub(super) async fn know_members(&mut self, own: &EngineReport) -> bool {
@@ -58,7 +82,12 @@
 
     /// Looks at every member at once.
     pub(super) async fn look(&mut self) -> Vec<View> {
-        let looks = self.seats.iter().map(|seat| self.look_at(seat));
+        let began = self.clock.now();
+        let scope = Scope {
+            counts: self.counted.is_due(began),
+            experts: self.maps.is_none(),
+        };
+        let looks = self.seats.iter().map(|seat| self.look_at(seat, scope));
         let mut views: Vec<Option<View>> = join_all(looks).await;
         if views.iter().any(Option::is_none) {
             self.look_directly(&mut views).await;
@@ -66,28 +95,35 @@
         let complete = views.iter().all(Option::is_some);
         let views: Vec<View> = views.into_iter().flatten().collect();
         if complete {
-            let epoch = views.first().map_or(0, |view| view.report.rank.epoch);
-            let counts = views.iter().map(|view| {
-                let counts = view.counts.as_ref()?;
-                Some(counts.counts.clone())
-            });
-            let counts: Vec<_> = counts.collect();
-            let experts = self.settings.shape.experts;
-            self.popularity
-                .observe(self.clock.now(), epoch, &counts, experts);
+            if scope.counts {
+                self.count(began, &views);
+            }
             self.learn_maps(&views);
         }
         views
     }
 
-    async fn look_at(&self, seat: &Seat) -> Option<View> {
-        let experts = self.maps.is_none();
+    /// Takes in the counts of all ranks.
+    fn count(&mut self, began: Millis, views: &[View]) {
+        let now = self.clock.now();
+        self.counted = Counted::new(now, now.since(began));
+        let epoch = views.first().map_or(0, |view| view.report.rank.epoch);
+        let counts = views.iter().map(|view| {
+            let counts = view.counts.as_ref()?;
+            Some(counts.counts.clone())
+        });
+        let counts: Vec<_> = counts.collect();
+        let experts = self.settings.shape.experts;
+        self.popularity.observe(now, epoch, &counts, experts);
+    }
+
+    async fn look_at(&self, seat: &Seat, scope: Scope) -> Option<View> {
         if seat.member.engine == self.settings.engine {
-            return self.agent.view(experts).await;
+            return self.agent.view(scope).await;
         }
         let call = Call::Look {
             term: self.term,
-            experts,
+            scope,
         };
         match seat.peer.call(&call).await {
             Some(Reply::View(view)) => Some(*view),
--- a/crates/ranks/src/coordinator/orders.rs
+++ b/crates/ranks/src/coordinator/orders.rs
@@ -8,9 +8,6 @@
 use crate::engine::{Action, EngineOrder, OrderReply};
 use crate::messages::{Call, Reply, View};
 
-/// How many steps ahead of the last one the switch is held.
-const AHEAD: u64 = 2;
-
 /// How often an order without an answer is given.
 const TRIES: u32 = 6;
 
@@ -152,12 +149,17 @@
             .map(|report| report.step)
             .max()
             .unwrap_or_default()
-            + AHEAD;
+            + self.ahead.steps();
         let order = self.order(first.epoch, Action::Hold { step });
         let reply = match self.seats.first() {
             Some(seat) => self.give_once(seat, &order).await,
             None => None,
         };
+        match reply {
+            Some(OrderReply::Done | OrderReply::Begun) => self.ahead.held(),
+            Some(OrderReply::Conflict) => self.ahead.missed(),
+            _ => {}
+        }
         match reply {
             Some(OrderReply::Done) => self.arm(version, step, 0, reports).await,
             Some(OrderReply::Begun) => {
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -199,3 +199,15 @@
     /// How long a rank takes to load one expert.
     pub load_time: Millis,
 }
+
+/// How long the loads of one change may take, unless a single one takes longer: after a shift of
+/// the popularity several small changes help sooner than a large one.
+const LOADS_TIME: Millis = Millis(160);
+
+impl Shape {
+    /// Returns how many experts one change loads at a rank.
+    pub(crate) fn rank_loads(&self) -> usize {
+        let loads = LOADS_TIME.0 / self.load_time.0.max(1);
+        usize::try_from(loads).unwrap_or(usize::MAX).max(1)
+    }
+}
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -15,5 +15,5 @@
     Action, Directory, EngineCall, EngineCounts, EngineError, EngineExperts, EngineOrder,
     EngineReport, Engines, Member, OrderReply, Shape,
 };
-pub use messages::{Call, Reply, View};
+pub use messages::{Call, Reply, Scope, View};
 pub use run::{RankSettings, run};
--- a/crates/ranks/src/messages.rs
+++ b/crates/ranks/src/messages.rs
@@ -11,13 +11,22 @@
     Look {
         /// The coordinator's term.
         term: u64,
-        /// Whether to say which experts the engine holds.
-        experts: bool,
+        /// What to look at besides the report.
+        scope: Scope,
     },
     /// Hands an order on to the engine.
     Order(EngineOrder),
 }
 
+/// What a look takes in besides an engine's report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Scope {
+    /// How often each expert was chosen.
+    pub counts: bool,
+    /// Which experts the engine holds.
+    pub experts: bool,
+}
+
 /// An agent's answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -34,7 +43,7 @@
 pub struct View {
     /// Its report.
     pub report: EngineReport,
-    /// Its counts, if they could be read.
+    /// Its counts, if they were asked for and could be read.
     pub counts: Option<EngineCounts>,
     /// Its experts, if they were asked for and could be read.
     pub experts: Option<EngineExperts>,
--- a/standins/src/fleet/binaries.rs
+++ b/standins/src/fleet/binaries.rs
@@ -29,6 +29,10 @@
 fn build() -> Result<PathBuf> {
     let directory = profile_directory()?;
     let target = directory.parent().context("no target directory")?;
+    if directory.ends_with(RELEASE) {
+        // The build may wait for another one, and a trial that says nothing seems to hang.
+        eprintln!("building the programs that the trial starts, if they have changed");
+    }
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command
