Hold back a request that crashes the upstreams that begin to run it, at every gateway

Cause: on the direct path nothing knew a request that ends each process that runs it; eight gateways would each have let it crash upstreams without end.

Ruled out: taking each broken connection for a crash (answers that are cut off are common, see `an_upstream_that_only_breaks_off_is_not_taken_for_crashed`); the digests of the product's own path, which end after two crashes seen by one entry and are shared as configuration (the users' operator owns that); messages between gateways (they do not know each other).

Change: an upstream that breaks off before its answer begins and then refuses connections has crashed; the crash is shared as an object of the store under a name that is the same at every gateway, so that lost answers and repetitions change nothing. Three crashes hold the request back for up to ten minutes; an answer clears it. `quarantined` is answered with 503 in place of 422: it has not run, and may come again later.

Tests: `quarantine_a_request_that_crashes_upstreams_is_held_back_at_every_gateway` and three more; the first waits in vain without the change.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -137,7 +137,10 @@
         let response = match answer.await {
             Err(failure) => return Err(failure),
             Ok(Err(SendError::NotSent)) => return Err(Failure::NotSent),
-            Ok(Err(SendError::Unknown)) => return Err(Failure::Broken),
+            Ok(Err(SendError::Unknown)) => {
+                self.suspect(call, &place.spec);
+                return Err(Failure::Broken);
+            }
             Ok(Ok(response)) => response,
         };
         let (parts, body) = response.into_parts();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use rand::Rng as _;
 use sardinepin_common::Millis;
-use sardinepin_protocol::ErrorKind;
+use sardinepin_protocol::{Digest, ErrorKind};
 
 use crate::balance::Ticket;
 use crate::headers;
@@ -150,6 +150,20 @@
         Ok(request)
     }
 
+    /// Returns what tells the request from others, but not from its repetitions.
+    pub(crate) fn digest(&self) -> Digest {
+        let organisation = self.organisation.as_ref();
+        let organisation = organisation.map_or("", |organisation| &*organisation.name);
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        Digest::of(&[
+            organisation.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.route.host.as_bytes(),
+            path.as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Returns the identifier as text, for the log.
     pub(crate) fn name(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -45,6 +45,10 @@
             .with(|balance, now| balance.requested(now, &service));
         let call = Arc::new(call);
         let mut tries = Tries::default();
+        if let Some(retry_after) = self.held_back(&call) {
+            let kind = ErrorKind::Quarantined;
+            return self.give_up(&call, &tries, GivenUp { kind, retry_after });
+        }
         let result = if call.is_stream() {
             self.follow_stream(&call, &mut tries).await
         } else {
@@ -256,6 +260,7 @@
             status = plain.parts.status.as_u16(), after_ms = after.0;
             "plain answer passed on"
         );
+        self.answered(call);
         let signed = plain.parts.headers.contains_key(&names.signature);
         let status = plain.parts.status;
         // These statuses promise that the request did not run, which the upstream did not say.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,13 +1,16 @@
 //! The state that all requests of a gateway share.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use sardinepin_common::Clock;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use crate::crashes::Crashes;
 use crate::dispatch::Dispatch;
 use crate::names::Names;
 use crate::settings::GatewaySettings;
+use crate::suspicion::CrashEvent;
 use crate::table::RouteTable;
 
 /// A gateway.
@@ -20,13 +23,16 @@
     listed: AtomicBool,
     leaving: AtomicBool,
     open: AtomicUsize,
+    crashes: Mutex<Crashes>,
+    crash_events: UnboundedSender<CrashEvent>,
 }
 
 impl Gateway {
-    /// Makes a gateway that knows nothing yet.
-    pub(crate) fn new(settings: &GatewaySettings) -> Arc<Self> {
+    /// Makes a gateway that knows nothing yet, and the way out of what its requests say of crashes.
+    pub(crate) fn new(settings: &GatewaySettings) -> (Arc<Self>, UnboundedReceiver<CrashEvent>) {
         let clock = Clock::start();
-        Arc::new(Self {
+        let (crash_events, events) = unbounded_channel();
+        let gateway = Arc::new(Self {
             names: settings.names.clone(),
             clock,
             dispatch: Dispatch::new(clock, settings.balance.clone()),
@@ -34,7 +40,21 @@
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             open: AtomicUsize::new(0),
-        })
+            crashes: Mutex::default(),
+            crash_events,
+        });
+        (gateway, events)
+    }
+
+    /// Returns the crashes of upstreams that are known.
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, Crashes> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Passes on what a request says of crashes.
+    pub(crate) fn tell(&self, event: CrashEvent) {
+        // An error means that the process is about to end.
+        let _ = self.crash_events.send(event);
     }
 
     /// Returns the configuration in force, if there is one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod connection;
 mod constants;
+mod crashes;
 mod dispatch;
 mod events;
 mod fleet;
@@ -23,12 +24,14 @@
 mod server;
 mod settings;
 mod source;
+mod suspicion;
 mod sync;
 mod table;
 mod upstream;
 
 pub use balance::{Balance, BalanceSettings, Decided, Demand, Ticket, Verdict};
 pub use budget::{BudgetSettings, RetryBudget};
+pub use crashes::{Crash, Crashes};
 pub use events::{EventSplitter, TooLarge, Whole, after};
 pub use fleet::{Ending, Fleet, LoadReport, Upstream, UpstreamId};
 pub use manifest::{
@@ -37,7 +40,7 @@
 pub use names::Names;
 pub use run::{Running, run, start};
 pub use settings::{GatewaySettings, StopSettings, SyncSettings};
-pub use source::{Item, Read, Reading, Source, SourceError};
+pub use source::{Item, Read, Reading, Source, SourceError, Write};
 pub use sync::UpstreamList;
 pub use table::{Organisation, RouteTable};
 pub use upstream::{GroupPlace, UpstreamSpec};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -105,6 +105,7 @@
                 Next::End => {
                     if let Some(begun) = self.begun.take() {
                         self.log_end(&begun);
+                        self.gateway.answered(&self.call);
                         begun.finish(&self.gateway, Ending::Served);
                     }
                     return None;
@@ -114,6 +115,9 @@
                         && failure != Failure::Stalled
                     {
                         begun.place.end(Ending::Failed);
+                        if self.timing.chunks == 0 {
+                            self.gateway.suspect(&self.call, &begun.place.spec);
+                        }
                     }
                     if !self.resume(failure).await {
                         return Some(Err(self.cut(failure)));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -64,7 +64,7 @@
 ///
 /// Returns an error if the gateway cannot listen.
 pub async fn start(settings: GatewaySettings, source: Arc<dyn Source>) -> anyhow::Result<Running> {
-    let gateway = Gateway::new(&settings);
+    let (gateway, crash_events) = Gateway::new(&settings);
     let callers = listen(settings.listen).await?;
     let (address, path) = settings.readiness.clone();
     let questions = listen(address).await?;
@@ -85,9 +85,19 @@
     ));
     tokio::spawn(sync::follow_upstreams(
         Arc::clone(&gateway),
-        source,
+        Arc::clone(&source),
         settings.sync,
     ));
+    tokio::spawn(sync::follow_crashes(
+        Arc::clone(&gateway),
+        Arc::clone(&source),
+        settings.sync,
+    ));
+    tokio::spawn(sync::share_crashes(
+        Arc::clone(&gateway),
+        source,
+        crash_events,
+    ));
     tokio::spawn(server::serve(gateway, callers, closed));
     log::info!(event = "started", node = settings.name.as_str(), zone = settings.zone.as_str(); "gateway started");
     Ok(running)
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -6,6 +6,7 @@
 use sardinepin_common::Millis;
 use sardinepin_store::BoxFuture;
 
+use crate::crashes::Crash;
 use crate::manifest::Manifest;
 use crate::upstream::UpstreamSpec;
 
@@ -55,7 +56,10 @@
 /// The result of a call to a source.
 pub type Read<'a, T> = BoxFuture<'a, Result<Reading<T>, SourceError>>;
 
-/// Reads and watches the configuration and the list of upstreams.
+/// The result of a write; to make it again changes nothing.
+pub type Write<'a> = BoxFuture<'a, Result<(), SourceError>>;
+
+/// Reads and watches the configuration, the list of upstreams and their crashes.
 pub trait Source: fmt::Debug + Send + Sync {
     /// Reads the configuration; the reading holds one item, or none if there is no configuration.
     fn manifest(&self) -> Read<'_, Manifest>;
@@ -68,4 +72,16 @@
 
     /// Waits up to `wait` for changes of the list of upstreams after `revision`.
     fn watch_upstreams(&self, revision: u64, wait: Millis) -> Read<'_, UpstreamSpec>;
+
+    /// Reads the crashes that gateways have shared.
+    fn crashes(&self) -> Read<'_, Crash>;
+
+    /// Waits up to `wait` for crashes shared or forgotten after `revision`.
+    fn watch_crashes(&self, revision: u64, wait: Millis) -> Read<'_, Crash>;
+
+    /// Shares a crash; one that is shared already is left as it is.
+    fn add_crash<'a>(&'a self, crash: &'a Crash) -> Write<'a>;
+
+    /// Forgets a crash; one that is not there is no error.
+    fn forget_crash<'a>(&'a self, name: &'a str) -> Write<'a>;
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the list of upstreams.
 
+mod crashes;
 mod upstreams;
 
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use crate::source::{Reading, Source, SourceError};
 use crate::table::RouteTable;
 
+pub(crate) use crashes::{follow_crashes, share_crashes};
 pub use upstreams::UpstreamList;
 
 /// Follows the configuration for as long as the process lives.
--- /dev/null
+++ b/crates/gateway/src/sync/crashes.rs
@@ -0,0 +1,105 @@
+//! Shares the crashes of upstreams among gateways, as objects of the store.
+
+use std::sync::Arc;
+
+use sardinepin_common::{Clock, Millis};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::{Backoff, go_on};
+use crate::crashes::Crash;
+use crate::gateway::Gateway;
+use crate::settings::SyncSettings;
+use crate::source::{Reading, Source, SourceError, Write};
+use crate::suspicion::CrashEvent;
+
+/// The longest that one watch waits; crashes are rare, and a lost watch delays them at most so long.
+const WAIT: Millis = Millis(15_000);
+
+/// How often a write without an answer is made; its repetition changes nothing.
+const TRIES: u32 = 3;
+
+/// Looks into suspicions and writes what comes of them, for as long as the process lives.
+pub(crate) async fn share_crashes(
+    gateway: Arc<Gateway>,
+    source: Arc<dyn Source>,
+    mut events: UnboundedReceiver<CrashEvent>,
+) {
+    while let Some(event) = events.recv().await {
+        match event {
+            CrashEvent::Suspected { request, upstream } => {
+                let crash = gateway.investigate(request, &upstream).await;
+                if let Some(crash) = crash {
+                    settle(|| source.add_crash(&crash)).await;
+                }
+            }
+            CrashEvent::Cleared(names) => forget(source.as_ref(), names).await,
+        }
+    }
+}
+
+/// Follows the crashes that other gateways saw, for as long as the process lives.
+pub(crate) async fn follow_crashes(
+    gateway: Arc<Gateway>,
+    source: Arc<dyn Source>,
+    settings: SyncSettings,
+) {
+    let mut revision = None;
+    let mut backoff = Backoff::new(settings);
+    loop {
+        let reading = match revision {
+            None => source.crashes().await,
+            Some(revision) => source.watch_crashes(revision, WAIT).await,
+        };
+        match reading {
+            Ok(reading) => {
+                backoff.succeeded("crashes");
+                go_on(&mut revision, &reading);
+                take_in(&gateway, reading);
+            }
+            Err(error) => {
+                revision = None;
+                backoff.failed("crashes", &error).await;
+            }
+        }
+        let over = gateway.crashes().expire(Clock::wall());
+        forget(source.as_ref(), over).await;
+    }
+}
+
+fn take_in(gateway: &Gateway, reading: Reading<Crash>) {
+    let mut crashes = gateway.crashes();
+    for item in reading.items {
+        let Some(crash) = item.value else {
+            crashes.remove(&item.name);
+            continue;
+        };
+        if crashes.add(crash.clone()) {
+            log::info!(
+                event = "suspect", digest:% = crash.request, upstream = &*crash.upstream,
+                born = crash.born, revision = item.revision;
+                "another gateway saw an upstream crash"
+            );
+        }
+    }
+}
+
+async fn forget(source: &dyn Source, names: Vec<Arc<str>>) {
+    for name in names {
+        settle(|| source.forget_crash(&name)).await;
+    }
+}
+
+/// Makes a write until it has an answer, but not for long: what is not shared now is shared when
+/// the request crashes the next upstream.
+async fn settle<'a>(write: impl Fn() -> Write<'a>) {
+    let mut last: Option<SourceError> = None;
+    for _ in 0..TRIES {
+        match write().await {
+            Ok(()) => return,
+            Err(error) => last = Some(error),
+        }
+    }
+    if let Some(error) = last {
+        log::warn!(event = "crash_unshared", error:% = error; "a crash could not be shared or forgotten");
+    }
+}
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod callers;
+mod crashes;
 mod outcomes;
 mod stopping;
 mod streams;
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -6,8 +6,8 @@
 
 use sardinepin_common::Millis;
 use sardinepin_gateway::{
-    GatewaySettings, Item, Manifest, Names, OrganisationSpec, Read, Reading, Repeat, Route,
-    Running, Source, SourceError, StopSettings, SyncSettings, Target, UpstreamSpec, start,
+    Crash, GatewaySettings, Item, Manifest, Names, OrganisationSpec, Read, Reading, Repeat, Route,
+    Running, Source, SourceError, StopSettings, SyncSettings, Target, UpstreamSpec, Write, start,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +27,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends as a crashed process does: nothing listens any more.
+    Crash,
     /// Waits for as long as the connection lives.
     Hang,
     /// Says nothing for a while.
@@ -38,6 +40,7 @@
 pub(crate) struct Seen {
     pub(crate) heads: Vec<String>,
     pub(crate) hung_up: usize,
+    crashed: bool,
     script: VecDeque<Vec<Act>>,
     default: Vec<Act>,
 }
@@ -103,8 +106,14 @@
         }));
         let shared = Arc::clone(&seen);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(answer(stream, Arc::clone(&shared)));
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        tokio::spawn(answer(stream, Arc::clone(&shared)));
+                    }
+                    () = crashed(&shared) => return,
+                }
             }
         });
         Self { spec, seen }
@@ -145,6 +154,12 @@
                     }
                 }
                 Act::Close => return,
+                Act::Crash => {
+                    seen.lock().unwrap().crashed = true;
+                    // The listener closes before the connection does.
+                    tokio::time::sleep(Millis(POLL.0 * 4).duration()).await;
+                    return;
+                }
                 Act::Pause(time) => tokio::time::sleep(time.duration()).await,
                 Act::Reset => {
                     socket2::SockRef::from(&stream)
@@ -162,6 +177,12 @@
     }
 }
 
+async fn crashed(seen: &Mutex<Seen>) {
+    while !seen.lock().unwrap().crashed {
+        tokio::time::sleep(POLL.duration()).await;
+    }
+}
+
 /// Reads the head of a request and its body, and returns the head.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
@@ -217,6 +238,7 @@
     revision: u64,
     manifest: Option<Manifest>,
     upstreams: Vec<UpstreamSpec>,
+    crashes: Vec<Crash>,
     away: bool,
 }
 
@@ -237,6 +259,11 @@
         self.content.lock().unwrap().away = away;
     }
 
+    /// Returns how many crashes have been shared.
+    pub(crate) fn crash_count(&self) -> usize {
+        self.content.lock().unwrap().crashes.len()
+    }
+
     fn check(&self) -> Result<(), SourceError> {
         match self.content.lock().unwrap().away {
             true => Err(SourceError::Away("the test says so".to_owned())),
@@ -283,18 +310,68 @@
     }
 
     fn watch_upstreams(&self, revision: u64, _: Millis) -> Read<'_, UpstreamSpec> {
+        Box::pin(self.changes(revision))
+    }
+
+    fn crashes(&self) -> Read<'_, Crash> {
+        Box::pin(async {
+            self.check()?;
+            let content = self.content.lock().unwrap();
+            let items = content.crashes.iter().map(|crash| Item {
+                name: crash.name(),
+                revision: content.revision,
+                value: Some(crash.clone()),
+            });
+            Ok(Reading {
+                revision: content.revision,
+                items: items.collect(),
+            })
+        })
+    }
+
+    fn watch_crashes(&self, revision: u64, _: Millis) -> Read<'_, Crash> {
+        Box::pin(async move {
+            tokio::time::sleep(POLL.duration()).await;
+            self.changes(revision).await
+        })
+    }
+
+    fn add_crash<'a>(&'a self, crash: &'a Crash) -> Write<'a> {
         Box::pin(async move {
             self.check()?;
-            // A change is shown as lost history, so that the whole list is read again.
-            match self.content.lock().unwrap().revision == revision {
-                true => Ok(Reading {
-                    revision,
-                    items: Vec::new(),
-                }),
-                false => Err(SourceError::HistoryGone),
+            let mut content = self.content.lock().unwrap();
+            if !content.crashes.contains(crash) {
+                content.revision += 1;
+                content.crashes.push(crash.clone());
             }
+            Ok(())
         })
     }
+
+    fn forget_crash<'a>(&'a self, name: &'a str) -> Write<'a> {
+        Box::pin(async move {
+            self.check()?;
+            let mut content = self.content.lock().unwrap();
+            content.revision += 1;
+            content.crashes.retain(|crash| *crash.name() != *name);
+            Ok(())
+        })
+    }
+}
+
+impl Shelf {
+    /// Returns that nothing has changed, or shows a change as lost history, so that all is read
+    /// again.
+    async fn changes<T>(&self, revision: u64) -> Result<Reading<T>, SourceError> {
+        self.check()?;
+        match self.content.lock().unwrap().revision == revision {
+            true => Ok(Reading {
+                revision,
+                items: Vec::new(),
+            }),
+            false => Err(SourceError::HistoryGone),
+        }
+    }
 }
 
 /// Returns a configuration with one route of each kind, for the organisation with the key `k`.
--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -103,7 +103,7 @@
     /// The same idempotency key came with another body.
     KeyReused => 422, NotRun, Never, "key_reused", "The Idempotency-Key was used for another request";
     /// The request crashed upstreams and is held back for a time.
-    Quarantined => 422, NotRun, Later, "quarantined", "This request crashed upstreams";
+    Quarantined => 503, NotRun, Later, "quarantined", "This request crashed upstreams";
     /// The header fields are over their bound.
     HeadersTooLarge => 431, NotRun, Never, "headers_too_large", "The header fields are too large";
     /// The organisation is over the limit that a rule sets.
