Count every end, retry and part of a request's time by service and class; check platform settings

A caller that left before its answer began had neither; histograms knew neither service nor class; the wait for an upstream was not recorded; `check` took the platform's settings file for one of its own.

Change: one module `measure` for ends, retries and times; a line for callers that leave early; `sardinepin check` for the platform's settings, known by their fields in `platform/`.

Tests: `each_end_of_a_request_has_a_line_and_a_counter` (fails for `caller_left` without the change), `each_reason_for_one_more_attempt_has_a_counter`, `each_refusal_is_counted_by_its_reason`.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 
 /// Why an attempt gave no answer for the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Failure {
+pub enum Failure {
     /// No byte of the request reached the upstream.
     NotSent,
     /// The upstream said that it did not run the request.
@@ -36,13 +36,25 @@
 }
 
 impl Failure {
+    /// Every failure.
+    pub const ALL: [Self; 6] = [
+        Self::NotSent,
+        Self::Rejected,
+        Self::GroupBroken,
+        Self::Stalled,
+        Self::Broken,
+        Self::Silent,
+    ];
+
     /// Returns whether the request did not run.
-    pub(crate) fn not_run(self) -> bool {
+    #[must_use]
+    pub fn not_run(self) -> bool {
         matches!(self, Self::NotSent | Self::Rejected | Self::GroupBroken)
     }
 
     /// Returns the label in logs and metrics.
-    pub(crate) fn label(self) -> &'static str {
+    #[must_use]
+    pub fn label(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
             Self::Rejected => "rejected",
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::fleet::UpstreamId;
 use crate::gateway::Gateway;
 use crate::headers;
+use crate::measure::{self, End, Part};
 use crate::relay::Relay;
 
 /// The least time left in which a request is sent once more.
@@ -37,6 +38,24 @@
     pub(crate) retry_after: Millis,
 }
 
+/// A request without an answer; if it is dropped, its caller has left.
+struct Unanswered<'a> {
+    gateway: &'a Gateway,
+    call: &'a Call,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        let call = self.call;
+        measure::ended(call, End::CallerLeft);
+        log::info!(
+            event = "caller_left", request = call.name(), service = &*call.service, chunks = 0,
+            after_ms = self.gateway.clock.now().since(call.came).0;
+            "caller left before its answer"
+        );
+    }
+}
+
 impl Gateway {
     /// Serves a request.
     pub(crate) async fn follow(self: &Arc<Self>, call: Call) -> Response<Body> {
@@ -49,11 +68,17 @@
             let kind = ErrorKind::Quarantined;
             return self.give_up(&call, &tries, GivenUp { kind, retry_after });
         }
+        let unanswered = Unanswered {
+            gateway: self,
+            call: &call,
+        };
         let result = if call.is_stream() {
             self.follow_stream(&call, &mut tries).await
         } else {
             self.follow_plain(&call, &mut tries).await
         };
+        // From here on the end has a line of its own.
+        std::mem::forget(unanswered);
         match result {
             Ok(response) => response,
             Err(end) => self.give_up(&call, &tries, end),
@@ -61,6 +86,7 @@
     }
 
     fn give_up(&self, call: &Call, tries: &Tries, end: GivenUp) -> Response<Body> {
+        measure::ended(call, End::GivenUp);
         log::info!(
             event = "given_up", request = call.name(), service = &*call.service,
             route = &*call.route.name, reason = end.kind.answer().label, sent = tries.sent,
@@ -185,6 +211,9 @@
         });
         let group = place.spec.group.as_ref().map_or("", |group| &*group.name);
         let waited = self.clock.now().since(call.came);
+        if tries.sent == 1 {
+            measure::took(call, Part::Wait, waited);
+        }
         log::info!(
             event = "placed", request = call.name(), service = &*call.service,
             upstream = &*place.spec.id, zone = &*place.spec.zone, group = group, held = held,
@@ -240,7 +269,7 @@
                 .dispatch
                 .with(|balance, now| balance.take_retry(now, &call.service));
         if paid {
-            metrics::counter!("sardinepin_retries_total", "reason" => failure.label()).increment(1);
+            measure::retried(failure);
             log::info!(
                 event = "again", request = call.name(), service = &*call.service,
                 reason = failure.label(), sent = tries.sent, left_ms = left.0;
@@ -254,7 +283,8 @@
     fn pass_on(&self, call: &Call, plain: Plain) -> Response<Body> {
         let names = &self.names;
         let after = self.clock.now().since(call.came);
-        metrics::histogram!("sardinepin_request_milliseconds").record(after.as_f64());
+        measure::ended(call, End::Answered);
+        measure::took(call, Part::Whole, after);
         log::info!(
             event = "answered", request = call.name(), service = &*call.service,
             status = plain.parts.status.as_u16(), after_ms = after.0;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod group;
 mod headers;
 mod manifest;
+mod measure;
 mod names;
 mod queue;
 mod readiness;
@@ -29,6 +30,7 @@
 mod table;
 mod upstream;
 
+pub use attempt::Failure;
 pub use balance::{Balance, BalanceSettings, Decided, Demand, Ticket, Verdict};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use crashes::{Crash, Crashes};
@@ -37,6 +39,7 @@
 pub use manifest::{
     CallerLimits, EngineSpec, Manifest, OrganisationSpec, Repeat, Route, ServiceSpec, Target,
 };
+pub use measure::End;
 pub use names::Names;
 pub use run::{Running, run, start};
 pub use settings::{GatewaySettings, StopSettings, SyncSettings};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Ending;
 use crate::follow::{Tries, is_movable};
 use crate::gateway::Gateway;
+use crate::measure::{self, End, Part};
 
 /// A stream on its way to the caller.
 #[derive(Debug)]
@@ -138,10 +139,10 @@
             after_ms = whole.0;
             "stream passed on whole"
         );
-        metrics::histogram!("sardinepin_first_event_milliseconds").record(first.as_f64());
-        metrics::histogram!("sardinepin_event_pause_milliseconds")
-            .record(self.timing.pause.as_f64());
-        metrics::histogram!("sardinepin_request_milliseconds").record(whole.as_f64());
+        measure::ended(call, End::Streamed);
+        measure::took(call, Part::FirstEvent, first);
+        measure::took(call, Part::Pause, self.timing.pause);
+        measure::took(call, Part::Whole, whole);
     }
 
     fn cut(&self, failure: Failure) -> io::Error {
@@ -151,6 +152,7 @@
             last = self.last, after_ms = self.gateway.clock.now().since(self.call.came).0;
             "stream cut off"
         );
+        measure::ended(&self.call, End::Cut);
         metrics::counter!("sardinepin_streams_cut_total", "reason" => failure.label()).increment(1);
         io::Error::new(io::ErrorKind::ConnectionAborted, failure.label())
     }
@@ -240,6 +242,7 @@
     fn drop(&mut self) {
         if self.begun.is_some() {
             let after = self.gateway.clock.now().since(self.call.came);
+            measure::ended(&self.call, End::CallerLeft);
             log::info!(
                 event = "caller_left", request = self.call.name(), service = &*self.call.service,
                 chunks = self.timing.chunks, after_ms = after.0;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,6 +24,7 @@
 use crate::connection::prepare;
 use crate::gateway::{Gateway, Open};
 use crate::manifest::CallerLimits;
+use crate::measure;
 
 /// The wait after a failed accept, such as when no file descriptor is left.
 const ACCEPT_PAUSE: Millis = Millis(50);
@@ -135,6 +136,7 @@
         Ok(call) => gateway.follow(call).await,
         Err(kind) => {
             let name = id.as_ref().and_then(|id| id.to_str().ok());
+            measure::turned_down();
             log::info!(
                 event = "turned_down", request = name, reason = kind.answer().label;
                 "request turned down"
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod crashes;
 mod outcomes;
+mod records;
 mod stopping;
 mod streams;
 mod util;
--- a/crates/sardinepin/src/check.rs
+++ b/crates/sardinepin/src/check.rs
@@ -39,6 +39,8 @@
     Rules,
     /// Services, upstreams, organisations, groups and rules of a deployment.
     Deployment,
+    /// The settings that the users' platform writes for a process.
+    Platform,
 }
 
 impl FileKind {
@@ -47,6 +49,7 @@
             Self::Settings => "settings",
             Self::Rules => "a rule list",
             Self::Deployment => "a deployment",
+            Self::Platform => "settings of the platform",
         }
     }
 }
@@ -84,6 +87,10 @@
         FileKind::Settings => parse_settings(&name, &text).map(|_| kind),
         FileKind::Rules => rules::read_rules(&document).map(|_| kind),
         FileKind::Deployment => deployment::read_deployment(&document).map(|_| kind),
+        FileKind::Platform => match sardinepin_platform::check(text.as_bytes()) {
+            Ok(()) => Ok(kind),
+            Err(error) => Err(FileFaults::whole(file, error.to_string())),
+        },
     }
 }
 
@@ -103,7 +110,7 @@
         FileKind::Deployment => {
             deployment::read_deployment(&document).map(|found| found.rule_list())
         }
-        FileKind::Rules | FileKind::Settings => rules::read_rules(&document),
+        FileKind::Rules | FileKind::Settings | FileKind::Platform => rules::read_rules(&document),
     }
 }
 
@@ -127,6 +134,9 @@
 
 /// Tells files apart by their fields; one that cannot be read at all counts as settings.
 fn kind_of(text: &str) -> FileKind {
+    if sardinepin_platform::is_settings(text.as_bytes()) {
+        return FileKind::Platform;
+    }
     let value: Value = serde_yaml_ng::from_str(text).unwrap_or_default();
     let has = |field: &str| value.get(field).is_some();
     if DEPLOYMENT_FIELDS.into_iter().any(has) {
--- a/crates/sardinepin/src/check/tests.rs
+++ b/crates/sardinepin/src/check/tests.rs
@@ -34,6 +34,8 @@
     assert_eq!(kind_of("rules: []\ngroups: []\n"), FileKind::Deployment);
     assert_eq!(kind_of("name: a\n"), FileKind::Settings);
     assert_eq!(kind_of(": ["), FileKind::Settings);
+    let platform = "{\"node\": \"a\", \"bounds\": {}, \"internal-ports\": [1, 2]}";
+    assert_eq!(kind_of(platform), FileKind::Platform);
 }
 
 #[test]
--- a/crates/sardinepin/src/options/faults.rs
+++ b/crates/sardinepin/src/options/faults.rs
@@ -64,11 +64,16 @@
 
     /// Makes the one fault of a file that cannot be read at all.
     pub(crate) fn unreadable(file: &Path, error: &std::io::Error) -> Self {
+        Self::whole(file, format!("cannot be read: {error}"))
+    }
+
+    /// Makes the one fault of a file that belongs to no line of it.
+    pub(crate) fn whole(file: &Path, message: String) -> Self {
         Self(vec![FileFault {
             file: file.display().to_string(),
             line: None,
             field: String::new(),
-            message: format!("cannot be read: {error}"),
+            message,
         }])
     }
 }
