Say in each refusal how the upstreams were, and when a gateway's belief in one changes

`again` did not name the upstream, `given_up` not the time that was allowed.

Change: `given_up` says how many upstreams were listed, leaving, resting, shut and usable, and the time allowed; `upstream_rests` and `group_shut` when a belief changes; `again` names the upstream.

Test: `a_refusal_says_how_the_upstreams_were`; the test of a burst asserts the room too.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -10,7 +10,7 @@
 use sardinepin_protocol::ErrorKind;
 
 use crate::budget::{BudgetSettings, RetryBudget};
-use crate::fleet::{Ending, Fleet, LoadReport, UpstreamId};
+use crate::fleet::{Ending, Fleet, LoadReport, Room, UpstreamId};
 use crate::queue::{Queue, Waiter};
 use crate::upstream::UpstreamSpec;
 
@@ -76,6 +76,8 @@
         kind: ErrorKind,
         /// When coming back makes sense.
         retry_after: Millis,
+        /// How the upstreams of the service were.
+        room: Room,
     },
 }
 
@@ -157,12 +159,12 @@
             return Some(Verdict::Send(id));
         }
         if !self.fleet.is_served(now, &demand.service, &demand.tried) {
-            return Some(self.refuse(ErrorKind::NoUpstream));
+            return Some(self.refuse(now, &demand, ErrorKind::NoUpstream));
         }
         let wait = Millis((demand.objective.as_f64() * self.settings.wait_share) as u64);
         let queue = self.queues.entry(Arc::clone(&demand.service)).or_default();
         if queue.len() >= self.settings.queue_max {
-            return Some(self.refuse(ErrorKind::QueueFull));
+            return Some(self.refuse(now, &demand, ErrorKind::QueueFull));
         }
         queue.push(Waiter {
             until: demand.deadline.min(now + wait),
@@ -241,7 +243,7 @@
         while let Some(late) = queue.pop_late(now) {
             decided.push(Decided {
                 ticket: late.demand.ticket,
-                verdict: self.refuse(ErrorKind::TooLate),
+                verdict: self.refuse(now, &late.demand, ErrorKind::TooLate),
             });
         }
         while let Some(first) = queue.first() {
@@ -265,12 +267,17 @@
             .choose(now, service, &settings.zone, settings.backlog, tried)
     }
 
-    fn refuse(&mut self, kind: ErrorKind) -> Verdict {
+    fn refuse(&mut self, now: Millis, demand: &Demand, kind: ErrorKind) -> Verdict {
+        let room = self.fleet.room(now, &demand.service, &demand.tried);
         let retry_after = match kind {
             ErrorKind::NoUpstream => self.spread(OUTAGE_MIN, OUTAGE_SPREAD),
             _ => self.come_back(),
         };
-        Verdict::Refuse { kind, retry_after }
+        Verdict::Refuse {
+            kind,
+            retry_after,
+            room,
+        }
     }
 
     /// Returns when a refused caller should come back, spread so that not all come at once.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::balance::{Balance, BalanceSettings, Decided, Demand, Ticket, Verdict};
 use crate::connection::Pool;
 use crate::constants::TICK;
-use crate::fleet::{Ending, LoadReport, UpstreamId};
+use crate::fleet::{Belief, Ending, LoadReport, Room, UpstreamId};
 use crate::upstream::UpstreamSpec;
 
 /// Hands out places at upstreams.
@@ -124,6 +124,7 @@
             Err(_) => Err(Verdict::Refuse {
                 kind: sardinepin_protocol::ErrorKind::Internal,
                 retry_after: Millis::ZERO,
+                room: Room::default(),
             }),
         }
     }
@@ -148,6 +149,7 @@
             None => Err(Verdict::Refuse {
                 kind: sardinepin_protocol::ErrorKind::NoUpstream,
                 retry_after: Millis::ZERO,
+                room: Room::default(),
             }),
         }
     }
@@ -155,8 +157,15 @@
     fn ended(&self, id: UpstreamId, ending: Ending) {
         let mut state = self.state();
         let now = self.clock.now();
+        let before = state.balance.fleet().belief(now, id);
+        let spec = state.balance.fleet().get(id).map(|one| one.spec.clone());
         let decided = state.balance.ended(now, id, ending);
+        let after = state.balance.fleet().belief(now, id);
         state.tell(now, decided);
+        drop(state);
+        if let Some(spec) = spec {
+            log_belief(&spec, ending, before, after);
+        }
     }
 
     /// Takes over a new list of upstreams.
@@ -196,6 +205,24 @@
     }
 }
 
+/// Logs what is newly believed of an upstream after an attempt.
+fn log_belief(spec: &UpstreamSpec, ending: Ending, before: Belief, after: Belief) {
+    if after.resting && !before.resting {
+        log::info!(
+            event = "upstream_rests", upstream = &*spec.id, service = &*spec.service,
+            reason = ending.label();
+            "an upstream could not be reached and gets nothing for a while"
+        );
+    }
+    if after.shut && !before.shut {
+        let group = spec.group.as_ref().map_or("", |group| &*group.name);
+        log::info!(
+            event = "group_shut", upstream = &*spec.id, group = group, reason = ending.label();
+            "a group gets nothing for a while"
+        );
+    }
+}
+
 /// The time between two looks for idle connections that are to be closed.
 const SWEEP: Millis = Millis(500);
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -55,6 +55,21 @@
     Abandoned,
 }
 
+impl Ending {
+    /// Returns the label in logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Rejected => "rejected",
+            Self::GroupBroken => "group_broken",
+            Self::Failed => "failed",
+            Self::Unreached => "unreached",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 /// What an upstream says of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
@@ -64,6 +79,32 @@
     pub waiting: u32,
 }
 
+/// Why the upstreams of a service can or cannot take one more request; each counts once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Room {
+    /// All upstreams of the service that are listed.
+    pub listed: usize,
+    /// Those that are leaving.
+    pub leaving: usize,
+    /// Those that rest as they could not be reached.
+    pub resting: usize,
+    /// Those whose group takes nothing for now.
+    pub shut: usize,
+    /// Those that have had the request already.
+    pub tried: usize,
+    /// Those that could take it if they were not full.
+    pub usable: usize,
+}
+
+/// What a gateway believes of the health of an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Belief {
+    /// It could not be reached, and rests.
+    pub resting: bool,
+    /// Its group takes nothing for now.
+    pub shut: bool,
+}
+
 /// One upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -287,6 +328,38 @@
             .any(|(id, upstream)| self.is_usable(now, upstream) && !tried.contains(&id))
     }
 
+    /// Returns why the upstreams of a service can or cannot take one more request.
+    #[must_use]
+    pub fn room(&self, now: Millis, service: &str, tried: &[UpstreamId]) -> Room {
+        let mut room = Room::default();
+        for (id, upstream) in self.of_service(service) {
+            room.listed += 1;
+            let belief = self.belief(now, id);
+            let count = match () {
+                () if upstream.spec.leaving => &mut room.leaving,
+                () if belief.resting => &mut room.resting,
+                () if belief.shut => &mut room.shut,
+                () if tried.contains(&id) => &mut room.tried,
+                () => &mut room.usable,
+            };
+            *count += 1;
+        }
+        room
+    }
+
+    /// Returns what is believed of an upstream.
+    #[must_use]
+    pub fn belief(&self, now: Millis, id: UpstreamId) -> Belief {
+        let Some(upstream) = self.upstreams.get(&id) else {
+            return Belief::default();
+        };
+        let group = upstream.spec.group.as_ref();
+        Belief {
+            resting: now < upstream.rest_until,
+            shut: group.is_some_and(|group| self.groups.is_shut(now, &group.name)),
+        }
+    }
+
     /// Counts an attempt as in flight.
     pub fn sent(&mut self, now: Millis, id: UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use crate::balance::{Demand, Verdict};
 use crate::call::Call;
 use crate::dispatch::Place;
-use crate::fleet::UpstreamId;
+use crate::fleet::{Room, UpstreamId};
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::measure::{self, End, Part};
@@ -36,6 +36,18 @@
 pub(crate) struct GivenUp {
     pub(crate) kind: ErrorKind,
     pub(crate) retry_after: Millis,
+    /// How the upstreams were, if that decided it.
+    pub(crate) room: Room,
+}
+
+impl GivenUp {
+    fn new(kind: ErrorKind, retry_after: Millis) -> Self {
+        Self {
+            kind,
+            retry_after,
+            room: Room::default(),
+        }
+    }
 }
 
 /// A request without an answer; if it is dropped, its caller has left.
@@ -65,8 +77,8 @@
         let call = Arc::new(call);
         let mut tries = Tries::default();
         if let Some(retry_after) = self.held_back(&call) {
-            let kind = ErrorKind::Quarantined;
-            return self.give_up(&call, &tries, GivenUp { kind, retry_after });
+            let end = GivenUp::new(ErrorKind::Quarantined, retry_after);
+            return self.give_up(&call, &tries, end);
         }
         let unanswered = Unanswered {
             gateway: self,
@@ -91,7 +103,9 @@
             event = "given_up", request = call.name(), service = &*call.service,
             route = &*call.route.name, reason = end.kind.answer().label, sent = tries.sent,
             ran = tries.ran, after_ms = self.clock.now().since(call.came).0,
-            retry_ms = end.retry_after.0;
+            allowed_ms = call.deadline.since(call.came).0, retry_ms = end.retry_after.0,
+            listed = end.room.listed, leaving = end.room.leaving, resting = end.room.resting,
+            shut = end.room.shut, usable = end.room.usable;
             "request given up"
         );
         answer::error(
@@ -187,16 +201,22 @@
             tried: tries.tried.clone(),
         };
         let place = self.dispatch.place(demand).await.map_err(|verdict| {
-            let (kind, retry_after) = match verdict {
-                Verdict::Refuse { kind, retry_after } => (kind, retry_after),
-                Verdict::Send(_) => (ErrorKind::Internal, Millis::ZERO),
+            let mut end = match verdict {
+                Verdict::Refuse {
+                    kind,
+                    retry_after,
+                    room,
+                } => GivenUp {
+                    kind,
+                    retry_after,
+                    room,
+                },
+                Verdict::Send(_) => GivenUp::new(ErrorKind::Internal, Millis::ZERO),
             };
-            let kind = if tries.ran {
-                ErrorKind::UpstreamBroke
-            } else {
-                kind
-            };
-            GivenUp { kind, retry_after }
+            if tries.ran {
+                end.kind = ErrorKind::UpstreamBroke;
+            }
+            end
         })?;
         tries.tried.push(place.id);
         tries.sent += 1;
@@ -253,7 +273,7 @@
             _ => ErrorKind::UpstreamBroke,
         };
         let retry_after = self.dispatch.with(|balance, _| balance.come_back());
-        Err(GivenUp { kind, retry_after })
+        Err(GivenUp::new(kind, retry_after))
     }
 
     /// Decides whether a request is sent to one more upstream.
@@ -272,13 +292,23 @@
             measure::retried(failure);
             log::info!(
                 event = "again", request = call.name(), service = &*call.service,
-                reason = failure.label(), sent = tries.sent, left_ms = left.0;
+                upstream = self.last_upstream(tries).as_deref(), reason = failure.label(),
+                sent = tries.sent, left_ms = left.0;
                 "request tried again"
             );
         }
         paid
     }
 
+    /// Returns the upstream that was tried last.
+    fn last_upstream(&self, tries: &Tries) -> Option<Arc<str>> {
+        let last = *tries.tried.last()?;
+        self.dispatch.with(|balance, _| {
+            let upstream = balance.fleet().get(last)?;
+            Some(Arc::clone(&upstream.spec.id))
+        })
+    }
+
     /// Passes on a plain answer.
     fn pass_on(&self, call: &Call, plain: Plain) -> Response<Body> {
         let names = &self.names;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,7 +35,7 @@
 pub use budget::{BudgetSettings, RetryBudget};
 pub use crashes::{Crash, Crashes};
 pub use events::{EventSplitter, TooLarge, Whole, after};
-pub use fleet::{Ending, Fleet, LoadReport, Upstream, UpstreamId};
+pub use fleet::{Belief, Ending, Fleet, LoadReport, Room, Upstream, UpstreamId};
 pub use manifest::{
     CallerLimits, EngineSpec, Manifest, OrganisationSpec, Repeat, Route, ServiceSpec, Target,
 };
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -9,7 +9,7 @@
 use sardinepin_common::Millis;
 use sardinepin_gateway::{
     Balance, BalanceSettings, BudgetSettings, Demand, Ending, GroupPlace, LoadReport, RetryBudget,
-    Ticket, UpstreamId, UpstreamSpec, Verdict,
+    Room, Ticket, UpstreamId, UpstreamSpec, Verdict,
 };
 use sardinepin_protocol::ErrorKind;
 
@@ -87,7 +87,8 @@
     assert_eq!(decided[0].ticket, Ticket(3));
     assert_matches!(
         decided[0].verdict,
-        Verdict::Refuse { kind: ErrorKind::TooLate, retry_after } if retry_after > Millis::ZERO
+        Verdict::Refuse { kind: ErrorKind::TooLate, retry_after, room }
+            if retry_after > Millis::ZERO && room.usable == 1
     );
 }
 
@@ -249,3 +250,31 @@
     let taken = (0..50).filter(|_| budget.take(later, &settings)).count();
     assert_eq!(taken, 2);
 }
+
+#[test]
+fn a_refusal_says_how_the_upstreams_were() {
+    let mut leaving = spec("leaving", "a", None);
+    leaving.leaving = true;
+    let shut = spec("shut", "a", Some("g"));
+    let resting = spec("resting", "a", None);
+    let mut balance = balance(&[leaving, shut, resting]);
+    for ticket in 1..=2 {
+        let id = sent(balance.demand(NOW, demand(ticket, 1)));
+        let ending = match name_of(&balance, id).as_str() {
+            "shut" => Ending::GroupBroken,
+            _ => Ending::Unreached,
+        };
+        balance.ended(NOW, id, ending);
+        let belief = balance.fleet().belief(NOW, id);
+        assert!(belief.resting || belief.shut);
+    }
+    let verdict = balance.demand(NOW, demand(3, 1));
+    let room = Room {
+        listed: 3,
+        leaving: 1,
+        resting: 1,
+        shut: 1,
+        ..Room::default()
+    };
+    assert_matches!(verdict, Some(Verdict::Refuse { room: said, .. }) if said == room);
+}
