Spread the pauses after failed calls; keep the ports that tests need closed

All gateways that start or fail together called the store again after the same pauses. Cause 2: `an_upstream_that_cannot_be_reached_costs_no_attempt` failed once (401 in place of 503): the port of a listener that the test had closed was taken by the gateway of another test. Ruled out: the product (the same answer comes from any server that takes an upstream's address).

Change: pauses between half and one and a half of their length; crashes are first read a second after the start; tests hold the port without listening.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -241,11 +241,15 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.begun.is_some() {
-            let after = self.gateway.clock.now().since(self.call.came);
+            let now = self.gateway.clock.now();
+            let after = now.since(self.call.came);
+            let upstream = self.begun.as_ref().map(|begun| &*begun.place.spec.id);
+            let silent = now.since(self.timing.last.max(self.call.came));
             measure::ended(&self.call, End::CallerLeft);
             log::info!(
                 event = "caller_left", request = self.call.name(), service = &*self.call.service,
-                chunks = self.timing.chunks, after_ms = after.0;
+                upstream = upstream, chunks = self.timing.chunks, silent_ms = silent.0,
+                after_ms = after.0;
                 "caller left its stream"
             );
         }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use rand::Rng as _;
 use sardinepin_common::Millis;
 
 use crate::gateway::Gateway;
@@ -130,6 +131,13 @@
     }
 }
 
+/// Returns a time between half of `pause` and one and a half of it, so that the gateways of a
+/// deployment that start or fail together do not call together again.
+fn spread(pause: Millis) -> Millis {
+    let half = pause.0 / 2;
+    Millis(half + rand::rng().random_range(0..=pause.0))
+}
+
 /// The pauses after failed calls, and the log lines at the loss and the return of the store.
 #[derive(Debug)]
 struct Backoff {
@@ -165,7 +173,7 @@
         if self.failures > 1 {
             let factor = 1 << self.failures.min(8);
             let pause = Millis(self.settings.retry_min.0 * factor).min(self.settings.retry_max);
-            tokio::time::sleep(pause.duration()).await;
+            tokio::time::sleep(spread(pause).duration()).await;
         }
     }
 }
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -5,7 +5,7 @@
 use sardinepin_common::{Clock, Millis};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::{Backoff, go_on};
+use super::{Backoff, go_on, spread};
 use crate::crashes::Crash;
 use crate::gateway::Gateway;
 use crate::settings::SyncSettings;
@@ -15,6 +15,9 @@
 /// The longest that one watch waits; crashes are rare, and a lost watch delays them at most so long.
 const WAIT: Millis = Millis(15_000);
 
+/// The time around which crashes are first read; what a gateway needs to serve comes before.
+const FIRST: Millis = Millis(1_000);
+
 /// How often a write without an answer is made; its repetition changes nothing.
 const TRIES: u32 = 3;
 
@@ -45,6 +48,7 @@
 ) {
     let mut revision = None;
     let mut backoff = Backoff::new(settings);
+    tokio::time::sleep(spread(FIRST).duration()).await;
     loop {
         let reading = match revision {
             None => source.crashes().await,
--- a/crates/gateway/tests/path/outcomes.rs
+++ b/crates/gateway/tests/path/outcomes.rs
@@ -3,7 +3,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::util::{Act, Upstream, exchange, field, gateway, not_run, request, wait_for, whole};
+use crate::util::{
+    Act, Unreachable, Upstream, exchange, field, gateway, not_run, request, wait_for, whole,
+};
 
 /// Returns how many requests reached two upstreams in all.
 fn total(one: &Upstream, two: &Upstream) -> usize {
@@ -120,10 +122,9 @@
 #[tokio::test]
 async fn an_upstream_that_cannot_be_reached_costs_no_attempt() {
     let gone = Upstream::start("gone", vec![]).await;
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let port = Unreachable::new();
     let mut unreachable = gone.clone();
-    unreachable.spec.address = closed.local_addr().unwrap();
-    drop(closed);
+    unreachable.spec.address = port.address();
     let (running, _) = gateway(&[&unreachable]).await;
     let answer = exchange(running.callers(), &request("/once/a", "r", "")).await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
--- a/crates/gateway/tests/path/records.rs
+++ b/crates/gateway/tests/path/records.rs
@@ -11,8 +11,8 @@
 use tokio::net::TcpStream;
 
 use super::util::{
-    Act, Shelf, Upstream, chunk, exchange, gateway, is_ready, last_chunk, manifest, not_run,
-    request, settings, stream_head, wait_for, whole,
+    Act, Shelf, Unreachable, Upstream, chunk, exchange, gateway, is_ready, last_chunk, manifest,
+    not_run, request, settings, stream_head, wait_for, whole,
 };
 
 /// The event and the request of each line.
@@ -173,10 +173,9 @@
         bad.spec.group = group("bad");
         good.spec.group = group("good");
     }
+    let port = Unreachable::new();
     if failure == Failure::NotSent {
-        // Nothing listens at the port of a listener that was closed.
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        bad.spec.address = listener.local_addr().unwrap();
+        bad.spec.address = port.address();
     }
     let running = quick_gateway(&[&bad, &good]).await;
     let path = match failure {
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -10,7 +10,7 @@
     Running, Source, SourceError, StopSettings, SyncSettings, Target, UpstreamSpec, Write, start,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// How long a condition may take to hold before the test fails.
 pub(crate) const PATIENCE: Millis = Millis(30_000);
@@ -445,6 +445,22 @@
     }
 }
 
+/// A port that is taken, so that no other test gets it, and at which nothing listens.
+pub(crate) struct Unreachable(TcpSocket);
+
+impl Unreachable {
+    pub(crate) fn new() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        socket.bind(any).unwrap();
+        Self(socket)
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn wait_for(mut holds: impl AsyncFnMut() -> bool) {
     let waiting = async {
