--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,84 +1,22 @@
 //! What a gateway believes of each upstream, and the choice among them.
 
+mod member;
+
 use std::sync::Arc;
 
 use sardinepin_common::{Map, Millis};
 
+pub use crate::fleet::member::{Ending, LoadReport, Upstream};
 use crate::group::Groups;
 use crate::upstream::UpstreamSpec;
 
-/// The weight of the newest end in the failure rate of an upstream.
-const FAILURE_GAIN: f64 = 0.2;
-
-/// The time after which a failure rate counts half.
-const FAILURE_HALF_LIFE: Millis = Millis(4_000);
-
-/// What a failure rate of one adds to the score of an upstream, in slots filled.
-const FAILURE_SLOTS: f64 = 2.0;
-
 /// What a stalled group adds to the score of its upstreams, in slots filled.
 const STALL_SLOTS: f64 = 4.0;
 
-/// What another availability zone adds to the score of an upstream, in slots filled.
-const ZONE_SLOTS: f64 = 0.08;
-
-/// The time after which a load report counts half.
-const REPORT_HALF_LIFE: Millis = Millis(1_000);
-
-/// The rest of an upstream that could not be reached; doubles with each further failure.
-const REST: Millis = Millis(300);
-
-/// The longest rest.
-const REST_MAX: Millis = Millis(4_000);
-
-/// How many connection failures in a row are needed for the longest rest.
-const REST_DOUBLINGS: u32 = 4;
-
 /// The identifier of an upstream within one gateway; never used twice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamId(pub u32);
 
-/// How an attempt at an upstream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    /// The upstream answered as it should.
-    Served,
-    /// The upstream said that it did not run the request, as it has no room.
-    Rejected,
-    /// The upstream said that it did not run the request, as another rank of its group is missing.
-    GroupBroken,
-    /// The upstream failed the request or broke off.
-    Failed,
-    /// The upstream could not be reached.
-    Unreached,
-    /// The caller left, or the attempt was given up; it says nothing of the upstream.
-    Abandoned,
-}
-
-impl Ending {
-    /// Returns the label in logs.
-    #[must_use]
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Served => "served",
-            Self::Rejected => "rejected",
-            Self::GroupBroken => "group_broken",
-            Self::Failed => "failed",
-            Self::Unreached => "unreached",
-            Self::Abandoned => "abandoned",
-        }
-    }
-}
-
-/// What an upstream says of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
 /// Why the upstreams of a service can or cannot take one more request; each counts once.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Room {
@@ -105,80 +43,6 @@
     pub shut: bool,
 }
 
-/// One upstream.
-#[derive(Debug)]
-pub struct Upstream {
-    /// What the list says of it.
-    pub spec: UpstreamSpec,
-    /// Attempts of this gateway in flight.
-    pub own: u32,
-    /// Attempts of other gateways, as last heard or inferred.
-    others: f64,
-    others_at: Millis,
-    failure: f64,
-    failure_at: Millis,
-    unreached: u32,
-    rest_until: Millis,
-}
-
-impl Upstream {
-    fn new(spec: UpstreamSpec) -> Self {
-        Self {
-            spec,
-            own: 0,
-            others: 0.0,
-            others_at: Millis::ZERO,
-            failure: 0.0,
-            failure_at: Millis::ZERO,
-            unreached: 0,
-            rest_until: Millis::ZERO,
-        }
-    }
-
-    /// Returns the requests that the upstream is thought to hold.
-    #[must_use]
-    pub fn occupancy(&self, now: Millis) -> f64 {
-        f64::from(self.own) + self.others * halved(now.since(self.others_at), REPORT_HALF_LIFE)
-    }
-
-    fn failure(&self, now: Millis) -> f64 {
-        self.failure * halved(now.since(self.failure_at), FAILURE_HALF_LIFE)
-    }
-
-    fn score(&self, now: Millis, zone: &str) -> f64 {
-        let filled = self.occupancy(now) / f64::from(self.spec.slots.max(1));
-        let far = if *self.spec.zone == *zone {
-            0.0
-        } else {
-            ZONE_SLOTS
-        };
-        filled + far + FAILURE_SLOTS * self.failure(now)
-    }
-
-    fn usable(&self, now: Millis) -> bool {
-        !self.spec.leaving && now >= self.rest_until
-    }
-
-    fn ended(&mut self, now: Millis, ending: Ending) {
-        let failed = match ending {
-            Ending::Abandoned | Ending::Rejected | Ending::GroupBroken => return,
-            Ending::Served => 0.0,
-            Ending::Failed | Ending::Unreached => 1.0,
-        };
-        let before = self.failure(now);
-        self.failure = before + (failed - before) * FAILURE_GAIN;
-        self.failure_at = now;
-        if ending == Ending::Unreached {
-            let rest = REST.0 << self.unreached.min(REST_DOUBLINGS);
-            self.rest_until = now + Millis(rest.min(REST_MAX.0));
-            self.unreached += 1;
-        } else {
-            self.unreached = 0;
-            self.rest_until = Millis::ZERO;
-        }
-    }
-}
-
 /// The upstreams of a gateway.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -410,8 +274,3 @@
         }
     }
 }
-
-/// Returns the factor by which a belief of age `age` counts.
-fn halved(age: Millis, half_life: Millis) -> f64 {
-    (-(age.as_f64() / half_life.as_f64())).exp2()
-}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,7 @@
 //! Follows a request from its arrival to its answer, over as many upstreams as it takes.
 
+mod tries;
+
 use std::sync::Arc;
 
 use http::{Response, StatusCode};
@@ -11,63 +13,13 @@
 use crate::balance::{Demand, Verdict};
 use crate::call::Call;
 use crate::dispatch::Place;
-use crate::fleet::{Room, UpstreamId};
+use crate::follow::tries::Unanswered;
+pub(crate) use crate::follow::tries::{GivenUp, Tries, is_movable};
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::measure::{self, End, Part};
 use crate::relay::Relay;
 
-/// The least time left in which a request is sent once more.
-const AGAIN_MIN: Millis = Millis(50);
-
-/// The attempts of one request.
-#[derive(Debug, Default)]
-pub(crate) struct Tries {
-    /// Upstreams that got the request, or could not be reached.
-    pub(crate) tried: Vec<UpstreamId>,
-    /// How many upstreams the request was sent to.
-    pub(crate) sent: u32,
-    /// Whether it may have run.
-    pub(crate) ran: bool,
-}
-
-/// The end of a request without an upstream's answer.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct GivenUp {
-    pub(crate) kind: ErrorKind,
-    pub(crate) retry_after: Millis,
-    /// How the upstreams were, if that decided it.
-    pub(crate) room: Room,
-}
-
-impl GivenUp {
-    fn new(kind: ErrorKind, retry_after: Millis) -> Self {
-        Self {
-            kind,
-            retry_after,
-            room: Room::default(),
-        }
-    }
-}
-
-/// A request without an answer; if it is dropped, its caller has left.
-struct Unanswered<'a> {
-    gateway: &'a Gateway,
-    call: &'a Call,
-}
-
-impl Drop for Unanswered<'_> {
-    fn drop(&mut self) {
-        let call = self.call;
-        measure::ended(call, End::CallerLeft);
-        log::info!(
-            event = "caller_left", request = call.name(), service = &*call.service, chunks = 0,
-            after_ms = self.gateway.clock.now().since(call.came).0;
-            "caller left before its answer"
-        );
-    }
-}
-
 impl Gateway {
     /// Serves a request.
     pub(crate) async fn follow(self: &Arc<Self>, call: Call) -> Response<Body> {
@@ -242,73 +194,6 @@
         );
     }
 
-    /// Returns until when an upstream may take over a plain answer before another is tried.
-    fn attempt_until(&self, call: &Call, tries: &Tries) -> Millis {
-        if !call.repeatable() || tries.sent >= call.route.attempts {
-            return call.deadline;
-        }
-        let patience = Millis(call.route.objective.0 * 2);
-        call.deadline.min(self.clock.now() + patience)
-    }
-
-    /// Takes in a failure; returns an error if the request is not tried again.
-    pub(crate) fn failed(
-        &self,
-        call: &Call,
-        tries: &mut Tries,
-        failure: Failure,
-    ) -> Result<(), GivenUp> {
-        tries.ran |= !failure.not_run();
-        if failure == Failure::NotSent {
-            tries.sent -= 1;
-        }
-        if self.may_try_again(call, tries, failure) {
-            return Ok(());
-        }
-        let kind = match failure {
-            _ if !tries.ran && failure == Failure::NotSent => ErrorKind::Unreachable,
-            _ if !tries.ran => ErrorKind::Busy,
-            Failure::Silent => ErrorKind::DeadlinePassed,
-            Failure::Stalled => ErrorKind::Stalled,
-            _ => ErrorKind::UpstreamBroke,
-        };
-        let retry_after = self.dispatch.with(|balance, _| balance.come_back());
-        Err(GivenUp::new(kind, retry_after))
-    }
-
-    /// Decides whether a request is sent to one more upstream.
-    pub(crate) fn may_try_again(&self, call: &Call, tries: &Tries, failure: Failure) -> bool {
-        let left = call.deadline.since(self.clock.now());
-        let allowed = failure.not_run() || call.repeatable();
-        if !allowed || left < AGAIN_MIN || tries.sent >= call.route.attempts {
-            return false;
-        }
-        // What never reached an upstream costs nothing of the budget.
-        let paid = failure == Failure::NotSent
-            || self
-                .dispatch
-                .with(|balance, now| balance.take_retry(now, &call.service));
-        if paid {
-            measure::retried(failure);
-            log::info!(
-                event = "again", request = call.name(), service = &*call.service,
-                upstream = self.last_upstream(tries).as_deref(), reason = failure.label(),
-                sent = tries.sent, left_ms = left.0;
-                "request tried again"
-            );
-        }
-        paid
-    }
-
-    /// Returns the upstream that was tried last.
-    fn last_upstream(&self, tries: &Tries) -> Option<Arc<str>> {
-        let last = *tries.tried.last()?;
-        self.dispatch.with(|balance, _| {
-            let upstream = balance.fleet().get(last)?;
-            Some(Arc::clone(&upstream.spec.id))
-        })
-    }
-
     /// Passes on a plain answer.
     fn pass_on(&self, call: &Call, plain: Plain) -> Response<Body> {
         let names = &self.names;
@@ -352,11 +237,6 @@
     }
 }
 
-/// Returns whether a stream may be sent to one more upstream.
-pub(crate) fn is_movable(call: &Call, tries: &Tries) -> bool {
-    call.resumable() && tries.sent < call.route.attempts
-}
-
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
