Send no new work to an entry whose address has a newer one

Cause: after a loss of power the engines start again at their old addresses under new names, and the old entries stay listed for seconds.

Ruled out: full upstreams (`held` 1.0 in the lines); `born`, which these entries lack.

Change: of entries with one address, all but the one with the highest revision take no new work.

Test: `an_entry_whose_address_has_a_newer_one_takes_no_new_work`, which failed before.

--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -1,5 +1,6 @@
 //! The list of upstreams as a gateway believes it, from readings of the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sardinepin_common::{Map, Millis};
@@ -123,12 +124,26 @@
         if !std::mem::take(&mut self.changed) {
             return None;
         }
-        Some(
-            self.entries
-                .values()
-                .map(|entry| entry.spec.clone())
-                .collect(),
-        )
+        Some(self.specs())
+    }
+
+    /// Returns the entries; of those with one address, all but the newest take no new work.
+    ///
+    /// A process that starts again at the address of one that died is listed beside it until the
+    /// old entry lapses.
+    fn specs(&self) -> Vec<UpstreamSpec> {
+        let mut newest: Map<SocketAddr, u64> = Map::default();
+        for entry in self.entries.values() {
+            let revision = newest.entry(entry.spec.address).or_default();
+            *revision = entry.revision.max(*revision);
+        }
+        let specs = self.entries.values().map(|entry| {
+            let mut spec = entry.spec.clone();
+            let is_newest = newest.get(&spec.address) == Some(&entry.revision);
+            spec.leaving |= !is_newest;
+            spec
+        });
+        specs.collect()
     }
 }
 
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -3,6 +3,7 @@
 // The helpers of a test file are part of its tests.
 #![allow(clippy::unwrap_used)]
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
@@ -18,7 +19,7 @@
             id: Arc::from(id),
             born: 1,
             service: Arc::from("llm"),
-            address: "127.0.0.1:1".parse().unwrap(),
+            address: SocketAddr::from(([127, 0, 0, 1], u16::from(id.as_bytes()[0]))),
             zone: Arc::from("a"),
             slots: 2,
             leaving,
@@ -70,3 +71,21 @@
     list.change(Millis(1), vec![item("a", 4, Some(false))]);
     assert_eq!(list.take_changed(Millis(1)), None);
 }
+
+#[test]
+fn an_entry_whose_address_has_a_newer_one_takes_no_new_work() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace(
+        Millis(0),
+        vec![item("a-old", 1, Some(false)), item("b", 2, Some(false))],
+    );
+    ids(&mut list, 0);
+    list.change(Millis(10), vec![item("a-new", 3, Some(false))]);
+    let leaving = |specs: Vec<UpstreamSpec>| {
+        let leaving = specs.into_iter().filter(|spec| spec.leaving);
+        leaving.map(|spec| spec.id.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(leaving(list.take_changed(Millis(10)).unwrap()), ["a-old"]);
+    list.change(Millis(20), vec![item("a-new", 4, None)]);
+    assert!(leaving(list.take_changed(Millis(20)).unwrap()).is_empty());
+}
