--- a/crates/gateway/tests/path/stopping.rs
+++ b/crates/gateway/tests/path/stopping.rs
@@ -25,6 +25,22 @@
     .await;
 }
 
+#[tokio::test]
+async fn leaving_an_upstream_whose_change_a_watch_withheld_gets_no_new_requests() {
+    let one = Upstream::start("one", vec![whole("200 OK", "")]).await;
+    let two = Upstream::start("two", vec![whole("200 OK", "")]).await;
+    let (running, shelf) = gateway(&[&one, &two]).await;
+    shelf.withhold_upstreams(vec![two.spec.clone()]);
+    let mut quiet = 0;
+    wait_for(async || {
+        let before = one.count();
+        exchange(running.callers(), &request("/safe/a", "r", "")).await;
+        quiet = if one.count() == before { quiet + 1 } else { 0 };
+        quiet >= 20
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn leaving_an_address_that_another_upstream_has_taken_over_runs_nothing() {
     let misdirected = vec![Act::Write(
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -240,6 +240,8 @@
     upstreams: Vec<UpstreamSpec>,
     crashes: Vec<Crash>,
     away: bool,
+    /// The next watch of upstreams ends empty, at a revision after the last change.
+    withheld: bool,
 }
 
 impl Shelf {
@@ -255,6 +257,14 @@
         content.upstreams = upstreams;
     }
 
+    /// Changes the upstreams in a moment in which watches end empty over it.
+    pub(crate) fn withhold_upstreams(&self, upstreams: Vec<UpstreamSpec>) {
+        let mut content = self.content.lock().unwrap();
+        content.revision += 1;
+        content.upstreams = upstreams;
+        content.withheld = true;
+    }
+
     pub(crate) fn set_away(&self, away: bool) {
         self.content.lock().unwrap().away = away;
     }
@@ -310,7 +320,16 @@
     }
 
     fn watch_upstreams(&self, revision: u64, _: Millis) -> Read<'_, UpstreamSpec> {
-        Box::pin(self.changes(revision))
+        Box::pin(async move {
+            let withheld = std::mem::take(&mut self.content.lock().unwrap().withheld);
+            if withheld {
+                return Ok(Reading {
+                    revision: self.content.lock().unwrap().revision,
+                    items: Vec::new(),
+                });
+            }
+            self.changes(revision).await
+        })
     }
 
     fn crashes(&self) -> Read<'_, Crash> {
