Model a deployment in trials: policies against load, with a picture

Trial `fleet`: gateways with the product's own balance before rank groups in lock-step (times of the users' pages), callers that come back and leave, an outage of a group; round robin, least in flight and two choices on the same calls.

--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod decide;
 mod demo;
+mod fleet;
 mod maps;
 mod outcomes;
 mod overload;
@@ -55,6 +56,10 @@
             command: demo::command(),
             run: demo::run,
         },
+        Trial {
+            command: fleet::command(),
+            run: fleet::run,
+        },
         Trial {
             command: maps::command(),
             run: maps::run,
