Remember the load of others for longer

Cause: the model (trial `fleet`) shows each gateway sending to ranks that others have filled, since half of a load report is forgotten within a second while reports come every second or two.

Ruled out: no forgetting at all (an upstream that nobody sends to would never be heard of again).

Change: a report counts half after 6 s in place of 1 s.

Test: `a_burst_does_not_go_where_others_have_filled_the_slots_for_a_while`, which failed before.

--- a/crates/gateway/src/fleet/member.rs
+++ b/crates/gateway/src/fleet/member.rs
@@ -17,7 +17,7 @@
 const ZONE_SLOTS: f64 = 0.08;
 
 /// The time after which a load report counts half.
-const REPORT_HALF_LIFE: Millis = Millis(1_000);
+const REPORT_HALF_LIFE: Millis = Millis(6_000);
 
 /// The rest of an upstream that could not be reached; doubles with each further failure.
 const REST: Millis = Millis(300);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -278,3 +278,25 @@
     };
     assert_matches!(verdict, Some(Verdict::Refuse { room: said, .. }) if said == room);
 }
+
+#[test]
+fn a_burst_does_not_go_where_others_have_filled_the_slots_for_a_while() {
+    let mut balance = balance(&[spec("full", "a", None), spec("free", "b", None)]);
+    let full = balance.fleet().named("full").unwrap();
+    let report = LoadReport {
+        running: 2,
+        waiting: 2,
+    };
+    balance.reported(NOW, full, report);
+    // Reports come with answers, so a gateway hears of an upstream every second or two only.
+    let later = NOW + Millis(2_000);
+    let mut names = Vec::new();
+    for ticket in 1..=2 {
+        names.push(name_of(
+            &balance,
+            sent(balance.demand(later, demand(ticket, 1))),
+        ));
+    }
+    assert_eq!(names, ["free", "free"]);
+    assert_eq!(balance.demand(later, demand(3, 1)), None);
+}
