--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -292,10 +292,8 @@
     let later = NOW + Millis(2_000);
     let mut names = Vec::new();
     for ticket in 1..=2 {
-        names.push(name_of(
-            &balance,
-            sent(balance.demand(later, demand(ticket, 1))),
-        ));
+        let chosen = sent(balance.demand(later, demand(ticket, 1)));
+        names.push(name_of(&balance, chosen));
     }
     assert_eq!(names, ["free", "free"]);
     assert_eq!(balance.demand(later, demand(3, 1)), None);
