--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -83,6 +83,8 @@
     pub(crate) place: Place,
     pub(crate) parts: Parts,
     pub(crate) body: Incoming,
+    /// What the upstream said of its load with the head of the answer.
+    pub(crate) load: Option<LoadReport>,
     connection: Connection,
 }
 
@@ -113,6 +115,7 @@
         }
         let (parts, body, connection) = result?;
         Ok(Begun {
+            load: self.load_of(&parts.headers),
             place,
             parts,
             body,
@@ -201,14 +204,15 @@
     }
 
     fn note_load(&self, place: &Place, headers: &HeaderMap) {
-        let Some(value) = headers::text(headers, &self.names.load) else {
-            return;
-        };
-        if let Some(report) = read_load(value) {
+        if let Some(report) = self.load_of(headers) {
             self.dispatch.reported(place.id, report);
         }
     }
 
+    fn load_of(&self, headers: &HeaderMap) -> Option<LoadReport> {
+        read_load(headers::text(headers, &self.names.load)?)
+    }
+
     /// Tells an answer from what is none.
     fn judge(&self, call: &Call, place: &Place, parts: &Parts) -> Result<(), Failure> {
         let names = &self.names;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -199,12 +199,16 @@
         for (id, upstream) in self.of_service(service) {
             room.listed += 1;
             let belief = self.belief(now, id);
-            let count = match () {
-                () if upstream.spec.leaving => &mut room.leaving,
-                () if belief.resting => &mut room.resting,
-                () if belief.shut => &mut room.shut,
-                () if tried.contains(&id) => &mut room.tried,
-                () => &mut room.usable,
+            let count = if upstream.spec.leaving {
+                &mut room.leaving
+            } else if belief.resting {
+                &mut room.resting
+            } else if belief.shut {
+                &mut room.shut
+            } else if tried.contains(&id) {
+                &mut room.tried
+            } else {
+                &mut room.usable
             };
             *count += 1;
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -41,8 +41,7 @@
         } else {
             self.follow_plain(&call, &mut tries).await
         };
-        // From here on the end has a line of its own.
-        std::mem::forget(unanswered);
+        unanswered.answer();
         match result {
             Ok(response) => response,
             Err(end) => self.give_up(&call, &tries, end),
--- a/crates/gateway/src/follow/tries.rs
+++ b/crates/gateway/src/follow/tries.rs
@@ -50,6 +50,13 @@
     pub(super) call: &'a Call,
 }
 
+impl Unanswered<'_> {
+    /// Says that there is an answer, whose end has a line of its own.
+    pub(super) fn answer(self) {
+        std::mem::forget(self);
+    }
+}
+
 impl Drop for Unanswered<'_> {
     fn drop(&mut self) {
         let call = self.call;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -135,8 +135,9 @@
         log::info!(
             event = "streamed", request = call.name(), service = &*call.service,
             route = &*call.route.name, upstream = &*begun.place.spec.id, sent = self.tries.sent,
-            chunks = self.timing.chunks, first_ms = first.0, pause_ms = self.timing.pause.0,
-            after_ms = whole.0;
+            running = begun.load.map(|load| load.running),
+            waiting = begun.load.map(|load| load.waiting), chunks = self.timing.chunks,
+            first_ms = first.0, pause_ms = self.timing.pause.0, after_ms = whole.0;
             "stream passed on whole"
         );
         measure::ended(call, End::Streamed);
--- a/crates/gateway/tests/path/crashes.rs
+++ b/crates/gateway/tests/path/crashes.rs
@@ -22,13 +22,12 @@
     let (running, shelf) = gateway(&all).await;
     let other = start(settings(), Arc::new(shelf.clone())).await.unwrap();
     wait_for(async || is_ready(&other).await).await;
-    // Two attempts each: four upstreams crash, or three if the third is known soon enough.
-    for id in ["r-1", "r-2"] {
-        let answer = exchange(running.callers(), &request("/safe/x", id, "")).await;
+    wait_for(async || {
+        let answer = exchange(running.callers(), &request("/safe/x", "r-1", "")).await;
         assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
-        wait_for(async || shelf.crash_count() >= 2).await;
-    }
-    wait_for(async || shelf.crash_count() >= 3).await;
+        shelf.crash_count() >= 3
+    })
+    .await;
     let healthy = Upstream::start("e", vec![whole("200 OK", "well")]).await;
     shelf.set_upstreams(vec![healthy.spec.clone()]);
     for gateway in [&running, &other] {
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -41,6 +41,8 @@
     pub(crate) heads: Vec<String>,
     pub(crate) hung_up: usize,
     crashed: bool,
+    /// Whether nothing listens any more.
+    closed: bool,
     script: VecDeque<Vec<Act>>,
     default: Vec<Act>,
 }
@@ -112,9 +114,11 @@
                         let Ok((stream, _)) = accepted else { return };
                         tokio::spawn(answer(stream, Arc::clone(&shared)));
                     }
-                    () = crashed(&shared) => return,
+                    () = until(&shared, |seen| seen.crashed) => break,
                 }
             }
+            drop(listener);
+            shared.lock().unwrap().closed = true;
         });
         Self { spec, seen }
     }
@@ -157,7 +161,7 @@
                 Act::Crash => {
                     seen.lock().unwrap().crashed = true;
                     // The listener closes before the connection does.
-                    tokio::time::sleep(Millis(POLL.0 * 4).duration()).await;
+                    until(&seen, |seen| seen.closed).await;
                     return;
                 }
                 Act::Pause(time) => tokio::time::sleep(time.duration()).await,
@@ -177,8 +181,8 @@
     }
 }
 
-async fn crashed(seen: &Mutex<Seen>) {
-    while !seen.lock().unwrap().crashed {
+async fn until(seen: &Mutex<Seen>, holds: impl Fn(&Seen) -> bool) {
+    while !holds(&seen.lock().unwrap()) {
         tokio::time::sleep(POLL.duration()).await;
     }
 }
