Take in every caller that waits when an entry stops

The last look for waiting callers went through the runtime, which answers "none" as long as it has not heard of a connection that the kernel holds already; the listener was then closed, which resets it.

Change: the listener itself is asked until it has none. What connects between that and the close is still reset; it is some microseconds.

Not shown to fail without it on purpose.

--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use futures_util::FutureExt;
 use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, Version};
@@ -254,15 +253,35 @@
             () = entry.closed.cancelled() => break,
         }
     }
-    // Callers that connected before the end are still served, one request each.
-    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-        connect(&entry, &graceful, stream, peer);
+    // Callers that connected before the end are still served, one request each. The runtime may not
+    // have heard of the last of them, so the listener itself is asked.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((stream, peer)) = listener.accept() {
+            take_over(&entry, &graceful, stream, peer);
+        }
     }
-    drop(listener);
     tokio::time::sleep(LINGER.duration()).await;
     graceful.shutdown().await;
 }
 
+/// Connects a caller that was accepted without the runtime.
+fn take_over(
+    entry: &Arc<Entry>,
+    graceful: &GracefulShutdown,
+    stream: std::net::TcpStream,
+    peer: SocketAddr,
+) {
+    let stream = stream
+        .set_nonblocking(true)
+        .and_then(|()| TcpStream::from_std(stream));
+    match stream {
+        Ok(stream) => connect(entry, graceful, stream, peer),
+        Err(error) => {
+            log::warn!(event = "accept_failed", error:% = error; "cannot accept a caller");
+        }
+    }
+}
+
 fn connect(entry: &Arc<Entry>, graceful: &GracefulShutdown, stream: TcpStream, peer: SocketAddr) {
     let _ = stream.set_nodelay(true);
     let mut builder = Builder::new(TokioExecutor::new());
