Log pauses of a process, and where an unanswered request had been sent

Cause: neither logs nor metrics told a paused gateway from a paused worker (hypotheses 1 and 2 of docs/incidents/gone.md): nothing says that a process was stopped, and caller_left names no upstream before the response. Measured: tests of crates/common, crates/gateway and the library tests of crates/sardinepin pass; no decision depends on it. Conclusion: the two hypotheses can be told apart from now on.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -28,21 +28,18 @@
         self.dispatcher
             .with_balancer(|balancer, now| balancer.record_request(now, &service));
         let call = Arc::new(call);
-        let mut attempts = Attempts::default();
         if let Some(retry_after) = self.quarantine_remaining(&call) {
             let error = RequestFailure::new(ErrorKind::Quarantined, retry_after);
-            return self.fail_request(&call, &attempts, error);
+            return self.fail_request(&call, &Attempts::default(), error);
         }
-        let unanswered = UnansweredRequest {
-            gateway: self,
-            call: &call,
-        };
+        let mut unanswered = UnansweredRequest::new(self, &call);
+        let attempts = &mut unanswered.attempts;
         let result = if call.is_stream() {
-            self.handle_stream(&call, &mut attempts).await
+            self.handle_stream(&call, attempts).await
         } else {
-            self.handle_plain(&call, &mut attempts).await
+            self.handle_plain(&call, attempts).await
         };
-        unanswered.disarm();
+        let attempts = unanswered.disarm();
         match result {
             Ok(response) => response,
             Err(error) => self.fail_request(&call, &attempts, error),
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -46,14 +46,26 @@
 
 /// Logs and counts a caller disconnect if it is dropped before `disarm` is called.
 pub(super) struct UnansweredRequest<'a> {
-    pub(super) gateway: &'a Gateway,
-    pub(super) call: &'a Call,
+    gateway: &'a Gateway,
+    call: &'a Call,
+    pub(super) attempts: Attempts,
 }
 
-impl UnansweredRequest<'_> {
-    /// Drops the guard without a log line; the end of the response is logged elsewhere.
-    pub(super) fn disarm(self) {
+impl<'a> UnansweredRequest<'a> {
+    pub(super) fn new(gateway: &'a Gateway, call: &'a Call) -> Self {
+        Self {
+            gateway,
+            call,
+            attempts: Attempts::default(),
+        }
+    }
+
+    /// Drops the guard without a log line and returns the attempts; the end of the response is
+    /// logged elsewhere.
+    pub(super) fn disarm(mut self) -> Attempts {
+        let attempts = std::mem::take(&mut self.attempts);
         std::mem::forget(self);
+        attempts
     }
 }
 
@@ -62,7 +74,9 @@
         let call = self.call;
         request_metrics::count_outcome(call, RequestOutcome::CallerLeft);
         log::info!(
-            event = "caller_left", request = call.id_text(), service = &*call.service, chunks = 0,
+            event = "caller_left", request = call.id_text(), service = &*call.service,
+            upstream = self.gateway.last_upstream(&self.attempts).as_deref(),
+            sent = self.attempts.sent, chunks = 0,
             after_ms = self.gateway.clock.now().since(call.received_at).0;
             "caller disconnected before its response"
         );
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod logs;
 mod node;
 pub mod options;
+pub mod pauses;
 mod stop;
 pub mod telemetry;
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -6,6 +6,7 @@
 use sardinepin::options::{
     self, Invocation, LogSettings, PlatformArguments, PolicyError, RoleArguments, Settings,
 };
+use sardinepin::pauses::PauseWatch;
 use sardinepin::telemetry::{Telemetry, serve as serve_metrics};
 use sardinepin::{agent, check, ctl, entry, explain, logs};
 use sardinepin_platform::{GatewayPolicy, RankPolicy};
@@ -110,6 +111,7 @@
         .context("cannot start the async runtime")?;
     runtime.block_on(async {
         tokio::spawn(serve_metrics(telemetry, arguments.metrics_port));
+        PauseWatch::start();
         role.await
     })
 }
@@ -122,6 +124,7 @@
         .build()
         .context("cannot start the async runtime")?;
     runtime.block_on(async {
+        PauseWatch::start();
         match role {
             Role::Entry => entry::run(settings).await,
             Role::Agent => agent::run(settings).await,
