Drop what entries sent before a pause of their agent

What callers saw: a request ran although they had left, or after its deadline. Cause: an agent that wakes reads the frames that lie in its links and starts them, with a whole time budget; the entry has given up the link meanwhile, so that no cancel follows it there. Attempts that waited for a slot began in the same way. Evidence: late_request_of_a_caller_that_left_a_frozen_agent, late_call_past_its_deadline_at_a_frozen_agent and late_request_that_waited_at_a_frozen_agent failed (one call arrived late in each). Change: an agent detects the end of a pause (a second without a reading of its clock) before it handles the next frame of an entry, and closes the entries' links; entries ask about their attempts over the next link, where what was never read counts as not run. What waited for a slot begins only if no pause has ended since it arrived and its deadline has not passed.

--- a/crates/sardinepin/src/agent/runner.rs
+++ b/crates/sardinepin/src/agent/runner.rs
@@ -25,8 +25,30 @@
     Broken,
 }
 
+/// What has to hold when an attempt begins.
+#[derive(Debug, Clone, Copy)]
+struct Validity {
+    /// The end of the attempt's time budget.
+    deadline: Millis,
+    /// The number of pauses of this process when the attempt arrived.
+    pauses: u64,
+}
+
+impl Validity {
+    /// Returns why the attempt must not begin any more; `None` if it may.
+    fn lapse(self, agent: &Agent) -> Option<ErrorKind> {
+        if agent.clock.now() >= self.deadline {
+            return Some(ErrorKind::TooLate);
+        }
+        // Its entry may have given it up during a pause, over a link that is gone.
+        (agent.pauses.count() != self.pauses).then_some(ErrorKind::Tombstoned)
+    }
+}
+
 /// Runs one attempt to its end, within the attempt's time budget.
-pub(crate) async fn run(agent: SharedAgent, attempt: Box<Attempt>) {
+///
+/// `pauses` is the number of pauses of this process when the attempt arrived.
+pub(crate) async fn run(agent: SharedAgent, attempt: Box<Attempt>, pauses: u64) {
     let id = attempt.id;
     let Some(stop_token) = agent.with_response(id, |response| response.stop_token()) else {
         return;
@@ -36,14 +58,18 @@
         "attempt admitted"
     );
     let budget = Millis(u64::from(attempt.budget_ms));
+    let validity = Validity {
+        deadline: agent.clock.now() + budget,
+        pauses,
+    };
     let is_keyed = attempt.key.is_some();
     let work = async {
         if !is_keyed {
-            return run_attempt(&agent, &attempt).await;
+            return run_attempt(&agent, &attempt, validity).await;
         }
         // A keyed call continues after its caller has hung up, so that a repeat gets its response.
         let shared = Arc::clone(&agent);
-        let detached = tokio::spawn(async move { run_attempt(&shared, &attempt).await });
+        let detached = tokio::spawn(async move { run_attempt(&shared, &attempt, validity).await });
         let _ = detached.await;
     };
     let ended = timeout(budget.duration(), stop_token.run_until_cancelled(work)).await;
@@ -62,7 +88,7 @@
     agent.end(id, AttemptEvent::Break(kind), ResponseEnd::Broken(kind));
 }
 
-async fn run_attempt(agent: &Agent, attempt: &Attempt) {
+async fn run_attempt(agent: &Agent, attempt: &Attempt, validity: Validity) {
     let id = attempt.id;
     let Some(waiting) = agent.gauge.try_enqueue(agent.settings.agent.queue_max) else {
         agent.refuse(id, ErrorKind::Busy);
@@ -72,6 +98,10 @@
         return;
     };
     drop(waiting);
+    if let Some(kind) = validity.lapse(agent) {
+        agent.refuse(id, kind);
+        return;
+    }
     let _running = agent.gauge.count_running();
     match &attempt.key {
         None if agent.begin(id) => {
@@ -80,7 +110,7 @@
         None => {}
         Some(key) => {
             if let Some(permit) = claims::acquire_permit(agent, attempt, key).await {
-                let may_run = permit.begun || agent.begin(id);
+                let may_run = permit.begun || begin(agent, id, validity);
                 let cache_max = agent.settings.agent.answer_max;
                 let end = match may_run {
                     true => call(agent, attempt, cache_max).await,
@@ -100,6 +130,15 @@
     }
 }
 
+/// Marks a claimed attempt as begun unless it has lapsed; returns whether it may run.
+fn begin(agent: &Agent, id: AttemptId, validity: Validity) -> bool {
+    if let Some(kind) = validity.lapse(agent) {
+        agent.refuse(id, kind);
+        return false;
+    }
+    agent.begin(id)
+}
+
 /// Makes the call, and caches a response whose body has at most `cache_max` bytes.
 async fn call(agent: &Agent, attempt: &Attempt, cache_max: usize) -> CallEnd {
     let id = attempt.id;
--- a/crates/sardinepin/src/agent/session.rs
+++ b/crates/sardinepin/src/agent/session.rs
@@ -34,6 +34,7 @@
 }
 
 async fn serve_link(agent: SharedAgent, stream: TcpStream) {
+    let pauses = agent.pauses.count();
     let link = match link::accept(stream, &agent.identity).await {
         Ok(link) => link,
         Err(error) => {
@@ -55,7 +56,8 @@
     log::info!(event = "link_up", peer = link.peer.name.as_str(); "link up");
     let activity = LinkActivity::default();
     tokio::select! {
-        () = read_frames(&agent, id, &sender, &activity, link.reader) => {}
+        () = read_frames(&agent, id, pauses, &sender, &activity, link.reader) => {}
+        () = agent.pauses.wait_for_more_than(pauses), if is_entry => {}
         () = write_frames(link.writer, frames) => {}
         () = reports::send_reports(&agent, &sender, &activity), if is_entry => {}
         () = replaced.cancelled() => {}
@@ -63,9 +65,14 @@
     log::info!(event = "link_down", peer = link.peer.name.as_str(); "link down");
 }
 
+/// Reads frames until the link ends, or until the first frame after a pause of this process.
+///
+/// What entries sent before the end of a pause is outdated: they may have given up their links, and
+/// with them what would cancel it. They ask about it over their next links.
 async fn read_frames(
     agent: &SharedAgent,
     link: LinkId,
+    pauses: u64,
     sender: &FrameSender,
     activity: &LinkActivity,
     mut reader: FrameReader,
@@ -73,8 +80,11 @@
     loop {
         match link::receive(&mut reader).await {
             Ok(Some(frame)) => {
+                if link.is_entry() && agent.pauses.count() != pauses {
+                    return;
+                }
                 activity.record_frame(agent.clock.now());
-                handle_frame(agent, link, sender, frame);
+                handle_frame(agent, link, pauses, sender, frame);
             }
             Ok(None) => return,
             Err(error) => {
@@ -85,11 +95,17 @@
     }
 }
 
-fn handle_frame(agent: &SharedAgent, link: LinkId, sender: &FrameSender, frame: ToAgent) {
+fn handle_frame(
+    agent: &SharedAgent,
+    link: LinkId,
+    pauses: u64,
+    sender: &FrameSender,
+    frame: ToAgent,
+) {
     match frame {
         ToAgent::Run(attempt) => {
             if agent.admit(link, &attempt) {
-                tokio::spawn(runner::run(Arc::clone(agent), attempt));
+                tokio::spawn(runner::run(Arc::clone(agent), attempt, pauses));
             }
         }
         ToAgent::Received { id, chunks, ended } => agent.acknowledge(id, chunks, ended),
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -21,6 +21,7 @@
 use crate::link::Identity;
 use crate::node::Node;
 use crate::options::Settings;
+use crate::pauses::PauseWatch;
 
 /// The shared state of one agent.
 #[derive(Debug)]
@@ -28,6 +29,7 @@
     pub(crate) settings: Settings,
     pub(crate) identity: Identity,
     pub(crate) clock: Clock,
+    pub(crate) pauses: Arc<PauseWatch>,
     pub(crate) slots: Slots,
     pub(crate) gauge: LoadGauge,
     pub(crate) upstream: UpstreamClient,
@@ -66,6 +68,11 @@
     pub(crate) fn of_agent(peer: Incarnation) -> Self {
         Self { peer, serial: 0 }
     }
+
+    /// Returns whether the peer is an entry.
+    pub(crate) fn is_entry(self) -> bool {
+        self.serial > 0
+    }
 }
 
 impl Agent {
@@ -89,6 +96,7 @@
             settings,
             identity: node.identity.clone(),
             clock: node.clock,
+            pauses: Arc::clone(&node.pauses),
             table: Mutex::new(AgentTable {
                 attempts,
                 responses: Map::default(),
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -124,7 +124,6 @@
         .build()
         .context("cannot start the async runtime")?;
     runtime.block_on(async {
-        PauseWatch::start();
         match role {
             Role::Entry => entry::run(settings).await,
             Role::Agent => agent::run(settings).await,
--- a/crates/sardinepin/src/node.rs
+++ b/crates/sardinepin/src/node.rs
@@ -15,6 +15,7 @@
 use crate::control::{Control, ControlSettings};
 use crate::link::Identity;
 use crate::options::{PlatformSettings, Settings};
+use crate::pauses::PauseWatch;
 use crate::telemetry::Telemetry;
 
 /// A process that is a member of the cluster.
@@ -25,6 +26,7 @@
     /// The platform's store; `None` if no platform address is set.
     pub(crate) store: Option<Arc<dyn Store>>,
     pub(crate) control: Arc<Control>,
+    pub(crate) pauses: Arc<PauseWatch>,
     admin_listen: SocketAddr,
     tokens_file: Option<PathBuf>,
 }
@@ -47,6 +49,7 @@
             clock,
             store,
             control: Arc::new(control),
+            pauses: PauseWatch::start(),
             admin_listen: settings.admin_listen,
             tokens_file: settings.tokens_file.clone(),
         })
--- a/crates/sardinepin/src/pauses.rs
+++ b/crates/sardinepin/src/pauses.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sardinepin_common::{Clock, Millis, Pauses};
+use tokio::sync::watch;
 
 /// The interval between two readings of the clock.
 const READING_INTERVAL: Millis = Millis(200);
@@ -15,6 +16,7 @@
 pub struct PauseWatch {
     clock: Clock,
     pauses: Pauses,
+    ended: watch::Sender<u64>,
 }
 
 impl PauseWatch {
@@ -24,6 +26,7 @@
         let watch = Arc::new(Self {
             clock,
             pauses: Pauses::new(clock.now()),
+            ended: watch::Sender::new(0),
         });
         metrics::describe_counter!(PAUSES, "Pauses of the process, such as of its instance.");
         metrics::counter!(PAUSES).absolute(0);
@@ -45,7 +48,15 @@
         if let Some(paused) = self.pauses.record_reading(self.clock.now()) {
             metrics::counter!(PAUSES).increment(1);
             log::warn!(event = "paused", paused_ms = paused.0; "this process was paused");
+            self.ended.send_replace(self.pauses.count());
         }
         self.pauses.count()
     }
+
+    /// Waits until a pause ends after [`Self::count`] returned `count`.
+    pub async fn wait_for_more_than(&self, count: u64) {
+        let mut ended = self.ended.subscribe();
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let _ = ended.wait_for(|ended| *ended > count).await;
+    }
 }
