Reset the link to an agent that does not answer

Cause: an entry that gives up a silent link closes it in order; its system goes on delivering what the network held, and the cancel of a caller that leaves later is not among it. Evidence: late_request_that_the_network_held_up_is_lost_with_its_link failed (one call arrived late). Change: a link given up for silence is reset when it is closed. Why it works: after a reset nothing is sent again, and what arrives late belongs to no connection. Measured: the four late tests pass.

--- a/crates/sardinepin/src/entry/agent_link.rs
+++ b/crates/sardinepin/src/entry/agent_link.rs
@@ -226,6 +226,7 @@
                     LivenessCheck::Ping => Some(ToAgent::Ping),
                     LivenessCheck::TimedOut => {
                         log::warn!(event = "link_silent", address:% = shared.address; "the agent did not reply to a ping in time");
+                        link::reset_on_close(&writer);
                         return;
                     }
                 }
