Send nothing after the deadline from a gateway

What callers saw: 503 unreachable after their deadline, and refusals of others, as a sound upstream counted as unreachable. Cause: a gateway reads a request's body for as long as a caller may be idle, whatever its deadline; the balancer places a request whose deadline has passed; the attempt then finds no time left and blames the upstream. Evidence: request_whose_body_is_late_is_refused_at_its_deadline_and_harms_no_upstream (400 after the idle timeout) and request_whose_deadline_has_passed_is_refused_at_once failed. Change: the body is read until the deadline at most, then too_late; place refuses past the deadline; connecting ends at the deadline and is a failure of its own (expired) that blames nobody. AttemptFailure::ALL is RETRIED now, as an expired request is not retried.

--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -156,6 +156,9 @@
 
     /// Decides on a new request; `None` means that it is queued.
     pub fn place(&mut self, now: Millis, request: PlacementRequest) -> Option<Decision> {
+        if now >= request.deadline {
+            return Some(self.refuse(now, &request, ErrorKind::TooLate));
+        }
         let queue = self.queues.get(&request.service);
         let ahead = queue.map_or(0, |queue| queue.count_ahead(&request));
         if ahead == 0
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,8 @@
 pub enum AttemptFailure {
     /// No byte of the request reached the upstream.
     NotSent,
+    /// The deadline passed before the request was sent.
+    Expired,
     /// The upstream responded that it did not run the request.
     Rejected,
     /// The upstream responded that it did not run the request because its group lacks a rank.
@@ -36,8 +38,8 @@
 }
 
 impl AttemptFailure {
-    /// All failures, for tests that need each of them.
-    pub const ALL: [Self; 6] = [
+    /// The failures after which a request may be retried.
+    pub const RETRIED: [Self; 6] = [
         Self::NotSent,
         Self::Rejected,
         Self::GroupBroken,
@@ -49,7 +51,12 @@
     /// Returns whether it is certain that the request did not run.
     #[must_use]
     pub fn not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Rejected | Self::GroupBroken)
+        self.not_sent() || matches!(self, Self::Rejected | Self::GroupBroken)
+    }
+
+    /// Returns whether nothing was sent to the upstream.
+    pub(crate) fn not_sent(self) -> bool {
+        matches!(self, Self::NotSent | Self::Expired)
     }
 
     /// Returns the label used in logs and metrics.
@@ -57,6 +64,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::Expired => "expired",
             Self::Rejected => "rejected",
             Self::GroupBroken => "group_broken",
             Self::Stalled => "stalled",
@@ -108,9 +116,9 @@
             Err(AttemptFailure::NotSent) => permit.set_end(AttemptEnd::Unreachable),
             Err(AttemptFailure::Rejected) => permit.set_end(AttemptEnd::Rejected),
             Err(AttemptFailure::GroupBroken) => permit.set_end(AttemptEnd::GroupBroken),
-            // The group is at fault and is already recorded as stalled, so the upstream's failure
-            // rate stays.
-            Err(AttemptFailure::Stalled) => {}
+            // The group is at fault and is already recorded as stalled, or nobody is: the upstream's
+            // failure rate stays.
+            Err(AttemptFailure::Stalled | AttemptFailure::Expired) => {}
             Err(AttemptFailure::BrokenResponse | AttemptFailure::TimedOut) => {
                 permit.set_end(AttemptEnd::Failed)
             }
@@ -139,14 +147,16 @@
         } = options;
         let force_new = !call.is_repeatable();
         let pool = &self.dispatcher.pool;
-        let mut connection = pool
-            .get(self.clock, permit.id, permit.spec.address, force_new)
+        let connecting = pool.get(self.clock, permit.id, permit.spec.address, force_new);
+        let time_left = call.deadline.since(self.clock.now());
+        let mut connection = tokio::time::timeout(time_left.duration(), connecting)
             .await
+            .map_err(|_| AttemptFailure::Expired)?
             .map_err(|_| AttemptFailure::NotSent)?;
         let now = self.clock.now();
         let left = call.deadline.since(now);
         if left == Millis::ZERO {
-            return Err(AttemptFailure::NotSent);
+            return Err(AttemptFailure::Expired);
         }
         let request = call
             .to_upstream(&self.names, &permit.spec, left, last_event_id)
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -45,6 +45,8 @@
     pub(crate) id: HeaderValue,
     route: Arc<Route>,
     organisation: Option<Arc<Organisation>>,
+    /// How long the request may take.
+    pub(crate) timeout: Millis,
 }
 
 impl RequestHead {
@@ -70,10 +72,12 @@
         if table.requires_key() && !route.public && organisation.is_none() {
             return Err(ErrorKind::NoOrganisation);
         }
+        let caller_timeout = headers::number(&parts.headers, &names.deadline_ms).map(Millis);
         Ok(Self {
             id,
             route: Arc::clone(route),
             organisation: organisation.cloned(),
+            timeout: caller_timeout.unwrap_or(route.timeout).min(route.timeout),
         })
     }
 }
@@ -98,10 +102,6 @@
         received_at: Millis,
     ) -> Self {
         let route = head.route;
-        let caller_timeout = headers::number(&parts.headers, &names.deadline_ms).map(Millis);
-        let timeout = caller_timeout.map_or(route.timeout, |caller_timeout| {
-            caller_timeout.min(route.timeout)
-        });
         let priority = head
             .organisation
             .as_ref()
@@ -113,7 +113,7 @@
             priority: priority.unwrap_or(route.priority),
             organisation: head.organisation,
             received_at,
-            deadline: received_at + timeout,
+            deadline: received_at + head.timeout,
             returning: false,
             headers: headers::to_upstream(names, &parts.headers),
             method: parts.method,
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -102,13 +102,14 @@
         failure: AttemptFailure,
     ) -> Result<(), RequestFailure> {
         attempts.maybe_ran |= !failure.not_run();
-        if failure == AttemptFailure::NotSent {
+        if failure.not_sent() {
             attempts.sent -= 1;
         }
         if self.try_retry(call, attempts, failure) {
             return Ok(());
         }
         let kind = match failure {
+            AttemptFailure::Expired if !attempts.maybe_ran => ErrorKind::TooLate,
             _ if !attempts.maybe_ran && failure == AttemptFailure::NotSent => {
                 ErrorKind::Unreachable
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -245,7 +245,7 @@
                 }
                 Ok(_) => failure = AttemptFailure::BrokenResponse,
                 Err(next_failure) => {
-                    if next_failure == AttemptFailure::NotSent {
+                    if next_failure.not_sent() {
                         self.attempts.sent -= 1;
                     }
                     failure = next_failure;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -164,12 +164,18 @@
     let table = gateway.table().ok_or(ErrorKind::NotReady)?;
     let names = &gateway.names;
     let head = RequestHead::read(names, &table, &parts)?;
-    let body = read_body(body, table.limits()).await?;
+    let deadline = received_at + head.timeout;
+    let body = read_body(body, table.limits(), deadline.since(gateway.clock.now())).await?;
     let number = gateway.dispatcher.next_request_number();
     Ok(Call::new(names, head, parts, body, number, received_at))
 }
 
-async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, ErrorKind> {
+/// Reads a request's body; `time_left` is the time until the request's deadline.
+async fn read_body(
+    body: Incoming,
+    limits: &CallerLimits,
+    time_left: Millis,
+) -> Result<Bytes, ErrorKind> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -177,11 +183,13 @@
         return Err(ErrorKind::BodyTooLarge);
     }
     let collected = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.idle_timeout.duration(), collected).await {
+    let timeout = limits.idle_timeout.min(time_left);
+    match tokio::time::timeout(timeout.duration(), collected).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             Err(ErrorKind::BodyTooLarge)
         }
+        Err(_) if time_left <= limits.idle_timeout => Err(ErrorKind::TooLate),
         _ => Err(ErrorKind::BadRequest),
     }
 }
