Notice that a caller has left while its next request lies unread

What callers saw: nothing; upstreams went on working for callers that had left, until the deadline. Cause: the HTTP server looks for the end of a connection only while it has no unread bytes of it. Change: a connection of a caller is shared by the server and a task that waits for its end by readiness alone; gateway and entry use the same type. Why it works: the end of a stream makes a socket ready whether or not there are bytes to read.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod caller_stream;
 mod connection;
 mod constants;
 mod crash_detection;
@@ -25,6 +26,7 @@
 mod sync;
 
 pub use attempt::AttemptFailure;
+pub use caller_stream::CallerStream;
 pub use events::{CompleteEvents, EventSplitter, EventTooLarge, events_after};
 pub use group_loads::GroupLoadSource;
 pub use header_names::HeaderNames;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::call::{Call, RequestHead};
+use crate::caller_stream::CallerStream;
 use crate::connection::set_socket_options;
 use crate::gateway::{Gateway, OpenRequest};
 use crate::manifest::CallerLimits;
@@ -101,6 +102,7 @@
     mut closing: watch::Receiver<bool>,
 ) {
     set_socket_options(&stream);
+    let stream = CallerStream::new(stream);
     let limits = gateway
         .table()
         .map_or_else(CallerLimits::default, |table| *table.limits());
@@ -112,17 +114,24 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.duration())
         .max_buf_size(limits.head_bytes.max(READ_BUFFER_MIN))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream.clone()), service);
     let mut connection = pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_for_close(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serving = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            () = wait_for_close(&mut closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
-    if let Err(error) = result {
-        log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+    tokio::select! {
+        biased;
+        result = serving => if let Err(error) = result {
+            log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+        },
+        // Ends the request in progress.
+        () = stream.closed_by_caller() => {}
     }
 }
 
--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -16,6 +16,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use sardinepin_common::{AttemptId, Clock, Millis, Revision};
 use sardinepin_config::Snapshot;
+use sardinepin_gateway::CallerStream;
 use sardinepin_protocol::ErrorKind;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
@@ -331,11 +332,17 @@
             Ok::<_, std::convert::Infallible>(response)
         }
     });
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let stream = CallerStream::new(stream);
+    let connection = builder.serve_connection(TokioIo::new(stream.clone()), service);
     let watched = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
-        if let Err(error) = watched.await {
-            log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+        tokio::select! {
+            biased;
+            result = watched => if let Err(error) = result {
+                log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+            },
+            // Ends the request in progress.
+            () = stream.closed_by_caller() => {}
         }
     });
 }
--- a/crates/sardinepin/tests/outcomes/late.rs
+++ b/crates/sardinepin/tests/outcomes/late.rs
@@ -12,11 +12,13 @@
 /// How long a request that is still on its way would take to reach the upstream.
 const LATE_TIME: std::time::Duration = std::time::Duration::from_millis(2_500);
 
+/// A request that may be repeated.
+const STATUS: &str = "GET /status HTTP/1.1\r\nhost: x\r\nx-organisation: o1\r\n\r\n";
+
 /// Sends a request over a connection of its own, which ends when it is dropped.
 async fn send_status(fleet: &Fleet) -> Result<TcpStream> {
     let mut caller = TcpStream::connect(fleet.entries[0].address()).await?;
-    let request = "GET /status HTTP/1.1\r\nhost: x\r\nx-organisation: o1\r\n\r\n";
-    caller.write_all(request.as_bytes()).await?;
+    caller.write_all(STATUS.as_bytes()).await?;
     Ok(caller)
 }
 
@@ -112,3 +114,19 @@
     assert_eq!(late, 0, "{}", fleet.recent_output());
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_request_of_a_caller_that_left_with_another_request_sent_is_cancelled() -> Result<()> {
+    let fleet = start_fleet(app(), 1, 1, json!({"agent": {"slots": 1}})).await?;
+    set_upstream_faults(&fleet, json!({"hold_before": true})).await?;
+    let mut caller = send_status(&fleet).await?;
+    caller.write_all(STATUS.as_bytes()).await?;
+    wait_held(&fleet).await?;
+    // Further requests are not held, and get the only slot if the cancelled one gives it back.
+    set_upstream_faults(&fleet, json!({"hold_before": true, "only": "nothing"})).await?;
+    drop(caller);
+    let answered = tokio::time::timeout(LATE_TIME, get_status(&fleet, 0)).await;
+    assert!(answered.is_ok(), "{}", fleet.recent_output());
+    release_held(&fleet).await;
+    Ok(())
+}
