Put pauses, callers' connections and socket options into a crate of their own

Cause: gateway, entries, agents and rank agents need the same three things; two of them stood in two crates. Change: crates/runtime holds CallerStream, PauseWatch with its detector, and the socket options; the gateway watches for its pauses by itself. No change of behaviour.

--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -3,13 +3,11 @@
 mod clock;
 mod collections;
 mod ids;
-mod pause;
 mod rendezvous;
 mod rng;
 
 pub use clock::{Clock, Millis};
 pub use collections::{Map, Set};
 pub use ids::{AttemptId, Incarnation, MapVersion, Revision, Term};
-pub use pause::{PAUSE_MIN, Pauses};
 pub use rendezvous::{rendezvous_first, rendezvous_order};
 pub use rng::{Rng, seeded_rng};
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use sardinepin_common::{Clock, Map, Millis};
-use socket2::SockRef;
+use sardinepin_runtime::{reset_on_close, set_user_timeout};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -89,25 +89,10 @@
 /// Sets `TCP_NODELAY`, and `TCP_USER_TIMEOUT` so that a connection to an unresponsive peer is
 /// closed.
 pub(crate) fn set_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    if let Err(error) = socket.set_tcp_nodelay(true) {
+    if let Err(error) = stream.set_nodelay(true) {
         log::debug!(event = "socket_option", error:% = error; "cannot set TCP_NODELAY");
     }
-    if let Err(error) = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT.duration())) {
-        log::debug!(event = "socket_option", error:% = error; "cannot set TCP_USER_TIMEOUT");
-    }
-}
-
-/// Makes the connection be reset when it is closed.
-///
-/// A connection is closed after a complete response, or when its request is cancelled. In the second
-/// case the request may still be on its way to an instance that is frozen or cut off, and must not
-/// reach the upstream later.
-fn reset_on_close(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    if let Err(error) = socket.set_linger(Some(Millis::ZERO.duration())) {
-        log::debug!(event = "socket_option", error:% = error; "cannot set SO_LINGER");
-    }
+    set_user_timeout(stream, TCP_USER_TIMEOUT);
 }
 
 /// An idle connection.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod attempt;
 mod call;
-mod caller_stream;
 mod connection;
 mod constants;
 mod crash_detection;
@@ -26,7 +25,6 @@
 mod sync;
 
 pub use attempt::AttemptFailure;
-pub use caller_stream::CallerStream;
 pub use events::{CompleteEvents, EventSplitter, EventTooLarge, events_after};
 pub use group_loads::GroupLoadSource;
 pub use header_names::HeaderNames;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use sardinepin_common::Millis;
+use sardinepin_runtime::PauseWatch;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -97,6 +98,7 @@
         caller_address: callers.local_addr()?,
         readiness_address: readiness_listener.local_addr()?,
     };
+    PauseWatch::start();
     tokio::spawn(Arc::clone(&gateway.dispatcher).run());
     tokio::spawn(readiness::serve(
         Arc::clone(&gateway),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,11 +16,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sardinepin_common::Millis;
 use sardinepin_protocol::ErrorKind;
+use sardinepin_runtime::CallerStream;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::call::{Call, RequestHead};
-use crate::caller_stream::CallerStream;
 use crate::connection::set_socket_options;
 use crate::gateway::{Gateway, OpenRequest};
 use crate::manifest::CallerLimits;
--- a/crates/common/src/pause.rs
+++ b/crates/runtime/src/pause_detector.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use crate::Millis;
+use sardinepin_common::Millis;
 
 /// The shortest gap between two readings of the clock that counts as a pause.
 ///
@@ -12,10 +12,10 @@
 /// Detects gaps between readings of the clock that are taken at short intervals.
 ///
 /// What arrived during a pause may be outdated: its sender may have given up meanwhile. A task that
-/// is about to act on a message compares [`Pauses::count`] with the value that it read when the
+/// is about to act on a message compares [`PauseDetector::count`] with the value that it read when the
 /// message's connection was opened.
 #[derive(Debug)]
-pub struct Pauses {
+pub struct PauseDetector {
     state: Mutex<State>,
 }
 
@@ -25,7 +25,7 @@
     count: u64,
 }
 
-impl Pauses {
+impl PauseDetector {
     /// Creates a detector whose last reading was taken at `now`.
     #[must_use]
     pub fn new(now: Millis) -> Self {
--- a/crates/sardinepin/src/pauses.rs
+++ b/crates/runtime/src/pauses.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
-use sardinepin_common::{Clock, Millis, Pauses};
+use sardinepin_common::{Clock, Millis};
 use tokio::sync::watch;
 
+use crate::pause_detector::PauseDetector;
+
 /// The interval between two readings of the clock.
 const READING_INTERVAL: Millis = Millis(200);
 
@@ -15,7 +17,7 @@
 #[derive(Debug)]
 pub struct PauseWatch {
     clock: Clock,
-    pauses: Pauses,
+    pauses: PauseDetector,
     ended: watch::Sender<u64>,
 }
 
@@ -25,7 +27,7 @@
         let clock = Clock::start();
         let watch = Arc::new(Self {
             clock,
-            pauses: Pauses::new(clock.now()),
+            pauses: PauseDetector::new(clock.now()),
             ended: watch::Sender::new(0),
         });
         metrics::describe_counter!(PAUSES, "Pauses of the process, such as of its instance.");
--- a/crates/common/tests/pause.rs
+++ b/crates/runtime/tests/pause_detector.rs
@@ -1,10 +1,11 @@
 //! Tests of the detection of pauses.
 
-use sardinepin_common::{Millis, PAUSE_MIN, Pauses};
+use sardinepin_common::Millis;
+use sardinepin_runtime::{PAUSE_MIN, PauseDetector};
 
 #[test]
 fn a_gap_between_readings_counts_as_one_pause() {
-    let pauses = Pauses::new(Millis(100));
+    let pauses = PauseDetector::new(Millis(100));
     assert_eq!(pauses.record_reading(Millis(300)), None);
     let end = Millis(300) + PAUSE_MIN;
     assert_eq!(pauses.count(), 0);
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -8,6 +8,7 @@
     AttemptAdmission, AttemptEvent, AttemptSettings, AttemptState, AttemptTable, CachedResponse,
 };
 use sardinepin_protocol::{Attempt, ErrorKind, Load, SettledState, ToEntry};
+use sardinepin_runtime::PauseWatch;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -21,7 +22,6 @@
 use crate::link::Identity;
 use crate::node::Node;
 use crate::options::Settings;
-use crate::pauses::PauseWatch;
 
 /// The shared state of one agent.
 #[derive(Debug)]
--- a/crates/sardinepin/src/lib.rs
+++ b/crates/sardinepin/src/lib.rs
@@ -11,6 +11,5 @@
 pub mod logs;
 mod node;
 pub mod options;
-pub mod pauses;
 mod stop;
 pub mod telemetry;
--- a/crates/sardinepin/src/link.rs
+++ b/crates/sardinepin/src/link.rs
@@ -12,7 +12,6 @@
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -163,10 +162,7 @@
 
 /// Makes the link be reset when it is closed, so that frames that the network still holds are lost.
 pub(crate) fn reset_on_close(writer: &FrameWriter) {
-    let socket = SockRef::from(writer.get_ref().as_ref());
-    if let Err(error) = socket.set_linger(Some(Millis::ZERO.duration())) {
-        log::debug!(event = "socket_option", error:% = error; "cannot set SO_LINGER");
-    }
+    sardinepin_runtime::reset_on_close(writer.get_ref().as_ref());
 }
 
 /// Reads one frame; returns `None` if the peer has closed the link.
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -6,7 +6,6 @@
 use sardinepin::options::{
     self, Invocation, LogSettings, PlatformArguments, PolicyError, RoleArguments, Settings,
 };
-use sardinepin::pauses::PauseWatch;
 use sardinepin::telemetry::{Telemetry, serve as serve_metrics};
 use sardinepin::{agent, check, ctl, entry, explain, logs};
 use sardinepin_platform::{GatewayPolicy, RankPolicy};
@@ -111,7 +110,6 @@
         .context("cannot start the async runtime")?;
     runtime.block_on(async {
         tokio::spawn(serve_metrics(telemetry, arguments.metrics_port));
-        PauseWatch::start();
         role.await
     })
 }
--- a/crates/sardinepin/src/node.rs
+++ b/crates/sardinepin/src/node.rs
@@ -8,6 +8,7 @@
 use sardinepin_common::{Clock, Millis};
 use sardinepin_membership::MemberView;
 use sardinepin_protocol::Role;
+use sardinepin_runtime::PauseWatch;
 use sardinepin_store::{HttpSettings, HttpStore, Store};
 use tokio::net::TcpListener;
 
@@ -15,7 +16,6 @@
 use crate::control::{Control, ControlSettings};
 use crate::link::Identity;
 use crate::options::{PlatformSettings, Settings};
-use crate::pauses::PauseWatch;
 use crate::telemetry::Telemetry;
 
 /// A process that is a member of the cluster.
