Drop calls that reached a rank agent before the end of its pause

Cause: an agent that wakes carries out the orders that lie in its connections, long after their coordinators have given them up: a late hold keeps its group from the next step until another coordinator releases it. Evidence: an_order_that_arrived_during_a_pause_is_not_carried_out failed (two orders carried out, over an open and a new connection). Change: calls that arrived before the end of a pause are dropped with their connections; connections between agents are reset when they are closed.

--- a/crates/ranks/src/agent.rs
+++ b/crates/ranks/src/agent.rs
@@ -5,6 +5,7 @@
 
 use sardinepin_common::{Clock, Map, Millis};
 use sardinepin_protocol::{GroupLoad, GroupSample};
+use sardinepin_runtime::PauseWatch;
 
 use crate::engine::{
     CountIncrements, EngineApi, EngineCounts, EngineOrder, EngineReply, EngineReport,
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Agent {
     pub(crate) clock: Clock,
+    pub(crate) pauses: Arc<PauseWatch>,
     engines: Arc<dyn EngineApi>,
     engine: SocketAddr,
     last_coordinator: Mutex<LastCoordinator>,
@@ -65,10 +67,11 @@
 }
 
 impl Agent {
-    /// Returns the agent of the engine at `engine`.
+    /// Returns the agent of the engine at `engine`, and starts to watch for pauses.
     pub(crate) fn new(clock: Clock, engines: Arc<dyn EngineApi>, engine: SocketAddr) -> Self {
         Self {
             clock,
+            pauses: PauseWatch::start(),
             engines,
             engine,
             last_coordinator: Mutex::default(),
--- a/crates/ranks/src/peer.rs
+++ b/crates/ranks/src/peer.rs
@@ -6,6 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use sardinepin_common::Millis;
 use sardinepin_protocol::{decode, encode, framed};
+use sardinepin_runtime::reset_on_close;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 
@@ -66,17 +67,29 @@
     async fn connect(&self) -> Option<Connection> {
         let stream = TcpStream::connect(self.address).await.ok()?;
         stream.set_nodelay(true).ok()?;
+        // An order without a reply must not reach an agent after its sender has given it up.
+        reset_on_close(&stream);
         Some(framed(stream))
     }
 }
 
 /// Accepts connections of coordinators and replies to their calls; never returns.
 pub(crate) async fn serve(agent: Arc<Agent>, listener: TcpListener) {
+    let mut pauses = agent.pauses.count();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            // All connections that were opened before the end of the pause have been accepted.
+            () = agent.pauses.wait_for_more_than(pauses) => {
+                pauses = agent.pauses.count();
+                continue;
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let agent = Arc::clone(&agent);
-                tokio::spawn(async move { serve_connection(&agent, stream).await });
+                tokio::spawn(async move { serve_connection(&agent, stream, pauses).await });
             }
             Err(error) => {
                 log::warn!(event = "accept_failed", error:% = error; "cannot accept a connection from a coordinator");
@@ -86,12 +99,19 @@
     }
 }
 
-async fn serve_connection(agent: &Agent, stream: TcpStream) -> Option<()> {
+/// Replies to the calls of one connection until it ends, or until the first call after a pause of this
+/// process: its sender has given it up, as a call takes much less time than a pause.
+///
+/// `pauses` is the number of pauses before the connection was opened.
+async fn serve_connection(agent: &Agent, stream: TcpStream, pauses: u64) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut connection = framed(stream);
     loop {
         let next = tokio::time::timeout(IDLE_TIMEOUT.duration(), connection.next());
         let frame = next.await.ok()??.ok()?;
+        if agent.pauses.count() != pauses {
+            return None;
+        }
         let call: Call = decode(&frame).ok()?;
         let reply = agent.handle_call(call).await;
         connection.send(encode(&reply).ok()?).await.ok()?;
--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -6,11 +6,13 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 
+use futures_util::{SinkExt, StreamExt};
 use sardinepin_common::{Clock, Millis};
 use sardinepin_groups::{ArmedVersion, LayerMap, RankReport};
-use sardinepin_protocol::RankLoad;
+use sardinepin_protocol::{RankLoad, encode, framed};
+use sardinepin_runtime::PAUSE_MIN;
 use sardinepin_store::BoxFuture;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
 use crate::agent::Agent;
@@ -437,3 +439,42 @@
         assert_eq!(running, [0, 1, 2]);
     }
 }
+
+/// The runtime of a test has one thread, so an agent does nothing while the test blocks it.
+#[tokio::test]
+async fn an_order_that_arrived_during_a_pause_is_not_carried_out() {
+    let shared = SharedGroup(Arc::new(Mutex::new(FakeGroup::new(0))));
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let agent = Agent::new(Clock::start(), Arc::new(shared.clone()), address(0));
+    tokio::spawn(peer::serve(Arc::new(agent), listener));
+    let hold = Call::Order(EngineOrder {
+        term: 1,
+        epoch: 1,
+        sequence: Some(0),
+        action: Action::Hold { step: 9 },
+    });
+    let connect = async || framed(TcpStream::connect(target).await.unwrap());
+    let mut open = connect().await;
+    open.send(encode(&Call::Load { gateway: 7 }).unwrap())
+        .await
+        .unwrap();
+    open.next().await.unwrap().unwrap();
+    let mut new = connect().await;
+    for connection in [&mut open, &mut new] {
+        connection.send(encode(&hold).unwrap()).await.unwrap();
+    }
+    std::thread::sleep(PAUSE_MIN.duration() + POLL_INTERVAL.duration());
+    drop((open, new));
+    tokio::time::sleep(POLL_INTERVAL.duration() * 5).await;
+    assert_eq!(shared.0.lock().unwrap().orders, 0);
+    let client = PeerClient::new(target);
+    wait_for_reply(&client, &hold).await;
+    assert_eq!(shared.0.lock().unwrap().orders, 1);
+}
+
+async fn wait_for_reply(client: &PeerClient, call: &Call) {
+    while client.call(call).await.is_none() {
+        tokio::time::sleep(POLL_INTERVAL.duration()).await;
+    }
+}
