Trial outcomes: callers that leave, a network that heals, pauses of four seconds

Cause: neither the trial nor the stand-ins knew callers that leave early, nor a network that delivers late. Calls sent while a service itself is frozen are left out: it reads what was delivered to it before, whoever sent it.

--- a/standins/src/arguments.rs
+++ b/standins/src/arguments.rs
@@ -41,7 +41,7 @@
 ];
 
 /// Numeric arguments of the load client, each with its help text.
-const LOAD_NUMBER_ARGS: [(&str, &str); 12] = [
+const LOAD_NUMBER_ARGS: [(&str, &str); 14] = [
     (
         "requests",
         "The number of calls, not counting the copies of keyed calls",
@@ -74,6 +74,14 @@
         "copies-milli",
         "The share of keyed calls that are sent twice, in thousandths",
     ),
+    (
+        "leave-milli",
+        "The share of plain calls whose callers leave early, in thousandths",
+    ),
+    (
+        "leave-ms",
+        "How long such a caller waits for its answer, in milliseconds",
+    ),
     (
         "timeout-ms",
         "The time limit for one answer, in milliseconds",
@@ -186,6 +194,8 @@
         tokens_max: number_or(matches, "tokens-max", default.tokens_max),
         padding: size_or(matches, "padding", default.padding)?,
         copies_milli: u32_or("copies-milli", default.copies_milli)?,
+        leave_milli: u32_or("leave-milli", default.leave_milli)?,
+        leave_ms: number_or(matches, "leave-ms", default.leave_ms),
         timeout_ms: number_or(matches, "timeout-ms", default.timeout_ms),
         records: matches.get_flag("records"),
     })
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -125,9 +125,15 @@
 
 /// Sends one copy of a call and checks its answer, within the time limit.
 async fn send(run: &LoadRun, call: &Call, copy: usize) -> SendResult {
-    let limit = Millis(run.settings.timeout_ms).duration();
+    let settings = &run.settings;
     let exchange = answers::send_and_check(run, call, copy);
-    tokio::time::timeout(limit, exchange)
-        .await
-        .unwrap_or_else(|_| SendResult::with_outcome(Outcome::Unknown, "timeout"))
+    let limit = match call.leaves {
+        true => settings.leave_ms.min(settings.timeout_ms),
+        false => settings.timeout_ms,
+    };
+    match tokio::time::timeout(Millis(limit).duration(), exchange).await {
+        Ok(result) => result,
+        Err(_) if call.leaves => SendResult::left(),
+        Err(_) => SendResult::with_outcome(Outcome::Unknown, "timeout"),
+    }
 }
--- a/standins/src/load/answers.rs
+++ b/standins/src/load/answers.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Response, StatusCode};
+use sardinepin_common::{Clock, Millis};
 use sardinepin_protocol::{Digest, Outcome};
 use serde_json::Value;
 
@@ -53,6 +54,8 @@
     pub(super) first_token: Option<u64>,
     /// The body of an answer that is not streamed.
     pub(super) body: Bytes,
+    /// When the caller left, in wall-clock time.
+    pub(super) left_at: Option<Millis>,
 }
 
 impl fmt::Display for AnswerError {
@@ -78,6 +81,15 @@
             micros: 0,
             first_token: None,
             body: Bytes::new(),
+            left_at: None,
+        }
+    }
+
+    /// Returns the result of a call whose caller leaves now.
+    pub(super) fn left() -> Self {
+        Self {
+            left_at: Some(Clock::wall_time()),
+            ..Self::with_outcome(Outcome::Unknown, "caller_left")
         }
     }
 
--- a/standins/src/load/calls.rs
+++ b/standins/src/load/calls.rs
@@ -50,6 +50,8 @@
     pub(super) body: Bytes,
     pub(super) prompt: Digest,
     pub(super) tokens: u64,
+    /// Whether the caller leaves early.
+    pub(super) leaves: bool,
     name: String,
     entry: usize,
 }
@@ -88,6 +90,7 @@
             prompt,
             tokens,
             entry: rng.random_range(0..settings.entries.len()),
+            leaves: draw_leaves(settings, kind, rng),
             name,
         }
     }
@@ -110,6 +113,7 @@
             key: self.key.clone(),
             outcome: result.outcome,
             reason: result.reason.clone(),
+            left_at: result.left_at,
         }
     }
 }
@@ -139,6 +143,14 @@
     CallKind::Chat
 }
 
+/// Draws whether a caller leaves early. Nothing is drawn if none does, so that a seed gives the same
+/// calls with and without such callers.
+fn draw_leaves(settings: &Settings, kind: CallKind, rng: &mut Rng) -> bool {
+    kind == CallKind::Plain
+        && settings.leave_milli > 0
+        && rng.random_range(0..1_000) < settings.leave_milli
+}
+
 fn draw_mode(settings: &Settings, kind: CallKind, rng: &mut Rng) -> SendMode {
     let drawn = rng.random_range(0..1_000);
     if kind != CallKind::Keyed || drawn >= settings.copies_milli {
--- a/standins/src/load/settings.rs
+++ b/standins/src/load/settings.rs
@@ -65,6 +65,10 @@
     /// The share of keyed calls that are sent twice, in thousandths: half of them at the same time
     /// to two entries, half once more after the first outcome.
     pub copies_milli: u32,
+    /// The share of plain calls whose callers leave early, in thousandths.
+    pub leave_milli: u32,
+    /// How long such a caller waits for its answer before it closes its connection, in milliseconds.
+    pub leave_ms: u64,
     /// The time limit for one answer, in milliseconds.
     pub timeout_ms: u64,
     /// Whether the report includes a record of each send.
@@ -88,6 +92,8 @@
             tokens_max: 32,
             padding: 64,
             copies_milli: 0,
+            leave_milli: 0,
+            leave_ms: 1_000,
             timeout_ms: 120_000,
             records: false,
         }
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -107,7 +107,7 @@
 
     /// Runs a call to its end, even if its connection is closed.
     async fn run(self: Arc<Self>, mut call: Call) -> HandlerResult {
-        self.with_counts(|counts| counts.arrived += 1);
+        self.with_counts(|counts| counts.record_arrival(&call.echo.request));
         self.crash_if_set(&call, CrashPoint::BeforeRun);
         self.wait_while_held(
             &call,
--- a/standins/src/plain/counts.rs
+++ b/standins/src/plain/counts.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::path::Path;
 
-use sardinepin_common::Map;
+use sardinepin_common::{Clock, Map, Millis};
 use serde::{Deserialize, Serialize};
 
 /// Counts of runs and calls.
@@ -18,12 +18,24 @@
     pub total: u64,
     /// Calls that arrived since the process started, whether they ran or not.
     pub arrived: u64,
+    /// When each of them arrived last, by request identifier, in wall-clock time.
+    pub arrivals: Map<String, Millis>,
     /// Calls that are held before their run at present.
     pub held_before: u64,
     /// Calls that are held after their run at present.
     pub held_after: u64,
 }
 
+impl Counts {
+    /// Counts a call that has arrived now.
+    pub(super) fn record_arrival(&mut self, request: &str) {
+        self.arrived += 1;
+        if !request.is_empty() {
+            self.arrivals.insert(request.to_owned(), Clock::wall_time());
+        }
+    }
+}
+
 /// Counts runs and writes each to the journal file before it is answered.
 #[derive(Debug)]
 pub(super) struct Journal {
--- a/trials/src/outcomes/faults.rs
+++ b/trials/src/outcomes/faults.rs
@@ -8,7 +8,7 @@
 use super::deployment::RelayedFleet;
 
 /// The longest duration of a fault, in milliseconds.
-const FAULT_MS_MAX: u64 = 2_500;
+const FAULT_MS_MAX: u64 = 4_000;
 
 /// The maximum number of platform writes that are delayed or lose their answers in one round.
 const WRITES_MAX: u32 = 20;
@@ -41,6 +41,8 @@
     HoldOut,
     /// Bytes from an agent are held back, then lost when the link is closed.
     HoldBack,
+    /// Bytes to an agent are held back, then delivered unless their sender has reset the link.
+    DelayOut,
     /// The platform does not answer.
     PlatformDown,
     /// The platform answers slowly.
@@ -52,7 +54,7 @@
 }
 
 /// All kinds of faults.
-pub(super) const ALL_FAULTS: [Fault; 16] = [
+pub(super) const ALL_FAULTS: [Fault; 17] = [
     Fault::None,
     Fault::Kill(Process::Entry),
     Fault::Kill(Process::Agent),
@@ -65,6 +67,7 @@
     Fault::Cut,
     Fault::HoldOut,
     Fault::HoldBack,
+    Fault::DelayOut,
     Fault::PlatformDown,
     Fault::PlatformSlow,
     Fault::LostAnswers,
@@ -87,6 +90,7 @@
             Self::Cut => "cut",
             Self::HoldOut => "hold_out",
             Self::HoldBack => "hold_back",
+            Self::DelayOut => "delay_out",
             Self::PlatformDown => "platform_down",
             Self::PlatformSlow => "platform_slow",
             Self::LostAnswers => "lost_answers",
@@ -118,6 +122,12 @@
                     state.hold_inbound = false;
                 });
             }
+            Self::DelayOut => {
+                let relay = &deployment.relays[agent];
+                relay.update(|state| state.hold_outbound = true);
+                tokio::time::sleep(duration.duration()).await;
+                relay.update(|state| state.hold_outbound = false);
+            }
             Self::PlatformDown | Self::PlatformSlow | Self::LostAnswers | Self::LateWrites => {
                 self.inject_platform(deployment, duration, rng).await?;
             }
--- a/trials/src/outcomes/rounds.rs
+++ b/trials/src/outcomes/rounds.rs
@@ -13,7 +13,7 @@
 
 use super::Options;
 use super::deployment::{KEYED_PATH, MODEL, PLAIN_PATH, PLAIN_UPSTREAMS, RelayedFleet, start};
-use super::faults::{ALL_FAULTS, Fault};
+use super::faults::{ALL_FAULTS, Fault, Process};
 use super::violations::{RunCounts, find_violations};
 
 /// The calls of a round, not counting copies.
@@ -28,6 +28,13 @@
 /// The share of keyed calls that are sent twice, in thousandths.
 const COPIES_MILLI: u32 = 300;
 
+/// The share of plain calls whose callers leave early, in thousandths.
+const LEAVE_MILLI: u32 = 300;
+
+/// How long such a caller waits, in milliseconds: longer than a sound call takes, shorter than a fault
+/// may last.
+const LEAVE_MS: u64 = 1_000;
+
 /// The maximum number of tokens of an answer.
 const TOKENS_MAX: u64 = 24;
 
@@ -56,6 +63,8 @@
     /// Nodes that interrupted calls in a graceful stop, and calls of unknown outcome in such
     /// rounds.
     cut_by_shutdown: u64,
+    /// Calls whose callers left without an answer.
+    left: u64,
     /// Calls of unknown outcome by `fault/reason`.
     unknown_causes: BTreeMap<String, u64>,
     /// Calls that did not run by `fault/reason`.
@@ -119,6 +128,7 @@
         "cut_answers": totals.cut_answers, "wrong_owner": totals.wrong_owner,
         "cut_by_shutdown": totals.cut_by_shutdown,
         "wrong": totals.wrong, "answered_never_ran": violations.never_ran.len(),
+        "left": totals.left, "late": violations.late.len(),
         "unknown_by_cause": totals.unknown_causes, "not_run_by_reason": totals.not_run_reasons,
         "keyed": keyed,
         "platform_writes_per_keyed": per_keyed(counts_after.writes - counts_before.writes),
@@ -127,6 +137,7 @@
         "samples": {
             "ran_twice": violations.ran_twice, "false_not_run": violations.false_not_run,
             "answered_never_ran": violations.never_ran, "wrong": totals.wrong_answers,
+            "late": violations.late,
         },
         "took_s": round_to_thousandths(clock.now().as_f64() / 1_000.0),
     }))
@@ -150,7 +161,13 @@
         let name = fault.name();
         self.wrong_answers
             .extend(report.faults.iter().map(|error| format!("{name}: {error}")));
-        for record in &report.records {
+        let mut records = report.records;
+        for record in &mut records {
+            self.left += u64::from(record.left_at.is_some());
+            // A frozen service reads what had been delivered to it when it wakes, whoever sent it.
+            if fault == Fault::Freeze(Process::Upstream) {
+                record.left_at = None;
+            }
             let cause = format!("{name}/{}", record.reason);
             let counts = match record.outcome {
                 Outcome::Answered => continue,
@@ -159,7 +176,7 @@
             };
             *counts.entry(cause).or_default() += 1;
         }
-        self.records.extend(report.records);
+        self.records.extend(records);
     }
 }
 
@@ -181,6 +198,8 @@
         model: MODEL.to_owned(),
         tokens_max: TOKENS_MAX,
         copies_milli: COPIES_MILLI,
+        leave_milli: LEAVE_MILLI,
+        leave_ms: LEAVE_MS,
         timeout_ms: 60_000,
         records: true,
         ..load::Settings::default()
@@ -218,6 +237,10 @@
         for (request, count) in counts.requests {
             *runs.requests.entry(request).or_default() += count;
         }
+        for (request, arrival) in counts.arrivals {
+            let last = runs.arrivals.entry(request).or_default();
+            *last = arrival.max(*last);
+        }
     }
     Ok(runs)
 }
--- a/trials/src/outcomes/violations.rs
+++ b/trials/src/outcomes/violations.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use sardinepin_common::Map;
+use sardinepin_common::{Map, Millis};
 use sardinepin_protocol::Outcome;
 use sardinepin_standins::load::{CallKind, SendRecord};
 
+/// How long after its caller has left a call may still arrive at a service.
+const LATE_MIN: Millis = Millis(500);
+
 /// How often each call ran, summed over all plain services.
 #[derive(Debug, Default)]
 pub(super) struct RunCounts {
@@ -13,6 +16,8 @@
     pub(super) keys: Map<String, u64>,
     /// By request identifier.
     pub(super) requests: Map<String, u64>,
+    /// When each call arrived last, by request identifier, in wall-clock time.
+    pub(super) arrivals: Map<String, Millis>,
 }
 
 /// Calls whose outcomes contradict what ran.
@@ -24,6 +29,8 @@
     pub(super) false_not_run: Vec<String>,
     /// Keys and requests that were answered but ran at no service.
     pub(super) never_ran: Vec<String>,
+    /// Requests that arrived after their callers had left.
+    pub(super) late: Vec<String>,
 }
 
 /// Compares the records of the load client with the counts of the services.
@@ -46,6 +53,7 @@
             &[record.outcome],
             count.unwrap_or_default(),
         );
+        violations.check_late(record, runs);
     }
     violations
 }
@@ -63,6 +71,15 @@
 }
 
 impl Violations {
+    fn check_late(&mut self, record: &SendRecord, runs: &RunCounts) {
+        let arrival = runs.arrivals.get(&record.request);
+        if let (Some(left_at), Some(arrival)) = (record.left_at, arrival)
+            && arrival.since(left_at) > LATE_MIN
+        {
+            self.late.push(record.request.clone());
+        }
+    }
+
     fn check(&mut self, name: &str, outcomes: &[Outcome], count: u64) {
         let all_not_run = outcomes.iter().all(|outcome| *outcome == Outcome::NotRun);
         if all_not_run && count > 0 {
