--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -167,6 +167,7 @@
             Err(failure) => return Err(failure),
             Ok(Err(SendError::NotSent)) => return Err(AttemptFailure::NotSent),
             Ok(Err(SendError::MaybeSent)) => {
+                self.log_broken_response(call, &permit.spec, 0);
                 self.report_suspected_crash(call, &permit.spec);
                 return Err(AttemptFailure::BrokenResponse);
             }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -163,6 +163,14 @@
         Ok(request)
     }
 
+    /// Returns the identifiers of the parts of the prompt that other requests share: all but the last.
+    pub(crate) fn shared_parts(&self, names: &HeaderNames) -> impl Iterator<Item = &str> {
+        let list = headers::text(&self.headers, &names.prompt_parts);
+        let shared = list.and_then(|list| list.rsplit_once(','));
+        let entries = shared.into_iter().flat_map(|(shared, _)| shared.split(','));
+        entries.filter_map(|entry| entry.split(':').next().map(str::trim))
+    }
+
     /// Returns a digest that is equal for repetitions of the request and differs for other
     /// requests.
     pub(crate) fn digest(&self) -> Digest {
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -29,6 +29,16 @@
 }
 
 impl Gateway {
+    /// Logs that an upstream broke off after `chunks` chunks of its response had been forwarded.
+    pub(crate) fn log_broken_response(&self, call: &Call, upstream: &UpstreamSpec, chunks: u64) {
+        let parts: Vec<&str> = call.shared_parts(&self.names).collect();
+        log::info!(
+            event = "broke_off", request = call.id_text(), digest:% = call.digest(),
+            parts = parts.join(","), upstream = &*upstream.id, chunks = chunks;
+            "an upstream broke off"
+        );
+    }
+
     /// Reports that an upstream's connection broke before it responded to a request.
     pub(crate) fn report_suspected_crash(&self, call: &Call, upstream: &UpstreamSpec) {
         self.send_crash_event(CrashEvent::Suspected {
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -27,6 +27,9 @@
     pub priority: HeaderName,
     /// The model weights version that a request asks for; removed from caller requests.
     pub weights_version: HeaderName,
+    /// The parts of a request's prompt in order, as `ID:TOKENS` entries separated by commas. Requests
+    /// share parts, except for the last one.
+    pub prompt_parts: HeaderName,
     /// The authentication scheme that precedes the key in `authorization`.
     pub auth_scheme: String,
 }
@@ -45,6 +48,7 @@
             faulty_upstream: HeaderName::from_static("x-fault-at"),
             priority: HeaderName::from_static("x-priority"),
             weights_version: HeaderName::from_static("x-weights"),
+            prompt_parts: HeaderName::from_static("x-prompt-parts"),
             auth_scheme: "Bearer".to_owned(),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -122,6 +122,9 @@
                         && failure != AttemptFailure::Stalled
                     {
                         response.permit.set_end(AttemptEnd::Failed);
+                        let chunks = self.timing.chunks;
+                        self.gateway
+                            .log_broken_response(&self.call, &response.permit.spec, chunks);
                         if self.timing.chunks == 0 {
                             self.gateway
                                 .report_suspected_crash(&self.call, &response.permit.spec);
