Tests that fail: a part of a prompt crashes upstream after upstream

Requests that share a part of their prompts, no two alike, crash every upstream that begins to answer them.

--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod crashes;
+mod crashing_parts;
 mod late;
 mod outcomes;
 mod records;
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -30,6 +30,8 @@
     Reset,
     /// Closes the listener and the connection, as a crashed process does.
     Crash,
+    /// Crashes if the head of the request contains this text.
+    CrashOn(String),
     /// Waits until the connection is closed.
     Hang,
     /// Sends nothing for this time.
@@ -129,6 +131,11 @@
         self.log.lock().unwrap().heads.len()
     }
 
+    /// Returns whether `Step::Crash` or `Step::CrashOn` has closed the listener.
+    pub(crate) fn is_crashed(&self) -> bool {
+        self.log.lock().unwrap().crashed
+    }
+
     /// Returns how many connections the gateway closed during `Step::Hang`.
     pub(crate) fn disconnects(&self) -> usize {
         self.log.lock().unwrap().disconnects
@@ -145,7 +152,7 @@
         let id = header(&head, "x-request-id").unwrap_or_default();
         let steps = {
             let mut log = log.lock().unwrap();
-            log.heads.push(head);
+            log.heads.push(head.clone());
             log.script
                 .pop_front()
                 .unwrap_or_else(|| log.default.clone())
@@ -159,7 +166,8 @@
                     }
                 }
                 Step::Close => return,
-                Step::Crash => {
+                Step::CrashOn(text) if !head.contains(&text) => {}
+                Step::Crash | Step::CrashOn(_) => {
                     log.lock().unwrap().crashed = true;
                     // The listener closes before the connection does.
                     until(&log, |log| log.closed).await;
