Hold back a crashing message at entries too, by the same search

Cause: the scheduler counted crashes against whole requests as well; the same decision stood twice, with two sets of rules. Change: the suspects of the scheduler use the search for culprits (two crashes for a request, which runs alone after the first, three for a part); the parts of a prompt are its messages but the last. Waiting requests with a culprit are given up.

--- a/crates/decisions/src/culprits.rs
+++ b/crates/decisions/src/culprits.rs
@@ -92,7 +92,7 @@
 }
 
 impl CrashEvidence {
-    fn traits(&self) -> impl Iterator<Item = &Digest> {
+    pub(crate) fn traits(&self) -> impl Iterator<Item = &Digest> {
         let parts = self.parts.unanswered.iter().chain(&self.parts.answered);
         std::iter::once(&self.request).chain(parts)
     }
@@ -106,7 +106,8 @@
 /// Traits that crash upstreams: a request with all of them is at fault.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Culprit {
-    /// The traits; more than one if the same requests had each of them.
+    /// The traits, the most specific first: the request, then parts from the end of the prompt on. There
+    /// is more than one if the same requests had each of them.
     pub traits: Vec<Digest>,
     /// When the evidence is too little again because some has expired, by the wall clock.
     pub until: Millis,
@@ -114,6 +115,14 @@
     pub answered: bool,
 }
 
+impl Culprit {
+    /// Returns the most specific trait.
+    #[must_use]
+    pub fn most_specific(&self) -> Option<Digest> {
+        self.traits.first().copied()
+    }
+}
+
 /// Whether a request may run, as far as culprits are concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -326,7 +335,7 @@
             .max_by_key(|case| case.rank())?;
         let same = cases.values().filter(|case| case.is_like(strongest));
         let mut traits: Vec<Digest> = same.map(|case| case.accused()).collect();
-        traits.sort_unstable();
+        traits.sort_unstable_by_key(|one| strongest.position(one));
         Some(Culprit {
             traits,
             until: strongest.expiry(self.crashes_min(strongest)),
--- a/crates/decisions/src/culprits/case.rs
+++ b/crates/decisions/src/culprits/case.rs
@@ -48,6 +48,21 @@
         first.is_some_and(|evidence| evidence.request == self.accused)
     }
 
+    /// Returns how specific a trait of the same requests is; the lowest position is that of a request, the
+    /// highest that of the first part of a prompt.
+    pub(super) fn position(&self, one: &Digest) -> (usize, Digest) {
+        let from_end = self.series.first().map_or(0, |evidence| {
+            let traits: Vec<&Digest> = evidence.traits().collect();
+            let at = traits.iter().position(|own| *own == one);
+            match at {
+                Some(0) => 0,
+                Some(at) => traits.len() - at,
+                None => traits.len(),
+            }
+        });
+        (from_end, *one)
+    }
+
     /// Returns the number of crashes that count.
     pub(super) fn strength(&self) -> usize {
         self.series.len()
--- a/crates/decisions/src/events.rs
+++ b/crates/decisions/src/events.rs
@@ -6,6 +6,8 @@
 use sardinepin_config::Limit;
 use sardinepin_protocol::{Digest, ErrorKind, Load, UpstreamState};
 
+use crate::culprits::Traits;
+
 /// Identifies a request within this entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestNumber(pub u64);
@@ -61,6 +63,8 @@
     pub deadline: Millis,
     /// The digest of organisation, service and body, which is the same for a repeated request.
     pub digest: Digest,
+    /// The digests of the parts of its prompt that other requests share, in order.
+    pub parts: Vec<Digest>,
     /// The digest of the prompt prefix; `None` if the request has none.
     pub prefix: Option<Digest>,
     /// The digest of the idempotency key. Requests with the same key go to the same upstream as
@@ -72,6 +76,16 @@
     pub cost: u32,
 }
 
+impl Arrival {
+    /// Returns the traits by which requests that crash upstreams are told from others.
+    pub(crate) fn traits(&self) -> Traits<'_> {
+        Traits {
+            request: self.digest,
+            parts: &self.parts,
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -156,25 +156,24 @@
     ) {
         for (digest, remaining) in quarantines {
             self.suspects.add_quarantine(now, *digest, *remaining);
-            self.give_up_quarantined(now, digest, effects);
         }
+        self.give_up_quarantined(now, effects);
     }
 
-    /// Gives up the waiting requests with this digest if it is in quarantine.
-    fn give_up_quarantined(&mut self, now: Millis, digest: &Digest, effects: &mut Vec<Effect>) {
-        let Some(remaining) = self.suspects.quarantine_remaining(now, digest) else {
-            return;
+    /// Gives up the waiting requests that are in quarantine.
+    fn give_up_quarantined(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let suspects = &self.suspects;
+        let quarantined = |(request, pending): (&RequestNumber, &Pending)| {
+            if pending.stage == Stage::InFlight {
+                return None;
+            }
+            let remaining = suspects.quarantine_remaining(now, pending.arrival.traits())?;
+            Some((*request, remaining))
         };
-        let mut repeats: Vec<RequestNumber> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| {
-                pending.stage != Stage::InFlight && pending.arrival.digest == *digest
-            })
-            .map(|(request, _)| *request)
-            .collect();
-        repeats.sort_unstable();
-        for request in repeats {
+        let waiting = self.pending.iter().filter_map(quarantined);
+        let mut waiting: Vec<(RequestNumber, Millis)> = waiting.collect();
+        waiting.sort_unstable();
+        for (request, remaining) in waiting {
             self.remove_from_queue(request);
             self.give_up(request, ErrorKind::Quarantined, remaining, effects);
         }
--- a/crates/decisions/src/scheduler/admission.rs
+++ b/crates/decisions/src/scheduler/admission.rs
@@ -47,7 +47,7 @@
 
     /// Checks the quarantine, the rate limit and whether any upstream takes work.
     fn check_admission(&mut self, now: Millis, arrival: &Arrival) -> Result<(), Refusal> {
-        if let Some(remaining) = self.suspects.quarantine_remaining(now, &arrival.digest) {
+        if let Some(remaining) = self.suspects.quarantine_remaining(now, arrival.traits()) {
             return Err(Refusal {
                 kind: ErrorKind::Quarantined,
                 retry_after: remaining,
--- a/crates/decisions/src/scheduler/attempt_end.rs
+++ b/crates/decisions/src/scheduler/attempt_end.rs
@@ -1,11 +1,12 @@
 //! Handling of ended attempts: health and crash accounting, then a retry or a final response.
 
 use sardinepin_common::Millis;
-use sardinepin_protocol::{Digest, ErrorKind, RetryAdvice};
+use sardinepin_protocol::{ErrorKind, RetryAdvice};
 
 use super::Scheduler;
 use crate::events::{AttemptEnd, Effect, RequestNumber, UpstreamId};
 use crate::pending::Pending;
+use crate::suspects::CrashedAttempt;
 use crate::upstream::Attempt;
 
 /// A failed attempt.
@@ -82,7 +83,10 @@
         effects: &mut Vec<Effect>,
     ) {
         match end {
-            AttemptEnd::Complete => self.handle_completion(now, index, attempt),
+            AttemptEnd::Complete => {
+                self.record_answer(now, attempt.request);
+                self.handle_completion(now, index, attempt);
+            }
             AttemptEnd::NotRun { kind, .. } => {
                 if attempt.crash_counted {
                     self.suspects.clear(&attempt.digest);
@@ -99,6 +103,12 @@
         }
     }
 
+    fn record_answer(&mut self, now: Millis, request: RequestNumber) {
+        if let Some(pending) = self.pending.get(&request) {
+            self.suspects.record_answer(now, &pending.arrival.parts);
+        }
+    }
+
     fn handle_completion(&mut self, now: Millis, index: usize, attempt: &Attempt) {
         self.suspects.clear(&attempt.digest);
         let upstream = &mut self.fleet.upstreams[index];
@@ -162,21 +172,31 @@
         if ended.crash_counted {
             return;
         }
-        let mut suspects: Vec<(Digest, Millis)> = vec![(ended.digest, ended.sent)];
+        let pending = &self.pending;
+        let crashed = |attempt: &Attempt| CrashedAttempt {
+            request: attempt.digest,
+            sent: attempt.sent,
+            parts: pending
+                .get(&attempt.request)
+                .map(|pending| pending.arrival.parts.clone())
+                .unwrap_or_default(),
+        };
+        let mut attempts = vec![crashed(ended)];
         for attempt in &mut self.fleet.upstreams[index].attempts {
             if !attempt.crash_counted {
                 attempt.crash_counted = true;
-                suspects.push((attempt.digest, attempt.sent));
+                attempts.push(crashed(attempt));
             }
         }
         // Of several attempts with the same digest, the one sent last counts.
-        suspects.sort_unstable_by(|a, b| b.cmp(a));
-        suspects.dedup_by_key(|suspect| suspect.0);
-        for (digest, sent) in suspects {
-            if let Some(remaining) = self.suspects.record_crash(now, sent, digest) {
-                effects.push(Effect::Quarantine { digest, remaining });
-                self.give_up_quarantined(now, &digest, effects);
-            }
+        attempts.sort_unstable_by(|a, b| b.cmp(a));
+        attempts.dedup_by_key(|attempt| attempt.request);
+        for digest in self.suspects.record_crash(now, attempts) {
+            effects.push(Effect::Quarantine {
+                digest,
+                remaining: self.settings.quarantine.duration,
+            });
+            self.give_up_quarantined(now, effects);
         }
         self.eject(now, index);
     }
@@ -246,7 +266,7 @@
         }
         if self
             .suspects
-            .quarantine_remaining(now, &pending.arrival.digest)
+            .quarantine_remaining(now, pending.arrival.traits())
             .is_some()
         {
             return Err(ErrorKind::Quarantined);
--- a/crates/decisions/src/suspects.rs
+++ b/crates/decisions/src/suspects.rs
@@ -1,15 +1,36 @@
-//! Requests suspected of crashing upstreams, and requests in quarantine.
+//! Requests suspected of crashing upstreams, and requests and parts of prompts in quarantine.
+
+use std::sync::Arc;
 
 use sardinepin_common::{Map, Millis};
 use sardinepin_protocol::Digest;
 
+use crate::culprits::{CrashEvidence, Culprit, CulpritFinder, CulpritSettings, Traits};
 use crate::settings::QuarantineSettings;
 
-/// The digests of suspect requests and of requests in quarantine.
+/// The number of crashes after which a request is quarantined. Suspects run alone, so that the second
+/// crash leaves no doubt.
+const REQUEST_CRASHES: usize = 2;
+
+/// An attempt that was in flight at a crash.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct CrashedAttempt {
+    /// The digest of the request.
+    pub(crate) request: Digest,
+    /// When it was sent.
+    pub(crate) sent: Millis,
+    /// The digests of the shared parts of its prompt, in order.
+    pub(crate) parts: Vec<Digest>,
+}
+
+/// The digests of suspect requests, and of requests and parts of prompts in quarantine.
 #[derive(Debug)]
 pub(crate) struct Suspects {
     settings: QuarantineSettings,
-    /// When each digest became a suspect.
+    finder: CulpritFinder,
+    /// The number of crashes so far, which gives each a name.
+    crashes: u64,
+    /// When each request became a suspect.
     suspected_at: Map<Digest, Millis>,
     /// When each quarantine ends.
     quarantined_until: Map<Digest, Millis>,
@@ -18,53 +39,91 @@
 impl Suspects {
     /// Creates an empty list.
     pub(crate) fn new(settings: QuarantineSettings) -> Self {
+        let finder = CulpritFinder::new(CulpritSettings {
+            request_crashes: REQUEST_CRASHES,
+            evidence_max: settings.digests_max,
+            ..CulpritSettings::default()
+        });
         Self {
             settings,
+            finder,
+            crashes: 0,
             suspected_at: Map::default(),
             quarantined_until: Map::default(),
         }
     }
 
-    /// Returns whether a digest is a suspect.
-    pub(crate) fn is_suspect(&self, digest: &Digest) -> bool {
-        self.suspected_at.contains_key(digest)
+    /// Returns whether a request is a suspect.
+    pub(crate) fn is_suspect(&self, request: &Digest) -> bool {
+        self.suspected_at.contains_key(request)
     }
 
-    /// Returns the remaining quarantine of a digest; `None` if it is not in quarantine.
-    pub(crate) fn quarantine_remaining(&self, now: Millis, digest: &Digest) -> Option<Millis> {
-        let until = self.quarantined_until.get(digest)?;
-        (*until > now).then(|| until.since(now))
+    /// Returns the remaining quarantine of a request with these traits; `None` if it is not in
+    /// quarantine.
+    pub(crate) fn quarantine_remaining(&self, now: Millis, traits: Traits<'_>) -> Option<Millis> {
+        if self.quarantined_until.is_empty() {
+            return None;
+        }
+        let digests = std::iter::once(&traits.request).chain(traits.parts);
+        let ends = digests.filter_map(|one| self.quarantined_until.get(one));
+        let until = *ends.max()?;
+        (until > now).then(|| until.since(now))
     }
 
-    /// Records that an attempt with this digest, sent at `sent`, was in flight at a crash.
-    ///
-    /// Returns the duration of the quarantine if this is the second crash. A crash counts as the second
-    /// only if its attempt was not sent before the first: the loss of several upstreams at once is no
-    /// evidence against a request that many callers send.
+    /// Records the attempts that were in flight at a crash; returns what has to be put in quarantine.
     pub(crate) fn record_crash(
         &mut self,
         now: Millis,
-        sent: Millis,
-        digest: Digest,
-    ) -> Option<Millis> {
-        match self.suspected_at.get(&digest) {
-            Some(first) if sent >= *first => {
-                self.suspected_at.remove(&digest);
-                self.quarantine_until(digest, now + self.settings.duration);
-                Some(self.settings.duration)
-            }
-            Some(_) => None,
-            None => {
-                evict_earliest(&mut self.suspected_at, self.settings.digests_max);
-                self.suspected_at.insert(digest, now);
-                None
-            }
+        attempts: Vec<CrashedAttempt>,
+    ) -> Vec<Digest> {
+        self.crashes += 1;
+        let crash: Arc<str> = Arc::from(self.crashes.to_string());
+        for attempt in attempts {
+            self.suspect(now, attempt.request);
+            let evidence = CrashEvidence {
+                crash: Arc::clone(&crash),
+                request: attempt.request,
+                parts: self
+                    .finder
+                    .doubtful_parts(now, attempt.sent, &attempt.parts),
+                sent_at: attempt.sent,
+                crashed_at: now,
+                expires_at: now + self.settings.suspect_ttl,
+            };
+            let name = Arc::from(format!("{crash}-{}", attempt.request));
+            self.finder.add(now, name, evidence);
+        }
+        let quarantined = &self.quarantined_until;
+        let culprits = self.finder.culprits().iter();
+        let found = culprits.filter_map(most_specific);
+        let new: Vec<Digest> = found
+            .filter(|digest| !quarantined.contains_key(digest))
+            .collect();
+        for digest in &new {
+            self.quarantine_until(*digest, now + self.settings.duration);
+            self.suspected_at.remove(digest);
+        }
+        new
+    }
+
+    fn suspect(&mut self, now: Millis, request: Digest) {
+        if !self.suspected_at.contains_key(&request) {
+            evict_earliest(&mut self.suspected_at, self.settings.digests_max);
+            self.suspected_at.insert(request, now);
         }
     }
 
     /// Clears a suspect that got a response or that never ran.
-    pub(crate) fn clear(&mut self, digest: &Digest) {
-        self.suspected_at.remove(digest);
+    pub(crate) fn clear(&mut self, request: &Digest) {
+        if self.suspected_at.remove(request).is_some() {
+            self.finder
+                .remove_where(|evidence| evidence.request == *request);
+        }
+    }
+
+    /// Records that a request with these shared parts of its prompt got a response.
+    pub(crate) fn record_answer(&mut self, now: Millis, parts: &[Digest]) {
+        self.finder.record_answer(now, parts);
     }
 
     /// Adds a quarantine announced by another entry.
@@ -77,6 +136,8 @@
     pub(crate) fn lift(&mut self, digest: &Digest) {
         self.quarantined_until.remove(digest);
         self.suspected_at.remove(digest);
+        self.finder
+            .remove_where(|evidence| evidence.traits().any(|one| one == digest));
     }
 
     /// Removes expired suspects and quarantines.
@@ -85,6 +146,8 @@
         let suspect_ttl = self.settings.suspect_ttl;
         self.suspected_at
             .retain(|_, since| now.since(*since) < suspect_ttl);
+        self.finder
+            .remove_where(|evidence| evidence.expires_at <= now);
     }
 
     fn quarantine_until(&mut self, digest: Digest, until: Millis) {
@@ -97,6 +160,15 @@
     }
 }
 
+/// Returns the digest by which a culprit is held back: that of the request, or else of the part that
+/// comes last in the prompt. What has been answered before is not held back.
+fn most_specific(culprit: &Culprit) -> Option<Digest> {
+    if culprit.answered {
+        return None;
+    }
+    culprit.most_specific()
+}
+
 /// Removes the entry with the earliest time if the map is full.
 fn evict_earliest(map: &mut Map<Digest, Millis>, max: usize) {
     if map.len() < max {
--- a/crates/decisions/tests/balancer/driver.rs
+++ b/crates/decisions/tests/balancer/driver.rs
@@ -177,6 +177,7 @@
         rate_limit: None,
         deadline: Millis(now + 10_000),
         digest: digest(request),
+        parts: Vec::new(),
         prefix: None,
         idempotency_key: None,
         idempotent: true,
--- a/crates/decisions/tests/balancer/quarantine.rs
+++ b/crates/decisions/tests/balancer/quarantine.rs
@@ -253,3 +253,35 @@
     let effects = driver.complete(driver.in_flight_on(1)[0]);
     assert_eq!(sent(&effects), []);
 }
+
+#[test]
+fn quarantine_holds_back_a_part_that_crashes_upstreams_whatever_the_request() {
+    let mut driver = Driver::with_upstreams(12, |_| {});
+    let (route, bad) = (digest(1_001), digest(1_002));
+    let sound = sent_to(&driver.arrive_with(|arrival| arrival.parts = vec![route]));
+    assert!(sound.is_some());
+    driver.complete(1);
+    let mut found = Vec::new();
+    for _ in 0..2 {
+        let effects = driver.arrive_with(|arrival| arrival.parts = vec![route, bad]);
+        let mut upstream = sent_to(&effects);
+        while let Some(crashing) = upstream {
+            driver.now += 100;
+            let effects = crash(&mut driver, crashing);
+            upstream = sent_to(&effects);
+            found.extend(effects.into_iter().filter_map(|effect| match effect {
+                Effect::Quarantine { digest, .. } => Some(digest),
+                _ => None,
+            }));
+        }
+    }
+    assert_eq!(
+        found,
+        [digest(2), bad],
+        "the repeated request, then the part"
+    );
+    let effects = driver.arrive_with(|arrival| arrival.parts = vec![bad, digest(1_003)]);
+    assert_eq!(sent(&effects), []);
+    let effects = driver.arrive_with(|arrival| arrival.parts = vec![route, digest(1_003)]);
+    assert_eq!(sent(&effects).len(), 1);
+}
--- a/crates/sardinepin/src/entry/call.rs
+++ b/crates/sardinepin/src/entry/call.rs
@@ -32,6 +32,8 @@
     pub(crate) digest: Digest,
     /// The digest of the model's name and the start of the prompt; only for model services.
     pub(crate) prefix: Option<Digest>,
+    /// The digests of the messages of its prompt but the last, which is its own.
+    pub(crate) parts: Vec<Digest>,
     /// The idempotency key; only for keyed calls.
     pub(crate) key: Option<ClaimKey>,
     pub(crate) idempotent: bool,
@@ -98,6 +100,11 @@
             decision,
             digest: request_digest(service, organisation, parts, &body),
             prefix: chat.as_ref().filter(|_| model).map(ChatCompletion::prefix),
+            parts: chat
+                .as_ref()
+                .filter(|_| model)
+                .map(ChatCompletion::shared_parts)
+                .unwrap_or_default(),
             key: key.filter(|_| keyed),
             idempotent: model || (!keyed && parts.method.is_idempotent()),
             cost: chat
@@ -132,6 +139,17 @@
         serde_json::from_slice(body).ok()
     }
 
+    fn shared_parts(&self) -> Vec<Digest> {
+        let shared = self
+            .messages
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let texts = shared.iter().map(|message| message.content.to_string());
+        texts
+            .map(|text| Digest::of(&[b"part", text.as_bytes()]))
+            .collect()
+    }
+
     fn prefix(&self) -> Digest {
         let first = self
             .messages
--- a/crates/sardinepin/src/entry/follow.rs
+++ b/crates/sardinepin/src/entry/follow.rs
@@ -90,6 +90,7 @@
             rate_limit: call.decision.limit,
             deadline: self.deadline,
             digest: call.digest,
+            parts: call.parts.clone(),
             prefix: call.prefix,
             idempotency_key: call
                 .key
--- a/crates/sardinepin/tests/outcomes/main.rs
+++ b/crates/sardinepin/tests/outcomes/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of requests and map switches, with real processes and injected faults.
 
 mod at_most_once;
+mod crashing_part;
 mod late;
 mod leaving;
 mod not_run;
--- a/trials/src/decide/harness.rs
+++ b/trials/src/decide/harness.rs
@@ -150,6 +150,7 @@
         rate_limit: None,
         deadline: Millis(now + 60_000),
         digest: digest_of(number),
+        parts: Vec::new(),
         prefix: None,
         idempotency_key: None,
         idempotent: true,
