Share a quarantine once the platform is back

Cause: an entry that could not write a quarantine at once never tried again; others let the same crash their upstreams. Evidence: crashing_message_found_while_the_platform_is_away_is_shared_once_it_is_back failed (60 s). Change: the write is repeated until it succeeds or the quarantine has ended.

--- a/crates/sardinepin/src/entry/quarantine.rs
+++ b/crates/sardinepin/src/entry/quarantine.rs
@@ -1,7 +1,8 @@
 //! Quarantined requests, which entries share as objects of the configuration.
 //!
 //! Quarantines are rare, so they are distributed along with the configuration. While the platform
-//! is unavailable, a new quarantine applies only to the entry that started it.
+//! is unavailable, a new quarantine applies only to the entry that started it; it is shared once the
+//! platform is back.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -9,7 +10,7 @@
 use sardinepin_config::Snapshot;
 use sardinepin_decisions::Event;
 use sardinepin_protocol::Digest;
-use sardinepin_store::{ConditionalWrite, Precondition, Store, write_and_confirm};
+use sardinepin_store::{ConditionalWrite, Precondition, Store, StoreError, write_and_confirm};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
@@ -21,6 +22,9 @@
 /// The key prefix of the configuration's objects in the store.
 const CONFIG_PREFIX: &str = "config/";
 
+/// The interval between two attempts to write a quarantine.
+const WRITE_RETRY_INTERVAL: Millis = Millis(1_000);
+
 /// The stored value of a quarantine; its key holds the request's digest.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct QuarantineRecord {
@@ -79,11 +83,21 @@
                 until: Clock::wall_time() + remaining,
             };
             self.lock_records().insert(digest, record);
-            self.write(digest, record).await;
+            tokio::spawn(self.clone().share(digest, record));
             tokio::spawn(self.clone().expire(digest, remaining));
         }
     }
 
+    /// Writes a quarantine to the store; repeats that until it succeeds or the quarantine has ended.
+    async fn share(self, digest: Digest, record: QuarantineRecord) {
+        while self.lock_records().contains_key(&digest) {
+            if self.write(digest, record).await {
+                return;
+            }
+            tokio::time::sleep(WRITE_RETRY_INTERVAL.duration()).await;
+        }
+    }
+
     async fn expire(self, digest: Digest, remaining: Millis) {
         tokio::time::sleep(remaining.duration()).await;
         let expired = self
@@ -135,8 +149,11 @@
         }
     }
 
-    async fn write(&self, digest: Digest, record: QuarantineRecord) {
-        let Some(store) = &self.store else { return };
+    /// Writes a quarantine to the store, if there is one; returns whether it is there now.
+    async fn write(&self, digest: Digest, record: QuarantineRecord) -> bool {
+        let Some(store) = &self.store else {
+            return true;
+        };
         let value = serde_json::to_string(&record).unwrap_or_default();
         let change = ConditionalWrite {
             key: &key(digest),
@@ -144,8 +161,13 @@
             write_id: &write_id(),
             value: Some(&value),
         };
-        if let Err(error) = write_and_confirm(store.as_ref(), change).await {
-            log::warn!(event = "quarantine_not_shared", error:% = error; "cannot share a quarantine with other entries");
+        match write_and_confirm(store.as_ref(), change).await {
+            // A conflict means that another entry has written it.
+            Ok(_) | Err(StoreError::Conflict(_)) => true,
+            Err(error) => {
+                log::warn!(event = "quarantine_not_shared", error:% = error; "cannot share a quarantine with other entries; trying again");
+                false
+            }
         }
     }
 
--- a/crates/sardinepin/tests/outcomes/crashing_part.rs
+++ b/crates/sardinepin/tests/outcomes/crashing_part.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use sardinepin_standins::fleet::Fleet;
 use sardinepin_standins::http::FullResponse;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::util::*;
 
@@ -52,3 +52,30 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_message_found_while_the_platform_is_away_is_shared_once_it_is_back() -> Result<()>
+{
+    let fleet = start_fleet(llm(), ENGINES, 2, json!({})).await?;
+    set_upstream_faults(&fleet, json!({"crash_on": CRASHING_MESSAGE})).await?;
+    let platform = &fleet.platform;
+    fleet.set_faults(platform, &json!({"down": true})).await?;
+    let mut number = 0;
+    wait_until("the first entry refuses the message", async || {
+        number += 1;
+        let response = chat(&fleet, number, &[CRASHING_MESSAGE]).await?;
+        Ok(reason(&response) == "quarantined")
+    })
+    .await?;
+    let known = fleet.admin_get(&fleet.entries[0], "/v1/quarantine").await?;
+    fleet.set_faults(platform, &json!({})).await?;
+    wait_until("the second entry knows as much", async || {
+        let shared = fleet.admin_get(&fleet.entries[1], "/v1/quarantine").await?;
+        Ok(count_quarantined(&shared) == count_quarantined(&known))
+    })
+    .await
+}
+
+fn count_quarantined(list: &Value) -> usize {
+    list.as_array().map_or(0, Vec::len)
+}
