Compute a request's digest once

Cause: requests that wait are compared with the culprits every 150 ms while any crash is known, with a digest of the whole body. Change: the digest is kept once it has been needed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request after validation, with its route and deadline.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
@@ -40,6 +40,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// The digest of the request, once it has been needed.
+    digest: OnceLock<Digest>,
     /// The digests of the shared parts of its prompt.
     parts: Vec<Digest>,
 }
@@ -128,6 +130,7 @@
             method: parts.method,
             uri: parts.uri,
             body,
+            digest: OnceLock::new(),
             route,
         }
     }
@@ -193,6 +196,10 @@
     /// Returns a digest that is equal for repetitions of the request and differs for other
     /// requests.
     pub(crate) fn digest(&self) -> Digest {
+        *self.digest.get_or_init(|| self.compute_digest())
+    }
+
+    fn compute_digest(&self) -> Digest {
         let organisation = self.organisation.as_ref();
         let organisation = organisation.map_or("", |organisation| &*organisation.name);
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
