Stand-ins: answers with neither a length nor chunks

Change: the plain service can send an answer that ends with its connection (without_length), and a test of real processes forwards it whole.

--- a/crates/sardinepin/tests/outcomes/whole_answer.rs
+++ b/crates/sardinepin/tests/outcomes/whole_answer.rs
@@ -135,6 +135,19 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_without_a_length_is_forwarded() -> Result<()> {
+    let fleet = start_fleet(app(), 1, 1, json!({})).await?;
+    set_upstream_faults(&fleet, json!({"without_length": true})).await?;
+    for key in ["k1", "k2"] {
+        let response = book(&fleet, 0, key, "seat").await?;
+        assert_eq!(outcome(&response), "answered", "{}", reason(&response));
+        let echo: Value = response.json()?;
+        assert_eq!(echo["key"], key);
+    }
+    Ok(())
+}
+
 /// Returns the index of an upstream whose engine is running a request.
 async fn find_busy_upstream(fleet: &Fleet) -> Result<usize> {
     for index in 0..fleet.upstreams.len() {
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, StatusCode, Version};
 use sardinepin_common::Millis;
 use sardinepin_protocol::Digest;
 use sardinepin_store::BoxFuture;
@@ -184,11 +184,19 @@
     if faults.unanswered {
         return Err(CloseConnection);
     }
-    let Some(bytes) = faults.break_after else {
-        return json_response(StatusCode::OK, &call.echo);
-    };
-    let body = serde_json::to_vec(&call.echo).map_err(|_| CloseConnection)?;
-    streaming_response("application/json", truncated_body(&body.into(), bytes))
+    if let Some(bytes) = faults.break_after {
+        let body = serde_json::to_vec(&call.echo).map_err(|_| CloseConnection)?;
+        return streaming_response("application/json", truncated_body(&body.into(), bytes));
+    }
+    if faults.without_length {
+        let body = serde_json::to_vec(&call.echo).map_err(|_| CloseConnection)?;
+        let parts = futures_util::stream::iter([Ok(body.into())]);
+        let mut response = streaming_response("application/json", parts)?;
+        // The HTTP library writes neither a length nor chunks for this version.
+        *response.version_mut() = Version::HTTP_10;
+        return Ok(response);
+    }
+    json_response(StatusCode::OK, &call.echo)
 }
 
 fn parse_call(request: Request<Bytes>) -> Call {
--- a/standins/src/plain/faults.rs
+++ b/standins/src/plain/faults.rs
@@ -32,6 +32,8 @@
     pub crash_point: CrashPoint,
     /// The connection is closed after the run, without an answer.
     pub unanswered: bool,
+    /// The answer has neither a length nor chunks, and ends with its connection.
+    pub without_length: bool,
     /// The connection is broken after the response head and this number of bytes of the body.
     pub break_after: Option<usize>,
 }
