Trial outcomes: a message that crashes engines

Cause: the trial knew no crash that requests cause. Change: a fault in which the first message of one organisation crashes every engine that answers to it, while crashed engines start again; the most crashes of one round are counted (crashed_by_message).

--- a/standins/src/fleet/child.rs
+++ b/standins/src/fleet/child.rs
@@ -129,6 +129,15 @@
         Ok(())
     }
 
+    /// Returns whether the process has exited.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its state cannot be read.
+    pub fn has_exited(&mut self) -> Result<bool> {
+        Ok(self.process.try_wait()?.is_some())
+    }
+
     /// Suspends the process with SIGSTOP; its connections stay open.
     ///
     /// # Errors
--- a/trials/src/outcomes/faults.rs
+++ b/trials/src/outcomes/faults.rs
@@ -2,10 +2,10 @@
 
 use anyhow::Result;
 use rand::Rng as _;
-use sardinepin_common::{Millis, Rng};
+use sardinepin_common::{Clock, Millis, Rng};
 use serde_json::json;
 
-use super::deployment::RelayedFleet;
+use super::deployment::{PLAIN_UPSTREAMS, RelayedFleet};
 
 /// The longest duration of a fault, in milliseconds.
 const FAULT_MS_MAX: u64 = 4_000;
@@ -13,6 +13,15 @@
 /// The maximum number of platform writes that are delayed or lose their answers in one round.
 const WRITES_MAX: u32 = 20;
 
+/// The first message of all streams of one organisation.
+const CRASHING_MESSAGE: &str = "You help o3.";
+
+/// How long it crashes engines.
+const CRASHING_TIME: Millis = Millis(4_000);
+
+/// The interval at which engines are looked at meanwhile.
+const CRASH_POLL_INTERVAL: Millis = Millis(20);
+
 /// The delay of a late write, in milliseconds.
 const LATE_WRITE_MS: u64 = 1_000;
 
@@ -24,6 +33,15 @@
     Upstream,
 }
 
+/// What a fault has done, as far as the trial counts it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct FaultResult {
+    /// Nodes that interrupted a call in a graceful stop or exited with an error.
+    pub(super) interrupted_nodes: u64,
+    /// Engines that a message has crashed.
+    pub(super) crashed_engines: u64,
+}
+
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -43,6 +61,9 @@
     HoldBack,
     /// Bytes to an agent are held back, then delivered unless their sender has reset the link.
     DelayOut,
+    /// A message that many prompts share crashes each engine that answers to it; crashed engines are
+    /// started again at once.
+    CrashingMessage,
     /// The platform does not answer.
     PlatformDown,
     /// The platform answers slowly.
@@ -54,7 +75,7 @@
 }
 
 /// All kinds of faults.
-pub(super) const ALL_FAULTS: [Fault; 17] = [
+pub(super) const ALL_FAULTS: [Fault; 18] = [
     Fault::None,
     Fault::Kill(Process::Entry),
     Fault::Kill(Process::Agent),
@@ -68,6 +89,7 @@
     Fault::HoldOut,
     Fault::HoldBack,
     Fault::DelayOut,
+    Fault::CrashingMessage,
     Fault::PlatformDown,
     Fault::PlatformSlow,
     Fault::LostAnswers,
@@ -91,6 +113,7 @@
             Self::HoldOut => "hold_out",
             Self::HoldBack => "hold_back",
             Self::DelayOut => "delay_out",
+            Self::CrashingMessage => "crashing_message",
             Self::PlatformDown => "platform_down",
             Self::PlatformSlow => "platform_slow",
             Self::LostAnswers => "lost_answers",
@@ -98,16 +121,23 @@
         }
     }
 
-    /// Injects the fault and clears it. Returns how many nodes interrupted a call in a graceful
-    /// stop or exited with an error.
-    pub(super) async fn inject(self, deployment: &mut RelayedFleet, rng: &mut Rng) -> Result<u64> {
+    /// Injects the fault and clears it.
+    pub(super) async fn inject(
+        self,
+        deployment: &mut RelayedFleet,
+        rng: &mut Rng,
+    ) -> Result<FaultResult> {
+        let mut result = FaultResult::default();
         let duration = Millis(rng.random_range(0..FAULT_MS_MAX));
         let agent = rng.random_range(0..deployment.fleet.agents.len());
         match self {
             Self::None => {}
             Self::Kill(process) => kill(deployment, process, agent, rng).await?,
             Self::Freeze(process) => freeze(deployment, process, agent, duration, rng).await?,
-            Self::Stop(process) => return stop(deployment, process, agent, rng).await,
+            Self::Stop(process) => {
+                result.interrupted_nodes = stop(deployment, process, agent, rng).await?;
+            }
+            Self::CrashingMessage => result.crashed_engines = crash_engines(deployment).await?,
             Self::Cut => deployment.relays[agent].close_connections(),
             Self::HoldOut | Self::HoldBack => {
                 let relay = &deployment.relays[agent];
@@ -132,7 +162,7 @@
                 self.inject_platform(deployment, duration, rng).await?;
             }
         }
-        Ok(0)
+        Ok(result)
     }
 
     /// Injects a platform fault for a while, then clears all platform faults.
@@ -156,6 +186,34 @@
     }
 }
 
+/// Makes a message crash engines, starts those that crash again, and returns how many crashed.
+async fn crash_engines(deployment: &mut RelayedFleet) -> Result<u64> {
+    let fleet = &mut deployment.fleet;
+    let faults = json!({"crash_on": CRASHING_MESSAGE});
+    let engines = PLAIN_UPSTREAMS..fleet.upstreams.len();
+    for engine in engines.clone() {
+        fleet.set_faults(&fleet.upstreams[engine], &faults).await?;
+    }
+    let clock = Clock::start();
+    let mut crashed = 0;
+    while clock.now() < CRASHING_TIME {
+        for engine in engines.clone() {
+            if fleet.upstreams[engine].has_exited()? {
+                crashed += 1;
+                fleet.restart_upstream(engine).await?;
+                fleet.set_faults(&fleet.upstreams[engine], &faults).await?;
+            }
+        }
+        tokio::time::sleep(CRASH_POLL_INTERVAL.duration()).await;
+    }
+    for engine in engines {
+        fleet
+            .set_faults(&fleet.upstreams[engine], &json!({}))
+            .await?;
+    }
+    Ok(crashed)
+}
+
 async fn kill(
     deployment: &mut RelayedFleet,
     process: Process,
--- a/trials/src/outcomes/rounds.rs
+++ b/trials/src/outcomes/rounds.rs
@@ -13,7 +13,7 @@
 
 use super::Options;
 use super::deployment::{KEYED_PATH, MODEL, PLAIN_PATH, PLAIN_UPSTREAMS, RelayedFleet, start};
-use super::faults::{ALL_FAULTS, Fault, Process};
+use super::faults::{ALL_FAULTS, Fault, FaultResult, Process};
 use super::violations::{RunCounts, find_violations};
 
 /// The calls of a round, not counting copies.
@@ -63,6 +63,8 @@
     /// Nodes that interrupted calls in a graceful stop, and calls of unknown outcome in such
     /// rounds.
     cut_by_shutdown: u64,
+    /// The most engines that a message crashed in one round.
+    crashed_engines: u64,
     /// Calls whose callers left without an answer.
     left: u64,
     /// Calls of unknown outcome by `fault/reason`.
@@ -100,9 +102,9 @@
         delay_plain_services(&deployment).await?;
         let fault_start = Millis(rng.random_range(0..FAULT_START_MS_MAX));
         tokio::time::sleep(fault_start.duration()).await;
-        let interrupted_nodes = fault.inject(&mut deployment, &mut rng).await?;
+        let result = fault.inject(&mut deployment, &mut rng).await?;
         delay_plain_services(&deployment).await?;
-        totals.add(fault, interrupted_nodes, load.await??);
+        totals.add(fault, result, load.await??);
         deployment.fleet.wait_ready().await?;
         tokio::time::sleep(SETTLE_TIME.duration()).await;
     }
@@ -128,7 +130,7 @@
         "cut_answers": totals.cut_answers, "wrong_owner": totals.wrong_owner,
         "cut_by_shutdown": totals.cut_by_shutdown,
         "wrong": totals.wrong, "answered_never_ran": violations.never_ran.len(),
-        "left": totals.left, "late": violations.late.len(),
+        "crashed_by_message": totals.crashed_engines, "left": totals.left, "late": violations.late.len(),
         "unknown_by_cause": totals.unknown_causes, "not_run_by_reason": totals.not_run_reasons,
         "keyed": keyed,
         "platform_writes_per_keyed": per_keyed(counts_after.writes - counts_before.writes),
@@ -144,7 +146,8 @@
 }
 
 impl Totals {
-    fn add(&mut self, fault: Fault, interrupted_nodes: u64, report: Report) {
+    fn add(&mut self, fault: Fault, result: FaultResult, report: Report) {
+        self.crashed_engines = self.crashed_engines.max(result.crashed_engines);
         self.requests += report.sent;
         self.answered += report.answered;
         self.not_run += report.not_run;
@@ -152,7 +155,7 @@
         self.wrong += report.wrong;
         self.cut_answers += report.cut;
         self.wrong_owner += report.wrong_owner;
-        self.cut_by_shutdown += interrupted_nodes;
+        self.cut_by_shutdown += result.interrupted_nodes;
         // Nothing else fails in a round with a graceful stop, so the stop interrupted every call of
         // unknown outcome.
         if matches!(fault, Fault::Stop(_)) {
