Hold back a message that was answered before, for ten seconds at a time

Cause: entries left alone what had ever been answered; a message that begins to crash engines went on doing so. Change: such a part is held back for ten seconds (retest_interval), and again at the next crash unless it was answered.

--- a/crates/decisions/src/scheduler/attempt_end.rs
+++ b/crates/decisions/src/scheduler/attempt_end.rs
@@ -191,11 +191,8 @@
         // Of several attempts with the same digest, the one sent last counts.
         attempts.sort_unstable_by(|a, b| b.cmp(a));
         attempts.dedup_by_key(|attempt| attempt.request);
-        for digest in self.suspects.record_crash(now, attempts) {
-            effects.push(Effect::Quarantine {
-                digest,
-                remaining: self.settings.quarantine.duration,
-            });
+        for (digest, remaining) in self.suspects.record_crash(now, attempts) {
+            effects.push(Effect::Quarantine { digest, remaining });
             self.give_up_quarantined(now, effects);
         }
         self.eject(now, index);
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -208,6 +208,8 @@
 pub struct QuarantineSettings {
     /// How long a digest stays in quarantine.
     pub duration: Millis,
+    /// How long a part of a prompt that has been answered before stays in quarantine.
+    pub retest_interval: Millis,
     /// How long a digest stays a suspect after its first crash.
     pub suspect_ttl: Millis,
     /// The maximum number of suspect digests, and of digests in quarantine.
@@ -218,6 +220,7 @@
     fn default() -> Self {
         Self {
             duration: Millis(600_000),
+            retest_interval: Millis(10_000),
             suspect_ttl: Millis(120_000),
             digests_max: 4_096,
         }
--- a/crates/decisions/src/suspects.rs
+++ b/crates/decisions/src/suspects.rs
@@ -70,12 +70,13 @@
         (until > now).then(|| until.since(now))
     }
 
-    /// Records the attempts that were in flight at a crash; returns what has to be put in quarantine.
+    /// Records the attempts that were in flight at a crash; returns what has to be put in quarantine, and
+    /// for how long.
     pub(crate) fn record_crash(
         &mut self,
         now: Millis,
         attempts: Vec<CrashedAttempt>,
-    ) -> Vec<Digest> {
+    ) -> Vec<(Digest, Millis)> {
         self.crashes += 1;
         let crash: Arc<str> = Arc::from(self.crashes.to_string());
         for attempt in attempts {
@@ -93,17 +94,24 @@
             let name = Arc::from(format!("{crash}-{}", attempt.request));
             self.finder.add(now, name, evidence);
         }
-        let quarantined = &self.quarantined_until;
-        let culprits = self.finder.culprits().iter();
-        let found = culprits.filter_map(most_specific);
-        let new: Vec<Digest> = found
-            .filter(|digest| !quarantined.contains_key(digest))
-            .collect();
-        for digest in &new {
-            self.quarantine_until(*digest, now + self.settings.duration);
+        let (settings, quarantined) = (&self.settings, &self.quarantined_until);
+        let sentence = |culprit: &Culprit| {
+            let digest = culprit.most_specific()?;
+            let is_held = quarantined.get(&digest).is_some_and(|until| *until > now);
+            // What has been answered before can hardly be at fault, and is tried again soon.
+            let duration = match culprit.answered {
+                true => settings.retest_interval,
+                false => settings.duration,
+            };
+            (!is_held).then_some((digest, duration))
+        };
+        let found: Vec<(Digest, Millis)> =
+            self.finder.culprits().iter().filter_map(sentence).collect();
+        for (digest, duration) in &found {
+            self.quarantine_until(*digest, now + *duration);
             self.suspected_at.remove(digest);
         }
-        new
+        found
     }
 
     fn suspect(&mut self, now: Millis, request: Digest) {
@@ -160,15 +168,6 @@
     }
 }
 
-/// Returns the digest by which a culprit is held back: that of the request, or else of the part that
-/// comes last in the prompt. What has been answered before is not held back.
-fn most_specific(culprit: &Culprit) -> Option<Digest> {
-    if culprit.answered {
-        return None;
-    }
-    culprit.most_specific()
-}
-
 /// Removes the entry with the earliest time if the map is full.
 fn evict_earliest(map: &mut Map<Digest, Millis>, max: usize) {
     if map.len() < max {
--- a/crates/decisions/tests/balancer/quarantine.rs
+++ b/crates/decisions/tests/balancer/quarantine.rs
@@ -285,3 +285,46 @@
     let effects = driver.arrive_with(|arrival| arrival.parts = vec![route, digest(1_003)]);
     assert_eq!(sent(&effects).len(), 1);
 }
+
+#[test]
+fn quarantine_of_a_part_that_was_answered_before_is_short() {
+    let mut driver = Driver::with_upstreams(12, |settings| settings.attempts_max = 1);
+    let part = digest(1_001);
+    let arrive =
+        |driver: &mut Driver| sent_to(&driver.arrive_with(|arrival| arrival.parts = vec![part]));
+    arrive(&mut driver).unwrap();
+    driver.complete(1);
+    let mut found = Vec::new();
+    for _ in 0..4 {
+        let crashing = arrive(&mut driver).unwrap();
+        driver.now += 100;
+        found.extend(
+            crash(&mut driver, crashing)
+                .into_iter()
+                .filter_map(|effect| match effect {
+                    Effect::Quarantine { digest, remaining } => Some((digest, remaining)),
+                    _ => None,
+                }),
+        );
+    }
+    assert_eq!(found, [(part, Millis(10_000))]);
+    assert_eq!(arrive(&mut driver), None);
+    driver.now += 10_000;
+    let crashing = arrive(&mut driver).unwrap();
+    driver.now += 100;
+    assert_eq!(
+        quarantined(&crash(&mut driver, crashing)),
+        1,
+        "at the next crash"
+    );
+    driver.now += 10_000;
+    arrive(&mut driver).unwrap();
+    let request = *driver.in_flight.keys().next().unwrap();
+    driver.complete(request);
+    let crashing = arrive(&mut driver).unwrap();
+    assert_eq!(
+        quarantined(&crash(&mut driver, crashing)),
+        0,
+        "it has been answered"
+    );
+}
