BUDGET: log refused retries, what is left of the budget and how many share it

Cause: the logs tell granted retries only, so that a budget that is too large for all gateways together (a wrong number of gateways) cannot be told from one that was spent before a restart. Change: `again` has the fields `budget` and `gateways`; a retry that the budget does not allow is logged as `retry_refused` and counted in sardinepin_retries_refused_total. Measured: the test of a retry beyond the budget passes; 48 tests of the gateway's path pass.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -20,7 +20,7 @@
 pub use caller_timeouts::CallerTimeouts;
 pub use crashes::{Crash, CrashRecords, CrashedAttempt};
 pub use policy::Policy;
-pub use retry_budget::{BudgetSettings, RetryBudget};
+pub use retry_budget::{BudgetSettings, BudgetStatus, RetryBudget};
 pub use upstream_set::{
     AttemptEnd, GroupMembers, LoadReport, Needs, UpstreamCounts, UpstreamHealth, UpstreamId,
     UpstreamSet, UpstreamState,
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -10,7 +10,7 @@
 
 use crate::direct::policy::Policy;
 use crate::direct::queue::{QueuedRequest, RequestQueue};
-use crate::direct::retry_budget::{BudgetSettings, RetryBudget};
+use crate::direct::retry_budget::{BudgetSettings, BudgetStatus, RetryBudget};
 use crate::direct::returns::{Returns, overload_delay};
 use crate::direct::upstream_set::{
     AttemptEnd, LoadReport, Needs, UpstreamCounts, UpstreamId, UpstreamSet,
@@ -154,6 +154,12 @@
         budget.try_take(now, &self.settings.retry_budget)
     }
 
+    /// Returns what is left of the retry budget of a service.
+    pub fn retry_budget(&mut self, now: Millis, service: &Arc<str>) -> BudgetStatus {
+        let budget = self.budgets.entry(Arc::clone(service)).or_default();
+        budget.status(now, &self.settings.retry_budget)
+    }
+
     /// Decides on a new request; `None` means that it is queued.
     pub fn place(&mut self, now: Millis, request: PlacementRequest) -> Option<Decision> {
         if now >= request.deadline {
--- a/crates/decisions/src/direct/retry_budget.rs
+++ b/crates/decisions/src/direct/retry_budget.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// What is left of a budget, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetStatus {
+    /// The retries that may still be made now.
+    pub remaining: f64,
+    /// How many gateways the shared part is divided by; `None` if that is unknown.
+    pub gateways: Option<f64>,
+}
+
 /// The times of the requests and retries within the last window.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -62,15 +71,24 @@
         }
     }
 
-    /// Returns whether the budget allows a retry, without using it.
-    pub fn has_retry(&mut self, now: Millis, settings: &BudgetSettings) -> bool {
+    /// Returns what is left of the budget.
+    pub fn status(&mut self, now: Millis, settings: &BudgetSettings) -> BudgetStatus {
         expire(&mut self.requests, now, settings.window);
         expire(&mut self.retries, now, settings.window);
-        let slack = self.gateways.map_or(settings.own_slack, |(_, gateways)| {
+        let gateways = self.gateways.map(|(_, gateways)| gateways);
+        let slack = gateways.map_or(settings.own_slack, |gateways| {
             settings.shared_slack / gateways.max(1.0)
         });
         let allowed = settings.ratio * self.requests.len() as f64 + slack;
-        self.retries.len() as f64 + 1.0 <= allowed
+        BudgetStatus {
+            remaining: allowed - self.retries.len() as f64,
+            gateways,
+        }
+    }
+
+    /// Returns whether the budget allows a retry, without using it.
+    pub fn has_retry(&mut self, now: Millis, settings: &BudgetSettings) -> bool {
+        self.status(now, settings).remaining >= 1.0
     }
 
     /// Counts a retry if the budget allows one; returns whether it does.
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -143,14 +143,26 @@
             || self
                 .dispatcher
                 .with_balancer(|balancer, now| balancer.take_retry(now, &call.service));
+        let budget = self
+            .dispatcher
+            .with_balancer(|balancer, now| balancer.retry_budget(now, &call.service));
         if granted {
             request_metrics::count_retry(failure);
             log::info!(
                 event = "again", request = call.id_text(), service = &*call.service,
                 upstream = self.last_upstream(attempts).as_deref(), reason = failure.label(),
-                sent = attempts.sent, left_ms = time_left.0;
+                sent = attempts.sent, left_ms = time_left.0, budget = budget.remaining,
+                gateways = budget.gateways;
                 "request is retried at another upstream"
             );
+        } else {
+            request_metrics::count_refused_retry(call);
+            log::info!(
+                event = "retry_refused", request = call.id_text(), service = &*call.service,
+                reason = failure.label(), sent = attempts.sent, budget = budget.remaining,
+                gateways = budget.gateways;
+                "no retry is left in the budget of the service"
+            );
         }
         granted
     }
--- a/crates/gateway/src/request_metrics.rs
+++ b/crates/gateway/src/request_metrics.rs
@@ -105,6 +105,12 @@
     metrics::counter!("sardinepin_retries_total", "reason" => failure.label()).increment(1);
 }
 
+/// Counts a retry that the budget of the service did not allow.
+pub(crate) fn count_refused_retry(call: &Call) {
+    let service = Arc::clone(&call.service);
+    metrics::counter!("sardinepin_retries_refused_total", "service" => service).increment(1);
+}
+
 /// Records a latency of a request.
 pub(crate) fn record_latency(call: &Call, latency: Latency, duration: Millis) {
     let service = Arc::clone(&call.service);
--- a/crates/gateway/tests/path/records.rs
+++ b/crates/gateway/tests/path/records.rs
@@ -6,7 +6,9 @@
 use log::kv::{Key, VisitSource};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use sardinepin_common::Millis;
-use sardinepin_gateway::{AttemptFailure, GroupMembership, RequestOutcome, RunningGateway, start};
+use sardinepin_gateway::{
+    AttemptFailure, BudgetSettings, GroupMembership, RequestOutcome, RunningGateway, start,
+};
 use sardinepin_protocol::ErrorKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -214,6 +216,36 @@
     }
 }
 
+#[tokio::test]
+async fn a_retry_beyond_the_budget_is_logged_and_counted() {
+    metrics_handle();
+    let upstream = ScriptedUpstream::start("bad", vec![vec![Step::Close]]).await;
+    let other = ScriptedUpstream::start("other", vec![vec![Step::Close]]).await;
+    let mut settings = settings();
+    settings.balancer.retry_budget = BudgetSettings {
+        ratio: 0.0,
+        shared_slack: 0.0,
+        own_slack: 0.0,
+        ..BudgetSettings::default()
+    };
+    let store = FakeStore::default();
+    store.set_manifest(manifest(1));
+    store.set_upstreams(vec![upstream.spec.clone(), other.spec.clone()]);
+    let running = start(settings, Arc::new(store)).await.unwrap();
+    wait_for(async || is_ready(&running).await).await;
+    send_raw(
+        running.caller_address(),
+        &request("/safe/a", "no-budget", ""),
+    )
+    .await;
+    assert!(is_logged("retry_refused", "no-budget"));
+    assert!(is_counted(
+        "sardinepin_retries_refused_total",
+        "service=\"app\""
+    ));
+    assert_eq!(upstream.count() + other.count(), 1);
+}
+
 #[tokio::test]
 async fn each_refusal_is_counted_by_its_reason() {
     metrics_handle();
