BUDGET: tests that fail, and a simulation of senders that share the budget

Three mutants show that the check notices a budget that is not charged, charged half, or not divided.

--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -2,6 +2,7 @@
 
 mod state;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -55,7 +56,8 @@
     all: Vec<UpstreamId>,
     /// Upstreams without a group.
     plain: Vec<UpstreamId>,
-    groups: Map<Arc<str>, Vec<UpstreamId>>,
+    /// The members of each group, in an order that does not differ between processes.
+    groups: BTreeMap<Arc<str>, Vec<UpstreamId>>,
 }
 
 /// What a request needs of the upstream that it is sent to.
--- a/crates/decisions/tests/direct.rs
+++ b/crates/decisions/tests/direct.rs
@@ -486,6 +486,34 @@
     }
 }
 
+/// A gateway that restarts has forgotten what it spent, but its upstreams have not.
+#[test]
+fn retries_of_two_incarnations_do_not_exceed_the_budget_of_one_window() {
+    let settings = BudgetSettings {
+        ratio: 0.18,
+        shared_slack: 9.0,
+        window: Millis(10_000),
+        ..BudgetSettings::default()
+    };
+    let mut retries = 0;
+    for incarnation in 0..2 {
+        let mut budget = RetryBudget::default();
+        budget.record_gateways(NOW, 1.0);
+        let began = NOW + Millis(incarnation * 10_000);
+        for request in 0..1_000 {
+            budget.record_request(began + Millis(request * 9), &settings);
+        }
+        // The first incarnation spends everything at the end of its window, the second at the end of
+        // the next one, and both times lie in one window.
+        let spent_at = began + Millis(9_500 - incarnation * 1_000);
+        retries += (0..1_000)
+            .filter(|_| budget.try_take(spent_at, &settings))
+            .count();
+    }
+    let allowed = 0.2 * 1_000.0 + 10.0;
+    assert!((retries as f64) <= allowed, "{retries} of {allowed}");
+}
+
 #[test]
 fn a_partition_that_hides_gateways_does_not_raise_the_retry_budget() {
     let settings = BudgetSettings {
--- /dev/null
+++ b/trials/src/bounds/day.rs
@@ -0,0 +1,122 @@
+//! The figures of a simulated day and its disturbances.
+
+use rand::Rng as _;
+use sardinepin_common::{Millis, Rng, seeded_rng};
+
+use crate::bounds::disturbance::{Disturbance, Kind};
+use crate::bounds::mutant::Mutant;
+
+/// The settings of a simulated day.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DaySettings {
+    pub(super) seed: u64,
+    pub(super) senders: usize,
+    pub(super) mutant: Mutant,
+    /// How long callers send.
+    pub(super) length: Millis,
+}
+
+impl Default for DaySettings {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            senders: 32,
+            mutant: Mutant::None,
+            length: Millis(20_000),
+        }
+    }
+}
+
+/// A simulated deployment and what goes wrong there.
+#[derive(Debug, Clone)]
+pub(super) struct Day {
+    /// The number of rank groups.
+    pub(super) groups: usize,
+    /// The number of ranks of a group.
+    pub(super) ranks: usize,
+    /// Whether the ranks of a group are spread over the availability zones.
+    pub(super) spread: bool,
+    /// The requests of all callers in a second.
+    pub(super) rate: f64,
+    /// The most upstreams that one request is sent to.
+    pub(super) attempts_max: u32,
+    /// What goes wrong, in order.
+    pub(super) disturbances: Vec<Disturbance>,
+}
+
+/// The time from the start of the senders until callers begin to send.
+pub(super) const LEAD_TIME: Millis = Millis(6_000);
+
+/// The number of disturbances of a day.
+const DISTURBANCES: std::ops::RangeInclusive<usize> = 4..=9;
+
+/// The shortest and the longest disturbance, in milliseconds.
+const DURATION_MS: std::ops::Range<u64> = 400..5_000;
+
+/// How long a process that lost power takes to start again.
+const POWER_LOSS: Millis = Millis(300);
+
+impl Day {
+    /// Draws a day from the seed.
+    pub(super) fn draw(settings: &DaySettings) -> Self {
+        let mut rng = seeded_rng(settings.seed);
+        let (groups, ranks, rate) = match settings.senders {
+            0..=12 => (1, 12, 64.0),
+            13..=100 => (3, 24, 300.0),
+            _ => (8, 32, 1_700.0),
+        };
+        let mut disturbances = Self::draw_disturbances(&mut rng, settings.length);
+        if rng.random_bool(0.5) {
+            disturbances.extend(power_losses(&mut rng, settings.length));
+        }
+        disturbances.sort_by_key(|one| one.from);
+        Self {
+            groups,
+            ranks,
+            spread: rng.random_bool(0.5),
+            rate: rate * rng.random_range(0.8..1.6),
+            attempts_max: rng.random_range(2..=3),
+            disturbances,
+        }
+    }
+
+    fn draw_disturbances(rng: &mut Rng, length: Millis) -> Vec<Disturbance> {
+        let count = rng.random_range(DISTURBANCES);
+        let draw = |_| {
+            let from = LEAD_TIME + Millis(rng.random_range(length.0 / 10..length.0 * 9 / 10));
+            Disturbance {
+                kind: Kind::draw(rng),
+                from,
+                until: from + Millis(rng.random_range(DURATION_MS)),
+                offset: rng.random_range(0..10_000),
+            }
+        };
+        (0..count).map(draw).collect()
+    }
+}
+
+/// Calm seconds, then answers that are lost while most senders lose power once or twice.
+fn power_losses(rng: &mut Rng, length: Millis) -> Vec<Disturbance> {
+    let from = LEAD_TIME + Millis(length.0 * 9 / 20);
+    let mut series = vec![Disturbance {
+        kind: Kind::LoseAnswers {
+            share: rng.random_range(0.4..0.9),
+        },
+        from,
+        until: LEAD_TIME + length,
+        offset: 0,
+    }];
+    let mut at = from + Millis(rng.random_range(1_000..3_500));
+    for _ in 0..rng.random_range(1..=2) {
+        series.push(Disturbance {
+            kind: Kind::Restart {
+                share: rng.random_range(0.7..1.0),
+            },
+            from: at,
+            until: at + POWER_LOSS,
+            offset: rng.random_range(0..10_000),
+        });
+        at = at + Millis(rng.random_range(2_500..4_500));
+    }
+    series
+}
--- /dev/null
+++ b/trials/src/bounds/mutant.rs
@@ -0,0 +1,40 @@
+//! Safeguards that can be left out, to show that the checks notice it.
+
+/// A change to a sender or an agent that breaks the bound.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Mutant {
+    /// No change.
+    #[default]
+    None,
+    /// Retries are never charged.
+    NeverCharged,
+    /// Of two retries one is charged.
+    HalfCharged,
+    /// Each sender takes itself for the only one.
+    ShareNotDivided,
+}
+
+impl Mutant {
+    /// All mutants, and none.
+    pub(super) const ALL: [Self; 4] = [
+        Self::None,
+        Self::NeverCharged,
+        Self::HalfCharged,
+        Self::ShareNotDivided,
+    ];
+
+    /// Returns the name on the command line.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::NeverCharged => "never_charged",
+            Self::HalfCharged => "half_charged",
+            Self::ShareNotDivided => "share_not_divided",
+        }
+    }
+
+    /// Returns the mutant of a name.
+    pub(super) fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|mutant| mutant.name() == name)
+    }
+}
--- /dev/null
+++ b/trials/src/bounds/sender.rs
@@ -0,0 +1,308 @@
+//! A sender: the product's balancer, and the order in which a gateway asks it.
+
+use std::sync::Arc;
+
+use sardinepin_common::{Map, Millis};
+use sardinepin_decisions::direct::{
+    AttemptEnd, Balancer, BalancerSettings, BudgetSettings, Decision, PlacementRequest,
+    QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
+};
+use sardinepin_protocol::GroupLoad;
+
+use crate::bounds::budget_check::BudgetRule;
+use crate::bounds::mutant::Mutant;
+use crate::bounds::record::RequestId;
+use crate::bounds::upstreams::{RunEnd, SERVICE, zone_name};
+
+/// The minimum time left before the deadline for a retry.
+const RETRY_MIN_LEFT: Millis = Millis(50);
+
+/// The response time within which a request is of full use.
+const LATENCY_OBJECTIVE: Millis = Millis(500);
+
+/// The part of the rule's ratio that gateways use.
+const RATIO_SHARE: f64 = 0.9;
+
+/// The part of the rule's slack that gateways use.
+const SLACK_SHARE: f64 = 0.5;
+
+/// How an attempt ended, as a sender sees it; ordered for the event queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Outcome {
+    /// The upstream said how.
+    Run(RunEnd),
+    /// No connection could be opened.
+    NotSent,
+    /// The group stalled while another had capacity.
+    Stalled,
+}
+
+/// What a sender does about a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Action {
+    /// Sends it to the upstream at this position.
+    Send {
+        request: RequestId,
+        attempt: u64,
+        upstream: usize,
+    },
+    /// Refuses it.
+    Refuse {
+        request: RequestId,
+        retry_after: Millis,
+    },
+    /// Gives its caller an answer.
+    Answer,
+}
+
+/// A request in progress.
+#[derive(Debug)]
+struct Open {
+    request: RequestId,
+    deadline: Millis,
+    tried: Vec<UpstreamId>,
+    /// The number of upstreams that it was sent to.
+    sent: u32,
+    /// The number of the current attempt; 0 while it waits.
+    attempt: u64,
+}
+
+/// A sender.
+#[derive(Debug)]
+pub(super) struct Sender {
+    balancer: Balancer,
+    attempts_max: u32,
+    mutant: Mutant,
+    open: Map<RequestNumber, Open>,
+    /// The requests by their current attempts.
+    attempts: Map<u64, RequestNumber>,
+    next_number: u64,
+    next_attempt: u64,
+    /// The retries granted so far.
+    retries: u64,
+}
+
+/// What a sender is made from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SenderSettings {
+    pub(super) zone: usize,
+    pub(super) seed: u64,
+    pub(super) attempts_max: u32,
+    pub(super) mutant: Mutant,
+}
+
+impl Sender {
+    /// Starts a sender that knows the list of upstreams.
+    pub(super) fn start(now: Millis, settings: SenderSettings, specs: &[UpstreamSpec]) -> Self {
+        let rule = BudgetRule::default();
+        let mut balancer = Balancer::new(BalancerSettings {
+            zone: zone_name(settings.zone).to_string(),
+            seed: settings.seed,
+            retry_budget: BudgetSettings {
+                ratio: rule.ratio * RATIO_SHARE,
+                shared_slack: rule.slack * SLACK_SHARE,
+                window: rule.window,
+                ..BudgetSettings::default()
+            },
+            ..BalancerSettings::default()
+        });
+        balancer.replace_upstreams(now, specs);
+        Self {
+            balancer,
+            attempts_max: settings.attempts_max,
+            mutant: settings.mutant,
+            open: Map::default(),
+            attempts: Map::default(),
+            next_number: 0,
+            next_attempt: 0,
+            retries: 0,
+        }
+    }
+
+    /// Handles a request of a caller.
+    pub(super) fn handle_request(
+        &mut self,
+        now: Millis,
+        request: RequestId,
+        deadline: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        self.balancer.record_request(now, &Arc::from(SERVICE));
+        self.next_number += 1;
+        let number = RequestNumber(self.next_number);
+        let open = Open {
+            request,
+            deadline,
+            tried: Vec::new(),
+            sent: 0,
+            attempt: 0,
+        };
+        self.open.insert(number, open);
+        self.place(now, number, actions);
+    }
+
+    fn place(&mut self, now: Millis, number: RequestNumber, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&number) else {
+            return;
+        };
+        let request = PlacementRequest {
+            number,
+            service: Arc::from(SERVICE),
+            priority: 1,
+            latency_objective: LATENCY_OBJECTIVE,
+            deadline: open.deadline,
+            tried: open.tried.clone(),
+            returning: false,
+        };
+        if let Some(decision) = self.balancer.place(now, request) {
+            self.carry_out(number, decision, actions);
+        }
+    }
+
+    fn carry_out(&mut self, number: RequestNumber, decision: Decision, actions: &mut Vec<Action>) {
+        match decision {
+            Decision::Send(id) => {
+                let Some(open) = self.open.get_mut(&number) else {
+                    return;
+                };
+                self.next_attempt += 1;
+                open.attempt = self.next_attempt;
+                open.tried.push(id);
+                open.sent += 1;
+                self.attempts.insert(open.attempt, number);
+                actions.push(Action::Send {
+                    request: open.request,
+                    attempt: open.attempt,
+                    upstream: id.0 as usize,
+                });
+            }
+            Decision::Refuse { retry_after, .. } => {
+                if let Some(open) = self.open.remove(&number) {
+                    actions.push(Action::Refuse {
+                        request: open.request,
+                        retry_after,
+                    });
+                }
+            }
+        }
+    }
+
+    fn carry_out_all(&mut self, decisions: Vec<QueueDecision>, actions: &mut Vec<Action>) {
+        for entry in decisions {
+            self.carry_out(entry.number, entry.decision, actions);
+        }
+    }
+
+    /// Handles the end of an attempt, unless it has ended before.
+    pub(super) fn handle_end(
+        &mut self,
+        now: Millis,
+        attempt: u64,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(number) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        let Some(open) = self.open.get_mut(&number) else {
+            return;
+        };
+        open.attempt = 0;
+        if outcome == Outcome::NotSent {
+            open.sent -= 1;
+        }
+        let id = open.tried.last().copied().unwrap_or(UpstreamId(0));
+        if outcome == Outcome::Run(RunEnd::Served) {
+            self.balancer.record_progress(now, id);
+        }
+        let decisions = self.balancer.record_end(now, id, attempt_end(outcome));
+        self.carry_out_all(decisions, actions);
+        if outcome == Outcome::Run(RunEnd::Served) {
+            self.open.remove(&number);
+            actions.push(Action::Answer);
+            return;
+        }
+        if self.try_retry(now, number, outcome) {
+            self.place(now, number, actions);
+        } else if let Some(open) = self.open.remove(&number) {
+            actions.push(Action::Refuse {
+                request: open.request,
+                retry_after: self.balancer.retry_delay(now, open.deadline),
+            });
+        }
+    }
+
+    /// Returns whether a request is retried, and charges the retry.
+    fn try_retry(&mut self, now: Millis, number: RequestNumber, outcome: Outcome) -> bool {
+        let Some(open) = self.open.get(&number) else {
+            return false;
+        };
+        if open.deadline.since(now) < RETRY_MIN_LEFT || open.sent >= self.attempts_max {
+            return false;
+        }
+        if outcome == Outcome::NotSent {
+            return true;
+        }
+        let charged = match self.mutant {
+            Mutant::NeverCharged => false,
+            Mutant::HalfCharged => self.retries.is_multiple_of(2),
+            Mutant::None | Mutant::ShareNotDivided => true,
+        };
+        self.retries += 1;
+        !charged || self.balancer.take_retry(now, &Arc::from(SERVICE))
+    }
+
+    /// Records that an upstream has begun to answer.
+    pub(super) fn record_progress(&mut self, now: Millis, upstream: usize) {
+        self.balancer
+            .record_progress(now, UpstreamId(upstream as u32));
+    }
+
+    /// Records a report of the load of a group.
+    pub(super) fn record_report(
+        &mut self,
+        now: Millis,
+        load: &GroupLoad,
+        actions: &mut Vec<Action>,
+    ) {
+        let decisions = self.balancer.record_group_load(now, load);
+        self.carry_out_all(decisions, actions);
+    }
+
+    /// Looks after queued requests.
+    pub(super) fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let decisions = self.balancer.process_queues(now);
+        self.carry_out_all(decisions, actions);
+    }
+
+    /// Moves attempts away from groups that have stalled.
+    pub(super) fn move_stalled(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let mut waiting: Vec<u64> = self.attempts.keys().copied().collect();
+        waiting.sort_unstable();
+        for attempt in waiting {
+            let open = self
+                .attempts
+                .get(&attempt)
+                .and_then(|number| self.open.get(number));
+            let Some(open) = open else { continue };
+            let may_move = open.sent < self.attempts_max;
+            let Some(id) = open.tried.last().copied().filter(|_| may_move) else {
+                continue;
+            };
+            if self.balancer.should_move(now, id) {
+                self.handle_end(now, attempt, Outcome::Stalled, actions);
+            }
+        }
+    }
+}
+
+fn attempt_end(outcome: Outcome) -> AttemptEnd {
+    match outcome {
+        Outcome::Run(RunEnd::Served) => AttemptEnd::Served,
+        Outcome::Run(RunEnd::Rejected) => AttemptEnd::Rejected,
+        Outcome::Run(RunEnd::GroupBroken) => AttemptEnd::GroupBroken,
+        Outcome::Run(RunEnd::Broken) => AttemptEnd::Failed,
+        Outcome::NotSent => AttemptEnd::Unreachable,
+        Outcome::Stalled => AttemptEnd::Abandoned,
+    }
+}
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the load balancer. Each trial is a subcommand that prints JSON lines.
 
 mod arguments;
+mod bounds;
 mod control;
 mod decide;
 mod demo;
@@ -45,6 +46,10 @@
 
 fn trials() -> Vec<Trial> {
     vec![
+        Trial {
+            command: bounds::command(),
+            run: bounds::run,
+        },
         Trial {
             command: control::command(),
             run: control::run,
