Crashes: a retry sent in the millisecond of the crash before counts

A crash is told by the wall clock less the time since it was seen, each in whole milliseconds, so that a retry sent within that millisecond may seem to have been sent before the crash, and its own crash does not count. Change: readings that differ by a millisecond count as the same moment.

--- a/crates/decisions/src/culprits/case.rs
+++ b/crates/decisions/src/culprits/case.rs
@@ -96,6 +96,9 @@
     }
 }
 
+/// How far apart two readings of the same moment may lie: each is told by two clocks that count whole milliseconds.
+const CLOCK_ROUNDING: Millis = Millis(1);
+
 /// Returns the longest series of crashes of which each hit a request sent after the one before.
 ///
 /// The loss of several upstreams at once is no evidence against what many callers send at that moment.
@@ -103,8 +106,9 @@
     evidence.sort_unstable_by_key(|one| (one.crashed_at, Reverse(one.sent_at)));
     let mut series: Vec<&CrashEvidence> = Vec::new();
     for one in evidence {
-        let follows =
-            |last: &&CrashEvidence| one.sent_at >= last.crashed_at && one.crash != last.crash;
+        let follows = |last: &&CrashEvidence| {
+            one.sent_at + CLOCK_ROUNDING >= last.crashed_at && one.crash != last.crash
+        };
         if series.last().is_none_or(follows) {
             series.push(one);
         }
--- a/crates/gateway/tests/path/crashes.rs
+++ b/crates/gateway/tests/path/crashes.rs
@@ -83,6 +83,31 @@
     .await;
 }
 
+/// A retry is often sent within the millisecond in which the crash before was seen; the time of that crash is told by the
+/// wall clock, and both clocks are read in whole milliseconds.
+#[test]
+fn a_retry_sent_in_the_millisecond_of_the_crash_before_counts() {
+    let request = Digest::of(&[b"poison"]);
+    let mut crashes = CrashRecords::default();
+    // Seen at 100.1 ms of the process, when the wall clock read 5,001.75; the retry was sent at 100.9 and broke off at 103.95.
+    let seen = [
+        ("a", Millis(100), Millis(5_001), Millis(1)),
+        ("b", Millis(103), Millis(5_003), Millis(3)),
+        ("c", Millis(200), Millis(5_100), Millis(3)),
+    ];
+    for (upstream, now, wall_now, age) in seen {
+        let attempt = CrashedAttempt {
+            traits: traits(request),
+            upstream: &Arc::from(upstream),
+            started_at: 1,
+            age,
+        };
+        assert!(crashes.record_crash(now, wall_now, attempt).is_some());
+    }
+    let remaining = crashes.quarantine_remaining(Millis(5_100), traits(request), false);
+    assert!(remaining.is_some());
+}
+
 fn traits(request: Digest) -> Traits<'static> {
     Traits {
         request,
