LIMIT: read the limit that an upstream names, log and count its changes

Cause: nothing read the header field, and nothing in the logs showed it. Change: gateways read the field of every answer, whatever its status. A decimal number counts, of several the lowest; what cannot be read says nothing; an answer without it lifts the limit if its request was sent after the limit was heard. Changes are logged as `upstream_limit` and counted. Nothing is held to it yet. Measured: four tests of the values and their order, one of the numbers.

--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -16,6 +16,7 @@
     AttemptEnd, LoadReport, Needs, UpstreamCounts, UpstreamId, UpstreamSet,
 };
 use crate::direct::upstream_spec::UpstreamSpec;
+use crate::heard_limit::LimitNotice;
 use crate::retry_budget::{BudgetSettings, BudgetStatus, RetryBudget};
 
 /// Settings of a balancer.
@@ -269,6 +270,18 @@
         self.upstreams.record_load(now, id, report);
     }
 
+    /// Records what an answer to a request sent at `sent_at` says about the limit of its upstream; returns whether the limit
+    /// changed.
+    pub fn record_limit(
+        &mut self,
+        now: Millis,
+        id: UpstreamId,
+        sent_at: Millis,
+        notice: LimitNotice,
+    ) -> bool {
+        self.upstreams.record_limit(now, id, sent_at, notice)
+    }
+
     /// Records how many attempts other gateways have in flight at the upstream with the identifier
     /// `id`.
     pub fn record_peer_load(&mut self, now: Millis, id: &str, peer_load: u32) {
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -16,6 +16,7 @@
 use crate::direct::upstream_set::state::is_slow;
 pub use crate::direct::upstream_set::state::{AttemptEnd, LoadReport, UpstreamState};
 use crate::direct::upstream_spec::UpstreamSpec;
+use crate::heard_limit::LimitNotice;
 
 /// The identifier of an upstream process within one gateway; never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -385,6 +386,19 @@
         }
     }
 
+    /// Records what an answer to a request sent at `sent_at` says about the limit of its upstream; returns whether the limit
+    /// changed.
+    pub fn record_limit(
+        &mut self,
+        now: Millis,
+        id: UpstreamId,
+        sent_at: Millis,
+        notice: LimitNotice,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(&id);
+        upstream.is_some_and(|upstream| upstream.limit.record_answer(now, sent_at, notice))
+    }
+
     /// Records how many attempts the other gateways have in flight.
     pub fn record_peer_load(&mut self, now: Millis, id: UpstreamId, peer_load: u32) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
--- a/crates/decisions/src/direct/upstream_set/state.rs
+++ b/crates/decisions/src/direct/upstream_set/state.rs
@@ -3,9 +3,10 @@
 use std::collections::VecDeque;
 
 use sardinepin_common::Millis;
-use sardinepin_protocol::RankLoad;
+use sardinepin_protocol::{RankLoad, RequestRate};
 
 use crate::direct::upstream_spec::UpstreamSpec;
+use crate::heard_limit::HeardLimit;
 
 /// The weight of the latest attempt in the moving average of the failure rate.
 const FAILURE_RATE_GAIN: f64 = 0.2;
@@ -111,6 +112,8 @@
     rated_at: Millis,
     connect_failures: u32,
     pub(super) backoff_until: Millis,
+    /// The limit that the upstream has named.
+    pub(super) limit: HeardLimit,
 }
 
 impl UpstreamState {
@@ -128,6 +131,7 @@
             rated_at: Millis::ZERO,
             connect_failures: 0,
             backoff_until: Millis::ZERO,
+            limit: HeardLimit::default(),
         }
     }
 
@@ -138,6 +142,12 @@
             + self.peer_load * decay_factor(now.since(self.reported_at), LOAD_HALF_LIFE)
     }
 
+    /// Returns the limit that the upstream has named, if one is in force.
+    #[must_use]
+    pub fn named_limit(&self) -> Option<RequestRate> {
+        self.limit.rate()
+    }
+
     fn failure_rate(&self, now: Millis) -> f64 {
         self.failure_rate * decay_factor(now.since(self.rated_at), FAILURE_HALF_LIFE)
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet;
 mod follow;
 mod health;
+mod heard_limit;
 mod node_count;
 mod pending;
 mod pool;
@@ -47,6 +48,7 @@
     Arrival, AttemptEnd, Effect, Event, RequestNumber, ServiceInfo, UpstreamId, UpstreamInfo,
 };
 pub use follow::{FollowAction, FollowEvent, FollowMachine};
+pub use heard_limit::{HeardLimit, LimitNotice};
 pub use node_count::NodeCount;
 pub use retry_budget::{BudgetSettings, BudgetStatus, RetryBudget};
 pub use settings::{
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,8 @@
 use crate::gateway::Gateway;
 use crate::header_names::HeaderNames;
 use crate::headers;
+use crate::upstream_limits;
+use sardinepin_decisions::LimitNotice;
 use sardinepin_decisions::direct::{AttemptEnd, LoadReport, UpstreamId};
 
 /// Why an attempt gave no response that can be forwarded.
@@ -205,6 +207,7 @@
         };
         let (parts, body) = response.into_parts();
         self.record_load(permit, &parts.headers);
+        self.record_limit(permit, &parts.headers);
         if parts.status.is_success() {
             self.record_progress(permit.id);
         }
@@ -260,6 +263,18 @@
         }
     }
 
+    /// Records the limit that an answer names, or that it names none, whatever its status.
+    fn record_limit(&self, permit: &UpstreamPermit, headers: &HeaderMap) {
+        let values = headers.get_all(&self.names.limit).iter();
+        let notice = LimitNotice::from_values(values.map(|value| value.to_str().ok()));
+        let changed = self.dispatcher.with_balancer(|balancer, now| {
+            balancer.record_limit(now, permit.id, permit.sent_at, notice)
+        });
+        if changed {
+            upstream_limits::log_change(permit, notice);
+        }
+    }
+
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport> {
         parse_load(headers::text(headers, &self.names.load)?)
     }
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -19,6 +19,8 @@
     pub target_upstream: HeaderName,
     /// An upstream's load: the numbers of running and waiting requests, then its slots.
     pub load: HeaderName,
+    /// The number of requests a second that an upstream takes from all gateways together, while it is in need.
+    pub limit: HeaderName,
     /// Present on a response to a request that the upstream did not run.
     pub not_run: HeaderName,
     /// The identifier of the upstream that caused the rejection of a request that did not run.
@@ -44,6 +46,7 @@
             organisation: HeaderName::from_static("x-organisation"),
             target_upstream: HeaderName::from_static("x-upstream"),
             load: HeaderName::from_static("x-load"),
+            limit: HeaderName::from_static("x-limit"),
             not_run: HeaderName::from_static("x-not-run"),
             faulty_upstream: HeaderName::from_static("x-fault-at"),
             priority: HeaderName::from_static("x-priority"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod store;
 mod sync;
+mod upstream_limits;
 
 pub use attempt::AttemptFailure;
 pub use events::{CompleteEvents, EventSplitter, EventTooLarge, events_after};
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod group_load;
 mod link;
 mod load;
+mod request_rate;
 
 pub use codec::{CodecError, FrameReader, FrameWriter, decode, encode, frame_codec, framed};
 pub use constants::{FRAME_MAX_BYTES, PROTOCOL_VERSION};
@@ -23,3 +24,4 @@
     UpstreamRequest,
 };
 pub use load::{Load, UpstreamState};
+pub use request_rate::RequestRate;
