--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -261,14 +261,17 @@
             let known = sample.ranks.iter().flatten();
             let slow = known.clone().filter(|rank| is_slow(rank)).count();
             let most_are_slow = 2 * slow > known.count();
-            for upstream in self.upstreams.values_mut() {
-                let Some(group) = &upstream.spec.group else {
+            let groups = self.services.values().map(|service| &service.groups);
+            let members = groups
+                .filter_map(|groups| groups.get(&load.group))
+                .flatten();
+            for id in members {
+                let Some(upstream) = self.upstreams.get_mut(id) else {
                     continue;
                 };
-                if group.name != load.group {
-                    continue;
-                }
-                if let Some(Some(rank)) = sample.ranks.get(group.rank) {
+                let rank = upstream.spec.group.as_ref().map(|group| group.rank);
+                let rank = rank.and_then(|rank| sample.ranks.get(rank)?.as_ref());
+                if let Some(rank) = rank {
                     upstream.record_sample(now, sampled_at, rank, most_are_slow);
                 }
             }
--- a/trials/src/bounds.rs
+++ b/trials/src/bounds.rs
@@ -3,9 +3,13 @@
 //! The product's balancer runs in each sender. Callers, upstreams, agents and the network are models; disturbances are drawn
 //! from the seed, several at once. What upstreams receive is recorded and checked over every sliding window.
 
+mod agents;
 mod budget_check;
+mod callers;
 mod day;
 mod disturbance;
+mod event;
+mod limit_check;
 mod mutant;
 mod network;
 mod record;
@@ -15,12 +19,14 @@
 mod upstreams;
 mod world;
 
-use clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser};
+use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser};
+use sardinepin_common::Millis;
+use sardinepin_protocol::RequestRate;
 use serde_json::json;
 
 use crate::arguments::{integer_arg, integer_value};
 use crate::bounds::budget_check::BudgetRule;
-use crate::bounds::day::{Day, DaySettings};
+use crate::bounds::day::{Day, DaySettings, LimitSettings};
 use crate::bounds::mutant::Mutant;
 use crate::bounds::world::World;
 
@@ -31,6 +37,27 @@
         .arg(integer_arg("seed", "1", "The first random seed"))
         .arg(integer_arg("seeds", "1", "The number of seeds"))
         .arg(integer_arg("senders", "32", "The number of senders"))
+        .arg(integer_arg(
+            "limit",
+            "0",
+            "The limit that upstreams name, in thousandths of a request a second; 0 for none",
+        ))
+        .arg(integer_arg(
+            "load",
+            "2",
+            "The requests for a limited upstream, as a multiple of its limit",
+        ))
+        .arg(integer_arg(
+            "seconds",
+            "20",
+            "How long callers send, in seconds",
+        ))
+        .arg(
+            Arg::new("calm")
+                .long("calm")
+                .help("Leaves out all disturbances of a day with a limit")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("mutant")
                 .long("mutant")
@@ -49,39 +76,61 @@
         .get_one::<String>("mutant")
         .and_then(|name| Mutant::from_name(name))
         .unwrap_or_default();
+    let rate = integer_value(arguments, "limit");
+    let limit = (rate > 0).then(|| LimitSettings {
+        rate: RequestRate(u32::try_from(rate).unwrap_or(u32::MAX)),
+        load: integer_value(arguments, "load") as f64,
+        calm: arguments.get_flag("calm"),
+    });
     let mut broken = 0;
     for seed in first..first + integer_value(arguments, "seeds") {
         let settings = DaySettings {
             seed,
             senders: integer_value(arguments, "senders").max(1) as usize,
             mutant,
-            ..DaySettings::default()
+            length: Millis(integer_value(arguments, "seconds") * 1_000),
+            limit,
         };
         broken += u64::from(!print_day(&settings));
     }
-    anyhow::ensure!(broken == 0, "the rule was broken at {broken} seeds");
+    anyhow::ensure!(broken == 0, "a rule was broken at {broken} seeds");
     Ok(())
 }
 
-/// Simulates a day and prints its line; returns whether the rule was kept.
+/// Simulates a day and prints its line; returns whether the rules were kept.
 fn print_day(settings: &DaySettings) -> bool {
     let day = Day::draw(settings);
     let disturbances: Vec<&str> = day.disturbances.iter().map(|one| one.kind.name()).collect();
     let record = World::new(settings, &day).run();
-    let worst = BudgetRule::default().worst_window(&record);
+    let budget = BudgetRule::default().worst_window(&record);
+    let limit = day
+        .limit
+        .as_ref()
+        .map(|plan| limit_check::worst_window(&record, plan));
+    let used = day
+        .limit
+        .as_ref()
+        .map(|plan| limit_check::used_share(&record, plan));
+    let is_kept = budget.is_kept() && limit.is_none_or(|worst| worst.is_kept());
     let line = json!({
         "senders": settings.senders,
         "seed": settings.seed,
         "mutant": settings.mutant.name(),
         "requests": record.requests.len(),
         "arrivals": record.arrivals.len(),
-        "repeats": record.repeat_times().len(),
-        "worst_from_ms": worst.from.0,
-        "worst_counted": worst.counted,
-        "worst_allowed": worst.allowed,
-        "kept": worst.is_kept(),
+        "repeats": record.repeats_of(0).len(),
+        "worst_from_ms": budget.from.0,
+        "worst_counted": budget.counted,
+        "worst_allowed": budget.allowed,
+        "limit": settings.limit.map(|limit| limit.rate.per_second()),
+        "load": settings.limit.map(|limit| limit.load),
+        "limit_from_ms": limit.map(|worst| worst.from.0),
+        "limit_counted": limit.map(|worst| worst.counted),
+        "limit_allowed": limit.map(|worst| worst.allowed),
+        "limit_used": used,
+        "kept": is_kept,
         "disturbances": disturbances,
     });
     println!("{line}");
-    worst.is_kept()
+    is_kept
 }
--- a/trials/src/bounds/budget_check.rs
+++ b/trials/src/bounds/budget_check.rs
@@ -6,6 +6,7 @@
 use sardinepin_common::Millis;
 
 use crate::bounds::record::Record;
+use crate::bounds::upstreams::{SERVICES, ServiceIndex};
 
 /// The rule's figures.
 #[derive(Debug, Clone, Copy)]
@@ -39,15 +40,28 @@
         self.counted as f64 <= self.allowed
     }
 
-    fn margin(&self) -> f64 {
-        self.allowed - self.counted as f64
+    /// Returns which part of what was allowed was counted.
+    pub(super) fn used(&self) -> f64 {
+        self.counted as f64 / self.allowed
+    }
+
+    /// Returns the window that comes closest to breaking a rule, or breaks it most.
+    pub(super) fn worst(windows: impl Iterator<Item = Self>) -> Option<Self> {
+        windows.max_by(|one, other| one.used().total_cmp(&other.used()))
     }
 }
 
 impl BudgetRule {
-    /// Returns the window with repeats that comes closest to breaking the rule, or breaks it most.
+    /// Returns the worst window of all services.
     pub(super) fn worst_window(&self, record: &Record) -> Window {
-        let repeats = record.repeat_times();
+        let services = 0..SERVICES.len();
+        let worst = services.map(|service| self.worst_of_service(record, service));
+        Window::worst(worst).unwrap_or_default()
+    }
+
+    fn worst_of_service(&self, record: &Record, service: ServiceIndex) -> Window {
+        let repeats = record.repeats_of(service);
+        let requests = record.requests_of(service);
         // The count changes only where a window begins or ends with a repeat, or with a request.
         let starts = repeats.iter().copied();
         let ends = repeats.iter().map(|end| end.since(self.window));
@@ -55,10 +69,8 @@
         let last = repeats.last().copied().unwrap_or_default();
         let shifted = shifted.take_while(|from| *from <= last);
         let windows = starts.chain(ends).chain(shifted);
-        let windows = windows.map(|from| self.count(&repeats, &record.requests, from));
-        let windows = windows.filter(|window| window.counted > 0);
-        let worst = windows.min_by(|one, other| one.margin().total_cmp(&other.margin()));
-        worst.unwrap_or(Window {
+        let windows = windows.map(|from| self.count(&repeats, &requests, from));
+        Window::worst(windows).unwrap_or(Window {
             allowed: self.slack,
             ..Window::default()
         })
--- a/trials/src/bounds/day.rs
+++ b/trials/src/bounds/day.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng as _;
 use sardinepin_common::{Millis, Rng, seeded_rng};
+use sardinepin_protocol::RequestRate;
 
 use crate::bounds::disturbance::{Disturbance, Kind};
 use crate::bounds::mutant::Mutant;
@@ -14,6 +15,35 @@
     pub(super) mutant: Mutant,
     /// How long callers send.
     pub(super) length: Millis,
+    /// The limit that upstreams name, if any does.
+    pub(super) limit: Option<LimitSettings>,
+}
+
+/// The limit that upstreams name on a day.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LimitSettings {
+    pub(super) rate: RequestRate,
+    /// The requests for the upstream that is alone, as a multiple of its limit.
+    pub(super) load: f64,
+    /// Whether nothing else happens on that day.
+    pub(super) calm: bool,
+}
+
+/// Which upstreams name a limit, and when.
+#[derive(Debug, Clone)]
+pub(super) struct LimitPlan {
+    pub(super) rate: RequestRate,
+    pub(super) from: Millis,
+    pub(super) until: Millis,
+    /// The positions of the upstreams.
+    pub(super) upstreams: Vec<usize>,
+}
+
+impl LimitPlan {
+    /// Returns whether an upstream names the limit at a time.
+    pub(super) fn is_named(&self, at: Millis, upstream: usize) -> bool {
+        self.from <= at && at < self.until && self.upstreams.contains(&upstream)
+    }
 }
 
 impl Default for DaySettings {
@@ -23,6 +53,7 @@
             senders: 32,
             mutant: Mutant::None,
             length: Millis(20_000),
+            limit: None,
         }
     }
 }
@@ -36,14 +67,22 @@
     pub(super) ranks: usize,
     /// Whether the ranks of a group are spread over the availability zones.
     pub(super) spread: bool,
-    /// The requests of all callers in a second.
-    pub(super) rate: f64,
+    /// By service, the requests of all callers in a second.
+    pub(super) rates: Vec<f64>,
     /// The most upstreams that one request is sent to.
     pub(super) attempts_max: u32,
     /// What goes wrong, in order.
     pub(super) disturbances: Vec<Disturbance>,
+    /// Which upstreams name a limit.
+    pub(super) limit: Option<LimitPlan>,
 }
 
+/// The requests for the service of a single upstream in a second, where it names no limit.
+const PLAIN_RATE: f64 = 10.0;
+
+/// The part of its usual requests that the service of rank groups gets where upstreams name a limit.
+const LIMIT_DAY_RATE: f64 = 0.25;
+
 /// The time from the start of the senders until callers begin to send.
 pub(super) const LEAD_TIME: Millis = Millis(6_000);
 
@@ -70,13 +109,37 @@
             disturbances.extend(power_losses(&mut rng, settings.length));
         }
         disturbances.sort_by_key(|one| one.from);
-        Self {
+        let mut day = Self {
             groups,
             ranks,
             spread: rng.random_bool(0.5),
-            rate: rate * rng.random_range(0.8..1.6),
+            rates: vec![rate * rng.random_range(0.8..1.6), PLAIN_RATE],
             attempts_max: rng.random_range(2..=3),
             disturbances,
+            limit: None,
+        };
+        if let Some(limit) = settings.limit {
+            day.set_limit(limit, settings.length, &mut rng);
+        }
+        day
+    }
+
+    /// Lets the upstream that is alone and some ranks name a limit during the day.
+    fn set_limit(&mut self, limit: LimitSettings, length: Millis, rng: &mut Rng) {
+        let alone = self.groups * self.ranks;
+        let ranks = (0..2).map(|_| rng.random_range(0..alone));
+        self.limit = Some(LimitPlan {
+            rate: limit.rate,
+            from: LEAD_TIME + Millis(length.0 / 20),
+            until: LEAD_TIME + Millis(length.0 * 19 / 20),
+            upstreams: ranks.chain([alone]).collect(),
+        });
+        self.rates = vec![
+            self.rates[0] * LIMIT_DAY_RATE,
+            limit.rate.per_second() * limit.load,
+        ];
+        if limit.calm {
+            self.disturbances.clear();
         }
     }
 
--- /dev/null
+++ b/trials/src/bounds/event.rs
@@ -0,0 +1,53 @@
+//! The events of a simulated day.
+
+use sardinepin_decisions::LimitNotice;
+
+use crate::bounds::record::RequestId;
+use crate::bounds::sender::Outcome;
+use crate::bounds::upstreams::{RunEnd, ServiceIndex};
+
+/// Something that happens at a time.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Event {
+    /// A caller sends a request to a service; it may come again, and others follow it.
+    Call {
+        service: ServiceIndex,
+        is_first: bool,
+    },
+    /// A request reaches a sender.
+    Request {
+        sender: usize,
+        request: RequestId,
+        service: ServiceIndex,
+    },
+    /// A request reaches the instance of an upstream.
+    Arrive(Attempt),
+    /// An upstream reads it.
+    Read(Attempt),
+    /// A sender learns that an upstream has begun to answer.
+    Progress(Attempt, LimitNotice),
+    /// An upstream ends a request.
+    End(Attempt, RunEnd),
+    /// A sender learns how an attempt ended.
+    Outcome(Attempt, Outcome, LimitNotice),
+    /// A sender asks an agent about a group.
+    Query { sender: usize, group: usize },
+    /// Senders look after their queues.
+    Tick,
+    /// Senders look for stalled attempts.
+    StallCheck,
+    /// A disturbance begins.
+    Begin(usize),
+    /// A sender starts again.
+    Start(usize),
+}
+
+/// An attempt on its way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Attempt {
+    pub(super) sender: usize,
+    pub(super) incarnation: u32,
+    pub(super) attempt: u64,
+    pub(super) request: RequestId,
+    pub(super) upstream: usize,
+}
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -3,17 +3,17 @@
 use std::sync::Arc;
 
 use sardinepin_common::{Map, Millis};
-use sardinepin_decisions::BudgetSettings;
 use sardinepin_decisions::direct::{
     AttemptEnd, Balancer, BalancerSettings, Decision, PlacementRequest, QueueDecision,
     RequestNumber, UpstreamId, UpstreamSpec,
 };
+use sardinepin_decisions::{BudgetSettings, LimitNotice};
 use sardinepin_protocol::GroupLoad;
 
 use crate::bounds::budget_check::BudgetRule;
 use crate::bounds::mutant::Mutant;
 use crate::bounds::record::RequestId;
-use crate::bounds::upstreams::{RunEnd, SERVICE, zone_name};
+use crate::bounds::upstreams::{RunEnd, SERVICES, ServiceIndex, zone_name};
 
 /// The minimum time left before the deadline for a retry.
 const RETRY_MIN_LEFT: Millis = Millis(50);
@@ -63,8 +63,11 @@
 #[derive(Debug)]
 struct Open {
     request: RequestId,
+    service: Arc<str>,
     deadline: Millis,
     tried: Vec<UpstreamId>,
+    /// When the current attempt was sent.
+    sent_at: Millis,
     /// The number of upstreams that it was sent to.
     sent: u32,
     /// The number of the current attempt; 0 while it waits.
@@ -129,16 +132,20 @@
         &mut self,
         now: Millis,
         request: RequestId,
+        service: ServiceIndex,
         deadline: Millis,
         actions: &mut Vec<Action>,
     ) {
-        self.balancer.record_request(now, &Arc::from(SERVICE));
+        let service = Arc::from(SERVICES[service]);
+        self.balancer.record_request(now, &service);
         self.next_number += 1;
         let number = RequestNumber(self.next_number);
         let open = Open {
             request,
+            service,
             deadline,
             tried: Vec::new(),
+            sent_at: now,
             sent: 0,
             attempt: 0,
         };
@@ -158,7 +165,7 @@
         };
         let request = PlacementRequest {
             number,
-            service: Arc::from(SERVICE),
+            service: Arc::clone(&open.service),
             priority: 1,
             latency_objective: LATENCY_OBJECTIVE,
             deadline: open.deadline,
@@ -167,11 +174,17 @@
             is_retry,
         };
         if let Some(decision) = self.balancer.place(now, request) {
-            self.carry_out(number, decision, actions);
+            self.carry_out(now, number, decision, actions);
         }
     }
 
-    fn carry_out(&mut self, number: RequestNumber, decision: Decision, actions: &mut Vec<Action>) {
+    fn carry_out(
+        &mut self,
+        now: Millis,
+        number: RequestNumber,
+        decision: Decision,
+        actions: &mut Vec<Action>,
+    ) {
         match decision {
             Decision::Send(id) => {
                 let Some(open) = self.open.get_mut(&number) else {
@@ -179,6 +192,7 @@
                 };
                 self.next_attempt += 1;
                 open.attempt = self.next_attempt;
+                open.sent_at = now;
                 open.tried.push(id);
                 open.sent += 1;
                 self.attempts.insert(open.attempt, number);
@@ -199,9 +213,14 @@
         }
     }
 
-    fn carry_out_all(&mut self, decisions: Vec<QueueDecision>, actions: &mut Vec<Action>) {
+    fn carry_out_all(
+        &mut self,
+        now: Millis,
+        decisions: Vec<QueueDecision>,
+        actions: &mut Vec<Action>,
+    ) {
         for entry in decisions {
-            self.carry_out(entry.number, entry.decision, actions);
+            self.carry_out(now, entry.number, entry.decision, actions);
         }
     }
 
@@ -211,6 +230,7 @@
         now: Millis,
         attempt: u64,
         outcome: Outcome,
+        notice: LimitNotice,
         actions: &mut Vec<Action>,
     ) {
         let Some(number) = self.attempts.remove(&attempt) else {
@@ -224,11 +244,12 @@
             open.sent -= 1;
         }
         let id = open.tried.last().copied().unwrap_or(UpstreamId(0));
+        self.balancer.record_limit(now, id, open.sent_at, notice);
         if outcome == Outcome::Run(RunEnd::Served) {
             self.balancer.record_progress(now, id);
         }
         let decisions = self.balancer.record_end(now, id, attempt_end(outcome));
-        self.carry_out_all(decisions, actions);
+        self.carry_out_all(now, decisions, actions);
         if outcome == Outcome::Run(RunEnd::Served) {
             self.open.remove(&number);
             actions.push(Action::Answer);
@@ -259,14 +280,24 @@
             Mutant::None | Mutant::ShareNotDivided => true,
         };
         self.retries += 1;
-        let granted = !charged || self.balancer.try_reserve_retry(now, &Arc::from(SERVICE));
+        let granted = !charged || self.balancer.try_reserve_retry(now, &open.service);
         granted.then_some(charged)
     }
 
-    /// Records that an upstream has begun to answer.
-    pub(super) fn record_progress(&mut self, now: Millis, upstream: usize) {
-        self.balancer
-            .record_progress(now, UpstreamId(upstream as u32));
+    /// Records that an upstream has begun to answer, and what the answer says about its limit.
+    pub(super) fn record_progress(
+        &mut self,
+        now: Millis,
+        attempt: u64,
+        upstream: usize,
+        notice: LimitNotice,
+    ) {
+        let id = UpstreamId(upstream as u32);
+        self.balancer.record_progress(now, id);
+        let number = self.attempts.get(&attempt);
+        if let Some(open) = number.and_then(|number| self.open.get(number)) {
+            self.balancer.record_limit(now, id, open.sent_at, notice);
+        }
     }
 
     /// Records a report of the load of a group.
@@ -277,13 +308,13 @@
         actions: &mut Vec<Action>,
     ) {
         let decisions = self.balancer.record_group_load(now, load);
-        self.carry_out_all(decisions, actions);
+        self.carry_out_all(now, decisions, actions);
     }
 
     /// Looks after queued requests.
     pub(super) fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let decisions = self.balancer.process_queues(now);
-        self.carry_out_all(decisions, actions);
+        self.carry_out_all(now, decisions, actions);
     }
 
     /// Moves attempts away from groups that have stalled.
@@ -301,7 +332,8 @@
                 continue;
             };
             if self.balancer.should_move(now, id) {
-                self.handle_end(now, attempt, Outcome::Stalled, actions);
+                let unheard = LimitNotice::Unreadable;
+                self.handle_end(now, attempt, Outcome::Stalled, unheard, actions);
             }
         }
     }
--- a/trials/src/bounds/tests.rs
+++ b/trials/src/bounds/tests.rs
@@ -2,10 +2,13 @@
 
 use sardinepin_common::Millis;
 
+use sardinepin_protocol::RequestRate;
+
 use crate::bounds::budget_check::{BudgetRule, Window};
-use crate::bounds::day::{Day, DaySettings};
+use crate::bounds::day::{Day, DaySettings, LimitPlan, LimitSettings};
+use crate::bounds::limit_check;
 use crate::bounds::mutant::Mutant;
-use crate::bounds::record::{Arrival, Record};
+use crate::bounds::record::{Arrival, Excuse, Record, Told};
 use crate::bounds::world::World;
 
 /// Returns the worst window of a day.
@@ -71,19 +74,129 @@
     assert_noticed(Mutant::ShareNotDivided);
 }
 
+/// Simulates a day on which upstreams name a limit; returns its worst window and the part of the limit that was used.
+fn limit_day(settings: &DaySettings) -> (Window, f64) {
+    let day = Day::draw(settings);
+    let record = World::new(settings, &day).run();
+    let plan = day.limit.expect("upstreams name a limit");
+    let worst = limit_check::worst_window(&record, &plan);
+    (worst, limit_check::used_share(&record, &plan))
+}
+
+fn limit_settings(seed: u64, senders: usize, limit: f64, load: f64, calm: bool) -> DaySettings {
+    let rate = RequestRate((limit * 1_000.0) as u32);
+    DaySettings {
+        seed,
+        senders,
+        limit: Some(LimitSettings { rate, load, calm }),
+        ..DaySettings::default()
+    }
+}
+
+/// Asserts that limited upstreams get no more than their limits on calm and on disturbed days, and that on calm ones what callers
+/// want of a limit is used.
+fn assert_limit_holds(senders: usize, limit: f64, load: f64, seeds: std::ops::RangeInclusive<u64>) {
+    let case = format!("{senders} senders, limit {limit}, load {load}");
+    // Long enough for some requests at the lowest limit.
+    let length = Millis(20_000).max(Millis((10_000.0 / limit) as u64));
+    let settings = DaySettings {
+        length,
+        ..limit_settings(1, senders, limit, load, true)
+    };
+    let (worst, used) = limit_day(&settings);
+    assert!(worst.is_kept(), "{case}: {worst:?}");
+    assert!(used >= 0.7, "{case}: {used:.2} used");
+    for seed in seeds {
+        let settings = limit_settings(seed, senders, limit, load, false);
+        let (worst, _) = limit_day(&settings);
+        assert!(worst.is_kept(), "{case}, seed {seed}: {worst:?}");
+    }
+}
+
+#[test]
+fn upstreams_get_no_more_than_their_limits_from_6_senders() {
+    for limit in [0.2, 1.0, 5.0, 50.0] {
+        for load in [2.0, 10.0] {
+            assert_limit_holds(6, limit, load, 1..=10);
+        }
+    }
+}
+
+#[test]
+fn upstreams_get_no_more_than_their_limits_from_32_senders() {
+    for limit in [0.2, 1.0, 5.0, 50.0] {
+        for load in [2.0, 10.0] {
+            assert_limit_holds(32, limit, load, 1..=3);
+        }
+    }
+}
+
+#[test]
+fn upstreams_get_no_more_than_their_limits_from_390_senders() {
+    assert_limit_holds(390, 1.0, 10.0, 9..=9);
+    assert_limit_holds(390, 50.0, 2.0, 9..=9);
+}
+
+/// Twelve arrivals from two senders in four seconds; the first sender was told of the limit, and cut off at the end.
+fn told_record() -> Record {
+    let arrivals = (0..12).map(|number| Arrival {
+        at: Millis(10_000 + number * 300),
+        request: number,
+        sender: (number % 2) as usize,
+        upstream: 0,
+    });
+    Record {
+        arrivals: arrivals.collect(),
+        told: vec![Told {
+            at: Millis(9_000),
+            sender: 0,
+            upstream: 0,
+        }],
+        ..Record::default()
+    }
+}
+
+#[test]
+fn the_check_counts_arrivals_from_senders_that_were_told() {
+    let plan = LimitPlan {
+        rate: RequestRate(100),
+        from: Millis(5_000),
+        until: Millis(60_000),
+        upstreams: vec![0],
+    };
+    let mut record = told_record();
+    let worst = limit_check::worst_window(&record, &plan);
+    assert_eq!((worst.counted, worst.is_kept()), (6, false));
+    record.excuses.push(Excuse {
+        sender: 0,
+        from: Millis(11_000),
+        until: Millis(11_900),
+    });
+    let worst = limit_check::worst_window(&record, &plan);
+    assert_eq!((worst.counted, worst.is_kept()), (4, true));
+    record.told[0].at = Millis(9_600);
+    let worst = limit_check::worst_window(&record, &plan);
+    assert_eq!(worst.counted, 3, "an answer counts half a second later");
+    record.told.clear();
+    assert_eq!(limit_check::worst_window(&record, &plan).counted, 0);
+}
+
 /// One request a millisecond for `length`, of which each tenth arrives twice.
 fn steady_record(length: Millis) -> Record {
     let arrivals = (0..length.0).flat_map(|at| {
         let arrival = Arrival {
             at: Millis(at),
             request: at,
+            ..Arrival::default()
         };
         let times = if at % 10 == 0 { 2 } else { 1 };
         std::iter::repeat_n(arrival, times)
     });
     Record {
         requests: (0..length.0).map(Millis).collect(),
+        services: vec![0; length.0 as usize],
         arrivals: arrivals.collect(),
+        ..Record::default()
     }
 }
 
@@ -115,11 +228,13 @@
     let repeats = |count: usize| {
         let arrival = Arrival {
             at: Millis(1_900),
-            request: 0,
+            ..Arrival::default()
         };
         Record {
             requests: (0..1_000).map(Millis).collect(),
+            services: vec![0; 1_000],
             arrivals: vec![arrival; count + 1],
+            ..Record::default()
         }
     };
     assert!(rule.worst_window(&repeats(10)).is_kept());
--- a/trials/src/bounds/upstreams.rs
+++ b/trials/src/bounds/upstreams.rs
@@ -1,19 +1,23 @@
-//! A model of upstreams in rank groups: when they read a request, how it ends and when.
+//! A model of upstreams, in rank groups or alone: when they read a request, how it ends and when, and which limit they name.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use rand::Rng as _;
 use sardinepin_common::{Millis, Rng};
+use sardinepin_decisions::LimitNotice;
 use sardinepin_decisions::direct::{GroupMembership, UpstreamSpec};
 use sardinepin_protocol::{GroupLoad, GroupSample, RankLoad};
 
-use crate::bounds::day::Day;
+use crate::bounds::day::{Day, LimitPlan};
 use crate::bounds::disturbance::Kind;
 use crate::bounds::network::ZONES;
 
-/// The service that all upstreams belong to.
-pub(super) const SERVICE: &str = "model";
+/// The position of a service.
+pub(super) type ServiceIndex = usize;
+
+/// The services: one of rank groups, and one of a single upstream.
+pub(super) const SERVICES: [&str; 2] = ["model", "desk"];
 
 /// How many requests a rank runs at once.
 const SLOTS: u32 = 12;
@@ -27,9 +31,12 @@
 /// How long a group takes to form again.
 const FORM_TIME: Millis = Millis(800);
 
-/// The shortest and the longest time that a request runs, in milliseconds.
+/// The shortest and the longest time that a request runs at a rank, in milliseconds.
 const RUN_MS: std::ops::Range<u64> = 300..1_100;
 
+/// The same at an upstream without a group.
+const PLAIN_RUN_MS: std::ops::Range<u64> = 20..120;
+
 /// How a request ended at its upstream; ordered for the event queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum RunEnd {
@@ -59,7 +66,8 @@
 #[derive(Debug, Default)]
 struct Upstream {
     zone: usize,
-    group: usize,
+    /// Its group; `None` if it is alone.
+    group: Option<usize>,
     rank: usize,
     running: u32,
     /// When it stands still.
@@ -74,6 +82,7 @@
     down: Vec<Vec<Span>>,
     /// The shares of answers that are lost, and when.
     losses: Vec<(Span, f64)>,
+    limit: Option<LimitPlan>,
     ranks: usize,
 }
 
@@ -85,13 +94,14 @@
             let (group, rank) = (index / day.ranks, index % day.ranks);
             Upstream {
                 zone: if day.spread { rank } else { group } % ZONES,
-                group,
+                group: Some(group),
                 rank,
                 ..Upstream::default()
             }
         });
         let mut upstreams = Self {
-            list: list.collect(),
+            list: list.chain([Upstream::default()]).collect(),
+            limit: day.limit.clone(),
             down: vec![Vec::new(); day.groups],
             losses: Vec::new(),
             ranks: day.ranks,
@@ -106,7 +116,7 @@
                     for index in disturbance.targets(share, total) {
                         let upstream = &mut upstreams.list[index];
                         upstream.frozen.push(span);
-                        upstreams.down[upstream.group].push(span);
+                        upstreams.down[index / day.ranks].push(span);
                     }
                 }
                 Kind::BreakGroups { share } => {
@@ -136,6 +146,19 @@
         self.list[index].zone
     }
 
+    /// Returns the group of the upstream beside an agent.
+    pub(super) fn group(&self, agent: usize) -> usize {
+        self.list[agent].group.unwrap_or_default()
+    }
+
+    /// Returns what an answer that is written at `at` says about the limit of its upstream.
+    pub(super) fn limit_notice(&self, at: Millis, index: usize) -> LimitNotice {
+        match &self.limit {
+            Some(plan) if plan.is_named(at, index) => LimitNotice::Named(plan.rate),
+            _ => LimitNotice::None,
+        }
+    }
+
     /// Returns the positions of the upstreams of a group.
     pub(super) fn members(&self, group: usize) -> std::ops::Range<usize> {
         group * self.ranks..(group + 1) * self.ranks
@@ -148,13 +171,13 @@
             UpstreamSpec {
                 id: Arc::from(format!("u{index}")),
                 started_at: 0,
-                service: Arc::from(SERVICE),
+                service: Arc::from(SERVICES[usize::from(upstream.group.is_none())]),
                 address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
                 zone: zone_name(upstream.zone),
                 slots: SLOTS,
                 draining: false,
-                group: Some(GroupMembership {
-                    name: group_name(upstream.group),
+                group: upstream.group.map(|group| GroupMembership {
+                    name: group_name(group),
                     rank: upstream.rank,
                     broken: false,
                 }),
@@ -174,12 +197,14 @@
 
     /// Begins to run a request; returns how it ends and when.
     pub(super) fn begin(&mut self, now: Millis, index: usize, rng: &mut Rng) -> (RunEnd, Millis) {
-        let group = self.list[index].group;
         let upstream = &mut self.list[index];
         upstream.running += 1;
         if upstream.running > SLOTS + QUEUE {
             return (RunEnd::Rejected, now);
         }
+        let Some(group) = upstream.group else {
+            return (RunEnd::Served, now + Millis(rng.random_range(PLAIN_RUN_MS)));
+        };
         let down = self.down[group].iter();
         let missing = down
             .clone()
@@ -219,7 +244,7 @@
         if self.reads_at(agent, now) > now {
             return None;
         }
-        let group = self.list[agent].group;
+        let group = self.group(agent);
         let down = self.down[group]
             .iter()
             .filter(|span| now >= span.from && now < span.until + FORM_TIME);
--- a/trials/src/bounds/world.rs
+++ b/trials/src/bounds/world.rs
@@ -1,26 +1,23 @@
 //! The event loop of a simulated day.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+mod disturb;
+
+use std::collections::BTreeMap;
 
 use rand::Rng as _;
-use sardinepin_common::{Map, Millis, Rng, seeded_rng};
-use sardinepin_decisions::NodeCount;
+use sardinepin_common::{Millis, Rng, seeded_rng};
+use sardinepin_decisions::LimitNotice;
 use sardinepin_decisions::direct::UpstreamSpec;
 
+use crate::bounds::agents::Agents;
+use crate::bounds::callers::{Callers, DEADLINE};
 use crate::bounds::day::{Day, DaySettings, LEAD_TIME};
-use crate::bounds::disturbance::{Disturbance, Kind};
+use crate::bounds::event::{Attempt, Event};
 use crate::bounds::mutant::Mutant;
 use crate::bounds::network::{Network, ZONES};
-use crate::bounds::record::{Arrival, Record, RequestId};
-use crate::bounds::sender::{Action, Outcome, Sender, SenderSettings};
-use crate::bounds::upstreams::{RunEnd, Upstreams};
-
-/// How long a caller waits.
-const DEADLINE: Millis = Millis(8_000);
-
-/// A caller comes again only if it is asked back within the time left divided by this.
-const RETURN_DIVISOR: u64 = 3;
+use crate::bounds::record::{Arrival, Record, RequestId, Told};
+use crate::bounds::sender::{Action, Outcome, Sender};
+use crate::bounds::upstreams::{RunEnd, ServiceIndex, Upstreams};
 
 /// The interval at which senders look after their queues.
 const TICK: Millis = Millis(20);
@@ -28,25 +25,15 @@
 /// The interval at which senders look for stalled attempts.
 const STALL_CHECK_INTERVAL: Millis = Millis(150);
 
-/// The interval between two queries of a sender about one group, and what each further group adds.
+/// The interval between two queries of a sender about one group.
 const QUERY_INTERVAL: Millis = Millis(100);
-const INTERVAL_PER_GROUP: Millis = Millis(17);
 
-/// How long a sender counts as a reader of the load after its last query.
-const READER_RETENTION: Millis = Millis(3_000);
+/// What each group adds to that interval.
+const INTERVAL_PER_GROUP: Millis = Millis(17);
 
 /// The age of a sample, in milliseconds.
 const SAMPLE_AGE_MS: std::ops::Range<u64> = 0..160;
 
-/// How long a process takes from its start until it is ready, in milliseconds.
-const START_MS: std::ops::Range<u64> = 300..1_300;
-
-/// The longest time that a killed process is down.
-const DOWN_TIME_MAX: Millis = Millis(1_000);
-
-/// How many senders a caller tries until it gives up.
-const PICKS: usize = 3;
-
 /// How long a sender waits for a connection.
 const CONNECT_TIMEOUT: Millis = Millis(200);
 
@@ -59,48 +46,6 @@
 /// The time from the arrival of a request until the first part of its answer.
 const FIRST_EVENT: Millis = Millis(120);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    /// A caller sends a request; it may come again.
-    Call { may_return: bool },
-    /// A request reaches a sender.
-    Request {
-        sender: usize,
-        request: RequestId,
-        deadline: Millis,
-    },
-    /// A request reaches the instance of an upstream.
-    Arrive(Attempt),
-    /// An upstream reads it.
-    Read(Attempt),
-    /// An upstream has begun to answer.
-    Progress(Attempt),
-    /// An upstream ends a request.
-    End(Attempt, Outcome),
-    /// A sender learns how an attempt ended.
-    Outcome(Attempt, Outcome),
-    /// A sender asks an agent about a group.
-    Query { sender: usize, group: usize },
-    /// Senders look after their queues.
-    Tick,
-    /// Senders look for stalled attempts.
-    StallCheck,
-    /// A disturbance begins.
-    Begin(usize),
-    /// A sender starts again.
-    Start(usize),
-}
-
-/// An attempt on its way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Attempt {
-    sender: usize,
-    incarnation: u32,
-    attempt: u64,
-    request: RequestId,
-    upstream: usize,
-}
-
 /// A process that sends requests, or the place of one that is down.
 #[derive(Debug)]
 struct Node {
@@ -115,24 +60,15 @@
     day: &'a Day,
     rng: Rng,
     nodes: Vec<Node>,
+    callers: Callers,
     upstreams: Upstreams,
     specs: Vec<UpstreamSpec>,
+    agents: Agents,
     network: Network,
-    /// By agent, when each sender last asked it.
-    readers: Vec<Map<usize, Millis>>,
-    /// By agent, the most senders that it has heard of lately.
-    largest: Vec<NodeCount>,
-    /// The requests that may come again, with their deadlines.
-    returning: Map<RequestId, Millis>,
-    events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
+    /// The scheduled events by time, and in the order of scheduling at the same time.
+    events: BTreeMap<(Millis, u64), Event>,
     event_count: u64,
     store_silent_until: Millis,
-    burst: (Millis, f64),
-    /// The part of a millisecond until the next call.
-    call_gap: f64,
-    repeating_until: Millis,
-    /// Until when callers use the first or the second half of the senders only.
-    moved: Option<(Millis, usize)>,
     record: Record,
     actions: Vec<Action>,
 }
@@ -146,19 +82,14 @@
             day,
             rng: seeded_rng(settings.seed ^ 0x5eed),
             nodes: Vec::new(),
+            callers: Callers::new(day.rates.clone()),
             specs: upstreams.specs(),
+            agents: Agents::new(upstreams.len()),
             network: Network::default(),
-            readers: vec![Map::default(); upstreams.len()],
-            largest: (0..upstreams.len()).map(|_| NodeCount::default()).collect(),
             upstreams,
-            returning: Map::default(),
-            events: BinaryHeap::new(),
+            events: BTreeMap::new(),
             event_count: 0,
             store_silent_until: Millis::ZERO,
-            burst: (Millis::ZERO, 1.0),
-            call_gap: 0.0,
-            repeating_until: Millis::ZERO,
-            moved: None,
             record: Record::default(),
             actions: Vec::new(),
         };
@@ -170,10 +101,16 @@
             });
             world.schedule(Millis::ZERO, Event::Start(index));
         }
-        for index in 0..day.disturbances.len() {
-            world.schedule(day.disturbances[index].from, Event::Begin(index));
+        for (index, disturbance) in day.disturbances.iter().enumerate() {
+            world.schedule(disturbance.from, Event::Begin(index));
+        }
+        for service in 0..day.rates.len() {
+            let call = Event::Call {
+                service,
+                is_first: true,
+            };
+            world.schedule(LEAD_TIME, call);
         }
-        world.schedule(LEAD_TIME, Event::Call { may_return: true });
         world.schedule(TICK, Event::Tick);
         world.schedule(STALL_CHECK_INTERVAL, Event::StallCheck);
         world
@@ -181,13 +118,13 @@
 
     fn schedule(&mut self, at: Millis, event: Event) {
         self.event_count += 1;
-        self.events.push(Reverse((at, self.event_count, event)));
+        self.events.insert((at, self.event_count), event);
     }
 
     /// Simulates the day and returns its record.
     pub(super) fn run(mut self) -> Record {
         let end = LEAD_TIME + self.settings.length + DEADLINE;
-        while let Some(Reverse((now, _, event))) = self.events.pop() {
+        while let Some(((now, _), event)) = self.events.pop_first() {
             if now > end {
                 break;
             }
@@ -198,33 +135,31 @@
 
     fn handle(&mut self, now: Millis, event: Event) {
         match event {
-            Event::Call { may_return } => self.handle_call(now, may_return),
+            Event::Call { service, is_first } => self.handle_call(now, service, is_first),
             Event::Request {
                 sender,
                 request,
-                deadline,
+                service,
             } => self.with_sender(now, sender, event, |sender, actions| {
-                sender.handle_request(now, request, deadline, actions);
+                sender.handle_request(now, request, service, now + DEADLINE, actions);
             }),
             Event::Arrive(attempt) => {
                 let read_at = self.upstreams.reads_at(attempt.upstream, now);
                 self.schedule(read_at, Event::Read(attempt));
             }
             Event::Read(attempt) => self.handle_read(now, attempt),
-            Event::Progress(attempt) => {
-                if self.is_current(&attempt) {
-                    self.with_sender(now, attempt.sender, event, |sender, _| {
-                        sender.record_progress(now, attempt.upstream);
-                    });
-                }
+            Event::Progress(attempt, notice) => {
+                self.record_told(now, &attempt, notice);
+                self.with_current(now, attempt, event, |sender, _| {
+                    sender.record_progress(now, attempt.attempt, attempt.upstream, notice);
+                });
             }
             Event::End(attempt, end) => self.handle_end(now, attempt, end),
-            Event::Outcome(attempt, end) => {
-                if self.is_current(&attempt) {
-                    self.with_sender(now, attempt.sender, event, |sender, actions| {
-                        sender.handle_end(now, attempt.attempt, end, actions);
-                    });
-                }
+            Event::Outcome(attempt, outcome, notice) => {
+                self.record_told(now, &attempt, notice);
+                self.with_current(now, attempt, event, |sender, actions| {
+                    sender.handle_end(now, attempt.attempt, outcome, notice, actions);
+                });
             }
             Event::Query { sender, group } => self.handle_query(now, sender, group),
             Event::Tick => {
@@ -264,6 +199,19 @@
         self.actions = actions;
     }
 
+    /// Lets the sender of an attempt act, unless it has started again since.
+    fn with_current(
+        &mut self,
+        now: Millis,
+        attempt: Attempt,
+        event: Event,
+        act: impl FnOnce(&mut Sender, &mut Vec<Action>),
+    ) {
+        if self.is_current(&attempt) {
+            self.with_sender(now, attempt.sender, event, act);
+        }
+    }
+
     fn for_each_sender(&mut self, now: Millis, mut act: impl FnMut(&mut Sender, &mut Vec<Action>)) {
         for index in 0..self.nodes.len() {
             if now >= self.nodes[index].frozen_until {
@@ -276,6 +224,18 @@
         self.nodes[attempt.sender].incarnation == attempt.incarnation
     }
 
+    /// Records that a sender has been told of a limit.
+    fn record_told(&mut self, now: Millis, attempt: &Attempt, notice: LimitNotice) {
+        let is_awake = now >= self.nodes[attempt.sender].frozen_until;
+        if is_awake && self.is_current(attempt) && matches!(notice, LimitNotice::Named(_)) {
+            self.record.told.push(Told {
+                at: now,
+                sender: attempt.sender,
+                upstream: attempt.upstream,
+            });
+        }
+    }
+
     fn carry_out(&mut self, now: Millis, index: usize, action: Action) {
         match action {
             Action::Send {
@@ -295,7 +255,15 @@
             Action::Refuse {
                 request,
                 retry_after,
-            } => self.return_caller(now, request, retry_after),
+            } => {
+                if let Some((service, wait)) = self.callers.comes_again(now, request, retry_after) {
+                    let call = Event::Call {
+                        service,
+                        is_first: false,
+                    };
+                    self.schedule(now + wait, call);
+                }
+            }
             Action::Answer => {}
         }
     }
@@ -305,139 +273,96 @@
         let to = self.upstreams.zone(attempt.upstream);
         let pooled = self.rng.random_bool(POOLED_SHARE);
         if !pooled && !self.network.connects(now, from, to) {
-            let at = now + CONNECT_TIMEOUT;
-            return self.schedule(at, Event::Outcome(attempt, Outcome::NotSent));
+            return self.lose(now + CONNECT_TIMEOUT, attempt, Outcome::NotSent);
         }
         match self.network.arrival(now, from, to, &mut self.rng) {
             Some(at) => self.schedule(at, Event::Arrive(attempt)),
-            None => {
-                let at = now + USER_TIMEOUT;
-                self.schedule(at, Event::Outcome(attempt, Outcome::Run(RunEnd::Broken)));
-            }
+            None => self.lose(now + USER_TIMEOUT, attempt, Outcome::Run(RunEnd::Broken)),
         }
     }
 
-    fn handle_call(&mut self, now: Millis, may_return: bool) {
+    /// Lets a sender learn at `at` that no answer comes.
+    fn lose(&mut self, at: Millis, attempt: Attempt, outcome: Outcome) {
+        let unheard = LimitNotice::Unreadable;
+        self.schedule(at, Event::Outcome(attempt, outcome, unheard));
+    }
+
+    fn handle_call(&mut self, now: Millis, service: ServiceIndex, is_first: bool) {
         if now >= LEAD_TIME + self.settings.length {
             return;
         }
-        if may_return {
-            let factor = if now < self.burst.0 {
-                self.burst.1
-            } else {
-                1.0
-            };
-            let mean = 1_000.0 / (self.day.rate * factor);
-            let gap = -mean * (1.0 - self.rng.random::<f64>()).ln();
-            self.call_gap += gap;
-            let whole = self.call_gap.floor();
-            self.call_gap -= whole;
-            self.schedule(now + Millis(whole as u64), Event::Call { may_return: true });
-        }
         let request = self.record.requests.len() as RequestId;
         self.record.requests.push(now);
-        let deadline = now + DEADLINE;
-        if may_return {
-            self.returning.insert(request, deadline);
+        self.record.services.push(service);
+        if is_first {
+            let gap = self.callers.gap(now, service, &mut self.rng);
+            self.schedule(now + gap, Event::Call { service, is_first });
+            self.callers.expect_return(now, request, service);
         }
-        let sender = self.pick_sender(now);
-        let at = now + Millis(self.rng.random_range(1..4));
-        self.schedule(
-            at,
-            Event::Request {
-                sender,
-                request,
-                deadline,
-            },
-        );
-    }
-
-    /// Picks the sender that a caller reaches; a few callers have not heard yet that one is down.
-    fn pick_sender(&mut self, now: Millis) -> usize {
+        let is_up = |index: usize| self.nodes[index].sender.is_some();
         let total = self.nodes.len();
-        for _ in 0..PICKS {
-            let mut sender = self.rng.random_range(0..total);
-            if let Some((until, half)) = self.moved
-                && now < until
-            {
-                sender = sender / 2 + half * (total / 2);
-            }
-            if self.nodes[sender].sender.is_some() {
-                return sender;
-            }
-        }
-        self.rng.random_range(0..total)
-    }
-
-    /// Lets a refused caller come again, once.
-    fn return_caller(&mut self, now: Millis, request: RequestId, retry_after: Millis) {
-        let Some(deadline) = self.returning.remove(&request) else {
-            return;
-        };
-        let wait = match now < self.repeating_until {
-            true => Millis(1),
-            false => retry_after,
+        let sender = self.callers.pick_sender(now, total, is_up, &mut self.rng);
+        let at = now + Millis(self.rng.random_range(1..4));
+        let event = Event::Request {
+            sender,
+            request,
+            service,
         };
-        if wait.0 <= deadline.since(now).0 / RETURN_DIVISOR {
-            self.schedule(now + wait, Event::Call { may_return: false });
-        }
+        self.schedule(at, event);
     }
 
     fn handle_read(&mut self, now: Millis, attempt: Attempt) {
         self.record.arrivals.push(Arrival {
             at: now,
             request: attempt.request,
+            sender: attempt.sender,
+            upstream: attempt.upstream,
         });
         let (end, at) = self.upstreams.begin(now, attempt.upstream, &mut self.rng);
-        if at > now + FIRST_EVENT && matches!(end, RunEnd::Served | RunEnd::Broken) {
-            self.schedule(now + FIRST_EVENT, Event::Progress(attempt));
+        let first = now + FIRST_EVENT;
+        if at > first && matches!(end, RunEnd::Served | RunEnd::Broken) {
+            let notice = self.upstreams.limit_notice(first, attempt.upstream);
+            self.schedule(first, Event::Progress(attempt, notice));
         }
-        self.schedule(at, Event::End(attempt, Outcome::Run(end)));
+        self.schedule(at, Event::End(attempt, end));
     }
 
-    fn handle_end(&mut self, now: Millis, attempt: Attempt, end: Outcome) {
+    fn handle_end(&mut self, now: Millis, attempt: Attempt, end: RunEnd) {
         self.upstreams.end(attempt.upstream);
         let from = self.upstreams.zone(attempt.upstream);
         let to = zone_of(attempt.sender);
-        let at = self.network.arrival(now, from, to, &mut self.rng);
-        let (at, end) = match at {
-            Some(at) => (at, end),
-            None => (now + USER_TIMEOUT, Outcome::Run(RunEnd::Broken)),
-        };
-        self.schedule(at, Event::Outcome(attempt, end));
+        let notice = self.upstreams.limit_notice(now, attempt.upstream);
+        match self.network.arrival(now, from, to, &mut self.rng) {
+            Some(at) => self.schedule(at, Event::Outcome(attempt, Outcome::Run(end), notice)),
+            None => self.lose(now + USER_TIMEOUT, attempt, Outcome::Run(RunEnd::Broken)),
+        }
     }
 
     fn handle_query(&mut self, now: Millis, index: usize, group: usize) {
         let groups = self.day.groups as u64;
         let interval = QUERY_INTERVAL.max(Millis(INTERVAL_PER_GROUP.0 * groups));
-        self.schedule(
-            now + interval,
-            Event::Query {
-                sender: index,
-                group,
-            },
-        );
+        let event = Event::Query {
+            sender: index,
+            group,
+        };
+        self.schedule(now + interval, event);
         let node = &self.nodes[index];
         if now < node.frozen_until || node.sender.is_none() {
             return;
         }
+        let (network, upstreams) = (&self.network, &self.upstreams);
         let zone = zone_of(index);
-        let reachable = |agent: &usize| {
-            self.network
-                .connects(now, zone, self.upstreams.zone(*agent))
-                && self.upstreams.reads_at(*agent, now) == now
-        };
-        let agents: Vec<usize> = self.upstreams.members(group).filter(reachable).collect();
-        let near = agents
-            .iter()
-            .filter(|agent| self.upstreams.zone(**agent) == zone);
-        let near: Vec<usize> = near.copied().collect();
-        let choice = if near.is_empty() { &agents } else { &near };
-        let Some(agent) = choice.get(index % choice.len().max(1)).copied() else {
+        let agent = Agents::reachable(now, group, index, zone, network, upstreams);
+        let Some(agent) = agent else {
             return;
         };
-        self.readers[agent].insert(index, now);
-        let gateways = self.count_readers(now, group, agent);
+        let counted = self
+            .agents
+            .count_readers(now, agent, index, network, upstreams);
+        let gateways = match self.settings.mutant {
+            Mutant::ShareNotDivided => 1,
+            _ => counted,
+        };
         let age = Millis(self.rng.random_range(SAMPLE_AGE_MS));
         let Some(load) = self.upstreams.report(now, agent, gateways, age) else {
             return;
@@ -446,91 +371,6 @@
             sender.record_report(now, &load, actions);
         });
     }
-
-    /// Returns how many senders read the load of a group, as far as the agents on one side of a cut
-    /// know.
-    fn count_readers(&mut self, now: Millis, group: usize, agent: usize) -> u32 {
-        if self.settings.mutant == Mutant::ShareNotDivided {
-            return 1;
-        }
-        let zone = self.upstreams.zone(agent);
-        let mut count = 0;
-        for member in self.upstreams.members(group) {
-            let readers = &mut self.readers[member];
-            readers.retain(|_, at| now.since(*at) <= READER_RETENTION);
-            if self
-                .network
-                .connects(now, zone, self.upstreams.zone(member))
-            {
-                count += readers.len();
-            }
-        }
-        let largest = &mut self.largest[agent];
-        largest.record(now, count as f64);
-        largest.known().unwrap_or_default() as u32
-    }
-
-    fn begin(&mut self, now: Millis, disturbance: Disturbance) {
-        let Disturbance {
-            kind,
-            until,
-            offset,
-            ..
-        } = disturbance;
-        let total = self.nodes.len();
-        match kind {
-            Kind::Restart { share } => {
-                for index in disturbance.targets(share, total) {
-                    self.nodes[index].sender = None;
-                    self.nodes[index].incarnation += 1;
-                    let down_until = until.min(now + DOWN_TIME_MAX);
-                    let start = Millis(self.rng.random_range(START_MS));
-                    self.schedule(down_until + start, Event::Start(index));
-                }
-            }
-            Kind::FreezeSenders { share } => {
-                for index in disturbance.targets(share, total) {
-                    self.nodes[index].frozen_until = until;
-                }
-            }
-            Kind::CutZone => self.network.cut(offset % ZONES, until),
-            Kind::Burst { factor } => self.burst = (until, factor),
-            Kind::RepeatingCallers => self.repeating_until = until,
-            Kind::MovingCallers => self.moved = Some((until, offset % 2)),
-            Kind::SilentStore => self.store_silent_until = until,
-            Kind::FreezeUpstreams { .. } | Kind::BreakGroups { .. } | Kind::LoseAnswers { .. } => {}
-        }
-    }
-
-    /// Starts a sender; it is ready once it has read the store.
-    fn start(&mut self, now: Millis, index: usize) {
-        if self.nodes[index].sender.is_some() {
-            return;
-        }
-        if now < self.store_silent_until {
-            let until = self.store_silent_until;
-            return self.schedule(until, Event::Start(index));
-        }
-        let settings = SenderSettings {
-            zone: zone_of(index),
-            seed: self.rng.random(),
-            attempts_max: self.day.attempts_max,
-            mutant: self.settings.mutant,
-        };
-        self.nodes[index].sender = Some(Sender::start(now, settings, &self.specs));
-        if self.nodes[index].incarnation == 0 {
-            for group in 0..self.day.groups {
-                let at = now + Millis(self.rng.random_range(1..100));
-                self.schedule(
-                    at,
-                    Event::Query {
-                        sender: index,
-                        group,
-                    },
-                );
-            }
-        }
-    }
 }
 
 /// Returns the availability zone of a sender.
