LIMIT: agents hold all entries to the limit that their upstream names

Change: an agent reads `x-limit` of every answer of its upstream and refuses what the limit does not allow before it runs (`upstream_limited`, with the time until the next request is allowed), with the same bucket as the permits of gateways. An entry sends nothing there until then, other upstreams get the rest, and where none is left a request is refused at once; such refusals count neither against the retry budget nor against the health of the upstream. A keyed call is refused before it begins. The stand-ins name limits, count repeated requests and can send answers that never end.

--- a/crates/decisions/src/concurrency_limit.rs
+++ b/crates/decisions/src/concurrency_limit.rs
@@ -167,6 +167,11 @@
         };
     }
 
+    /// Pauses sending until a time.
+    pub(crate) fn pause_until(&mut self, until: Millis) {
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
     /// Ends an expired pause and, if the window is over, adjusts the limit.
     pub(crate) fn update(&mut self, now: Millis, settings: &ConcurrencySettings) {
         self.paused_until = self.paused_until.filter(|until| *until > now);
--- a/crates/decisions/src/scheduler/admission.rs
+++ b/crates/decisions/src/scheduler/admission.rs
@@ -61,12 +61,10 @@
                 retry_after: self.add_jitter(missing),
             });
         }
-        let usable = self
-            .pools
-            .index_of(&arrival.service)
-            .is_some_and(|pool| self.pools.list[pool].unavailable_since.is_none());
-        if usable {
-            return Ok(());
+        let pool = self.pools.index_of(&arrival.service);
+        let usable = pool.filter(|pool| self.pools.list[*pool].unavailable_since.is_none());
+        if let Some(pool) = usable {
+            return self.check_limits(now, pool, arrival.deadline);
         }
         Err(Refusal {
             kind: ErrorKind::NoUpstream,
@@ -74,6 +72,22 @@
         })
     }
 
+    /// Checks whether the limits that upstreams have named allow a request in time.
+    fn check_limits(&mut self, now: Millis, pool: usize, deadline: Millis) -> Result<(), Refusal> {
+        let members = self.pools.list[pool].members();
+        let open = members.filter(|index| self.fleet.upstreams[*index].accepts_work());
+        let next = open.map(|index| self.fleet.upstreams[index].limited_until);
+        let next = next.min().unwrap_or(now);
+        let latest = deadline.min(now + self.settings.queue.wait_max);
+        if next <= latest {
+            return Ok(());
+        }
+        Err(Refusal {
+            kind: ErrorKind::UpstreamLimited,
+            retry_after: self.add_jitter(next.since(now)),
+        })
+    }
+
     /// Checks the deadline, the queue bounds and the expected wait.
     fn check_queue(&mut self, now: Millis, pending: &Pending) -> Result<(), Refusal> {
         let arrival = &pending.arrival;
--- a/crates/decisions/src/scheduler/attempt_end.rs
+++ b/crates/decisions/src/scheduler/attempt_end.rs
@@ -87,11 +87,15 @@
                 self.record_answer(now, attempt.request);
                 self.handle_completion(now, index, attempt);
             }
-            AttemptEnd::NotRun { kind, .. } => {
+            AttemptEnd::NotRun { kind, retry_after } => {
                 if attempt.crash_counted {
                     self.suspects.clear(&attempt.digest);
                 }
-                self.handle_refusal(now, index, attempt, kind);
+                if kind == ErrorKind::UpstreamLimited {
+                    self.handle_limit(now, index, retry_after);
+                } else {
+                    self.handle_refusal(now, index, attempt, kind);
+                }
             }
             AttemptEnd::Unknown { kind, crashed, .. } => {
                 if crashed {
@@ -126,6 +130,14 @@
         }
     }
 
+    /// Sends nothing to an upstream until the limit that it has named allows it.
+    fn handle_limit(&mut self, now: Millis, index: usize, retry_after: Millis) {
+        let upstream = &mut self.fleet.upstreams[index];
+        upstream.last_progress = now;
+        upstream.limited_until = now + retry_after;
+        upstream.limiter.pause_until(upstream.limited_until);
+    }
+
     fn handle_refusal(&mut self, now: Millis, index: usize, attempt: &Attempt, kind: ErrorKind) {
         let upstream = &mut self.fleet.upstreams[index];
         match kind {
@@ -273,7 +285,10 @@
             return Err(ErrorKind::Quarantined);
         }
         // A request that never reached an upstream does not count against the retry budget.
-        if failure.kind == ErrorKind::Unreachable {
+        if matches!(
+            failure.kind,
+            ErrorKind::Unreachable | ErrorKind::UpstreamLimited
+        ) {
             return Ok(false);
         }
         let (budget, settings) = pool.retry_budget(&self.settings.retry);
--- a/crates/decisions/src/upstream.rs
+++ b/crates/decisions/src/upstream.rs
@@ -79,6 +79,8 @@
     pub(crate) reserved_for: Option<RequestNumber>,
     /// When an attempt last received its first byte, completed or was refused as busy.
     pub(crate) last_progress: Millis,
+    /// Until when the limit that it has named allows no attempt.
+    pub(crate) limited_until: Millis,
     report: Option<Report>,
 }
 
@@ -96,6 +98,7 @@
             group: None,
             reserved_for: None,
             last_progress: Millis::ZERO,
+            limited_until: Millis::ZERO,
             report: None,
         }
     }
@@ -200,6 +203,7 @@
     pub(crate) fn set_link(&mut self, up: bool, limits: &ConcurrencySettings) {
         self.linked = up;
         self.report = None;
+        self.limited_until = Millis::ZERO;
         if up {
             self.leaving = false;
             self.health = Health::default();
--- a/crates/sardinepin/src/agent/claims.rs
+++ b/crates/sardinepin/src/agent/claims.rs
@@ -278,7 +278,7 @@
         let id = self.attempt.id;
         if self.begun {
             self.agent
-                .end(id, AttemptEvent::Unreached, ResponseEnd::Refused(kind));
+                .end(id, AttemptEvent::Unreached, ResponseEnd::refused(kind));
         } else {
             self.agent.refuse(id, kind);
         }
--- a/crates/sardinepin/src/agent/response.rs
+++ b/crates/sardinepin/src/agent/response.rs
@@ -21,11 +21,25 @@
     /// The upstream sent the complete response.
     Complete,
     /// The attempt did not run.
-    Refused(ErrorKind),
+    Refused {
+        kind: ErrorKind,
+        /// When a retry may succeed; zero if unknown.
+        retry: Millis,
+    },
     /// The response broke off; the attempt may have run.
     Broken(ErrorKind),
 }
 
+impl ResponseEnd {
+    /// Returns the end of an attempt that did not run, without a time for a retry.
+    pub(crate) fn refused(kind: ErrorKind) -> Self {
+        Self::Refused {
+            kind,
+            retry: Millis::ZERO,
+        }
+    }
+}
+
 /// The buffered response of one attempt.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
@@ -175,10 +189,10 @@
                 id,
                 chunks: self.first_seq + self.chunks.len() as u64,
             },
-            ResponseEnd::Refused(kind) => ToEntry::Refused {
+            ResponseEnd::Refused { kind, retry } => ToEntry::Refused {
                 id,
                 kind,
-                retry_ms: 0,
+                retry_ms: u32::try_from(retry.0).unwrap_or(u32::MAX),
             },
             ResponseEnd::Broken(kind) => ToEntry::Broken { id, kind },
         });
--- a/crates/sardinepin/src/agent/runner.rs
+++ b/crates/sardinepin/src/agent/runner.rs
@@ -13,7 +13,7 @@
 use crate::agent::claims;
 use crate::agent::response::ResponseEnd;
 use crate::agent::state::{Agent, SharedAgent};
-use crate::agent::upstream::{CallError, response_headers};
+use crate::agent::upstream::{CallError, named_limit, response_headers};
 
 /// How a call to the upstream ended.
 enum CallEnd {
@@ -104,13 +104,15 @@
     }
     let _running = agent.gauge.count_running();
     match &attempt.key {
-        None if agent.begin(id) => {
-            call(agent, attempt, 0).await;
+        None => {
+            if is_within_limit(agent, id, false) && agent.begin(id) {
+                call(agent, attempt, 0).await;
+            }
         }
-        None => {}
         Some(key) => {
             if let Some(permit) = claims::acquire_permit(agent, attempt, key).await {
-                let may_run = permit.begun || begin(agent, id, validity);
+                let may_run = is_within_limit(agent, id, permit.begun)
+                    && (permit.begun || begin(agent, id, validity));
                 let cache_max = agent.settings.agent.answer_max;
                 let end = match may_run {
                     true => call(agent, attempt, cache_max).await,
@@ -130,6 +132,22 @@
     }
 }
 
+/// Refuses an attempt if the limit that the upstream has named allows no more now; returns whether it is allowed. `begun` tells whether
+/// the attempt is marked as begun already.
+fn is_within_limit(agent: &Agent, id: AttemptId, begun: bool) -> bool {
+    let Err(retry) = agent.take_from_limit() else {
+        return true;
+    };
+    let kind = ErrorKind::UpstreamLimited;
+    if begun {
+        let end = ResponseEnd::Refused { kind, retry };
+        agent.end(id, AttemptEvent::Unreached, end);
+    } else {
+        agent.refuse_until(id, kind, retry);
+    }
+    false
+}
+
 /// Marks a claimed attempt as begun unless it has lapsed; returns whether it may run.
 fn begin(agent: &Agent, id: AttemptId, validity: Validity) -> bool {
     if let Some(kind) = validity.lapse(agent) {
@@ -142,8 +160,10 @@
 /// Makes the call, and caches a response whose body has at most `cache_max` bytes.
 async fn call(agent: &Agent, attempt: &Attempt, cache_max: usize) -> CallEnd {
     let id = attempt.id;
+    let sent_at = agent.clock.now();
     let (event, end) = match agent.upstream.call(attempt).await {
         Ok(response) => {
+            agent.record_limit(sent_at, named_limit(&response));
             let status = response.status().as_u16();
             let headers = response_headers(&response);
             agent.with_response(id, |response| response.set_head(status, headers.clone()));
@@ -161,11 +181,11 @@
         }
         Err(CallError::Unreachable) => (
             AttemptEvent::Unreached,
-            ResponseEnd::Refused(ErrorKind::Unreachable),
+            ResponseEnd::refused(ErrorKind::Unreachable),
         ),
         Err(CallError::Malformed) => (
             AttemptEvent::Unreached,
-            ResponseEnd::Refused(ErrorKind::BadRequest),
+            ResponseEnd::refused(ErrorKind::BadRequest),
         ),
     };
     agent.end(id, event, end);
--- a/crates/sardinepin/src/agent/state.rs
+++ b/crates/sardinepin/src/agent/state.rs
@@ -6,8 +6,9 @@
 use sardinepin_common::{AttemptId, Clock, Incarnation, Map, Millis};
 use sardinepin_decisions::{
     AttemptAdmission, AttemptEvent, AttemptSettings, AttemptState, AttemptTable, CachedResponse,
+    LimitBucket, LimitNotice,
 };
-use sardinepin_protocol::{Attempt, ErrorKind, Load, SettledState, ToEntry};
+use sardinepin_protocol::{Attempt, ErrorKind, Load, RequestRate, SettledState, ToEntry};
 use sardinepin_runtime::PauseWatch;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +35,7 @@
     pub(crate) gauge: LoadGauge,
     pub(crate) upstream: UpstreamClient,
     pub(crate) keys: IdempotencyKeys,
+    limit: Mutex<LimitBucket>,
     pub(crate) group_events: mpsc::UnboundedSender<GroupEvent>,
     table: Mutex<AgentTable>,
 }
@@ -93,6 +95,7 @@
             upstream: UpstreamClient::new(settings.agent.upstream),
             group_events,
             keys: IdempotencyKeys::new(&settings, node, address),
+            limit: Mutex::default(),
             settings,
             identity: node.identity.clone(),
             clock: node.clock,
@@ -228,6 +231,11 @@
 
     /// Refuses an attempt; returns `false` if it has already begun.
     pub(crate) fn refuse(&self, id: AttemptId, kind: ErrorKind) -> bool {
+        self.refuse_until(id, kind, Millis::ZERO)
+    }
+
+    /// Refuses an attempt whose retry may succeed after `retry`; returns `false` if it has already begun.
+    pub(crate) fn refuse_until(&self, id: AttemptId, kind: ErrorKind, retry: Millis) -> bool {
         let now = self.clock.now();
         let mut table = self.table();
         let state = table.attempts.handle(now, id, AttemptEvent::Refuse(kind));
@@ -235,7 +243,7 @@
             return false;
         };
         if let Some(response) = table.responses.get_mut(&id) {
-            response.finish(now, ResponseEnd::Refused(kind));
+            response.finish(now, ResponseEnd::Refused { kind, retry });
         }
         table.remove_if_discardable(id);
         true
@@ -277,6 +285,33 @@
         self.table().responses.get_mut(&id).map(change)
     }
 
+    /// Takes a request out of the limit that the upstream has named.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next request is allowed.
+    pub(crate) fn take_from_limit(&self) -> Result<(), Millis> {
+        self.limit().try_take(self.clock.now())
+    }
+
+    /// Records what an answer to a call made at `sent_at` says about the upstream's limit.
+    pub(crate) fn record_limit(&self, sent_at: Millis, notice: LimitNotice) {
+        let mut limit = self.limit();
+        if !limit.heard.record_answer(self.clock.now(), sent_at, notice) {
+            return;
+        }
+        let rate = limit.heard.rate().map(RequestRate::per_second);
+        let change = if rate.is_some() { "named" } else { "lifted" };
+        log::info!(
+            event = "upstream_limit", change = change, per_second = rate;
+            "the limit of the upstream has changed"
+        );
+    }
+
+    fn limit(&self) -> MutexGuard<'_, LimitBucket> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Refuses new attempts from now on and announces this on every link.
     pub(crate) fn leave(&self) {
         let mut table = self.table();
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -8,6 +8,7 @@
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use sardinepin_common::{Millis, Term};
+use sardinepin_decisions::LimitNotice;
 use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField, UpstreamRequest};
 use serde_json::json;
@@ -28,6 +29,9 @@
     "content-length",
 ];
 
+/// The header field in which an upstream in need names how many requests a second it takes from all entries together.
+const LIMIT_HEADER: HeaderName = HeaderName::from_static("x-limit");
+
 /// Why a call produced no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallError {
@@ -137,6 +141,12 @@
     }
 }
 
+/// Returns what a response says about the upstream's limit.
+pub(crate) fn named_limit(response: &Response<Incoming>) -> LimitNotice {
+    let values = response.headers().get_all(LIMIT_HEADER).iter();
+    LimitNotice::from_values(values.map(|value| value.to_str().ok()))
+}
+
 /// Returns the header fields of a response that are forwarded to the caller.
 pub(crate) fn response_headers(response: &Response<Incoming>) -> Vec<HeaderField> {
     response
--- a/crates/sardinepin/tests/outcomes/main.rs
+++ b/crates/sardinepin/tests/outcomes/main.rs
@@ -4,6 +4,7 @@
 mod crashing_part;
 mod late;
 mod leaving;
+mod limits;
 mod not_run;
 mod one_map;
 mod shutdown;
--- a/standins/src/http/server.rs
+++ b/standins/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 
 use anyhow::Result;
@@ -20,6 +21,8 @@
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::endless::{ConnectionEnd, Endless, write_endless};
+
 /// The largest request body that a stand-in accepts, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -71,14 +74,42 @@
 async fn serve_connection(socket: TcpStream, handler: Arc<dyn Handler>) {
     // A failure is ignored: without the option, small chunks are only delayed.
     let _ = socket.set_nodelay(true);
+    let Ok(raw) = socket.as_fd().try_clone_to_owned() else {
+        return;
+    };
     let service = service_fn(move |request| handle_request(Arc::clone(&handler), request));
-    // An error means that one side broke the connection, which tests cause on purpose.
-    let _ = http1::Builder::new()
+    // Other errors mean that one side broke the connection, which tests cause on purpose.
+    let served = http1::Builder::new()
         .serve_connection(TokioIo::new(socket), service)
         .await;
+    let endless = served.err().and_then(|error| {
+        let source = std::error::Error::source(&error)?;
+        match source.downcast_ref()? {
+            ConnectionEnd::Endless(part) => Some(*part),
+            ConnectionEnd::Close(_) => None,
+        }
+    });
+    if let Some(part) = endless
+        && let Ok(mut socket) = TcpStream::from_std(raw.into())
+    {
+        write_endless(&mut socket, part, "").await;
+    }
+}
+
+async fn handle_request(
+    handler: Arc<dyn Handler>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, ConnectionEnd> {
+    let response = respond(handler, request)
+        .await
+        .map_err(ConnectionEnd::Close)?;
+    match response.extensions().get::<Endless>() {
+        Some(part) => Err(ConnectionEnd::Endless(*part)),
+        None => Ok(response),
+    }
 }
 
-async fn handle_request(handler: Arc<dyn Handler>, request: Request<Incoming>) -> HandlerResult {
+async fn respond(handler: Arc<dyn Handler>, request: Request<Incoming>) -> HandlerResult {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES)
         .collect()
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -131,7 +131,13 @@
         )
         .await;
         let faults = self.faults.borrow().clone();
-        respond(&faults, &call).await
+        let mut response = respond(&faults, &call).await?;
+        if let Some(milli) = faults.limit_milli {
+            let limit = format!("{}", f64::from(milli) / 1_000.0);
+            let limit = limit.parse().map_err(|_| CloseConnection)?;
+            response.headers_mut().insert("x-limit", limit);
+        }
+        Ok(response)
     }
 
     fn crash_if_set(&self, call: &Call, point: CrashPoint) {
@@ -181,6 +187,9 @@
         return json_response(StatusCode::OK, &call.echo);
     }
     pause(Millis(faults.delay_ms)).await;
+    if let Some(part) = faults.endless {
+        return part.response();
+    }
     if faults.unanswered {
         return Err(CloseConnection);
     }
--- a/standins/src/plain/counts.rs
+++ b/standins/src/plain/counts.rs
@@ -18,6 +18,8 @@
     pub total: u64,
     /// Calls that arrived since the process started, whether they ran or not.
     pub arrived: u64,
+    /// Those of them whose request identifier had arrived before.
+    pub repeated: u64,
     /// When each of them arrived last, by request identifier, in wall-clock time.
     pub arrivals: Map<String, Millis>,
     /// Calls that are held before their run at present.
@@ -31,7 +33,8 @@
     pub(super) fn record_arrival(&mut self, request: &str) {
         self.arrived += 1;
         if !request.is_empty() {
-            self.arrivals.insert(request.to_owned(), Clock::wall_time());
+            let earlier = self.arrivals.insert(request.to_owned(), Clock::wall_time());
+            self.repeated += u64::from(earlier.is_some());
         }
     }
 }
--- a/standins/src/plain/faults.rs
+++ b/standins/src/plain/faults.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::http::Endless;
+
 /// The point at which a call crashes the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -36,6 +38,10 @@
     pub without_length: bool,
     /// The connection is broken after the response head and this number of bytes of the body.
     pub break_after: Option<usize>,
+    /// The limit that every answer names, in thousandths of a request a second.
+    pub limit_milli: Option<u32>,
+    /// The part of every answer that never ends.
+    pub endless: Option<Endless>,
 }
 
 impl Faults {
