Upstreams that send bytes without end are given up before the deadline

Callers waited their whole deadline, and a processor was kept busy, when an upstream sent interim responses or framing without end. Cause: the HTTP client skips interim responses and goes on reading; an event was buffered up to 1 MB. Agents read a reply of their engine without a bound. Change: a connection to an upstream fails after 64 KiB without a response head, or without a piece of a stream; an event is buffered up to 256 KiB, as a whole answer is. Replies to an agent's own calls are bounded.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use http::response::Parts;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use sardinepin_common::Millis;
 
 use crate::call::Call;
@@ -364,6 +364,14 @@
         Ok(CompleteResponse { parts, body })
     }
 
+    /// Reads the next piece of a stream; fails if too many bytes come without one.
+    pub(crate) fn next_frame(
+        &mut self,
+    ) -> impl Future<Output = Option<hyper::Result<Frame<Bytes>>>> {
+        self.connection.expect_part();
+        self.body.frame()
+    }
+
     /// Returns whether the response ends with its connection, as it has neither a length nor chunks.
     pub(crate) fn ends_with_connection(&self) -> bool {
         let headers = &self.parts.headers;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,12 +11,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use sardinepin_common::{Clock, Map, Millis};
-use sardinepin_runtime::{reset_on_close, set_user_timeout};
+use sardinepin_runtime::{BoundedStream, ByteAllowance, reset_on_close, set_user_timeout};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::constants::{
-    CONNECT_TIMEOUT, IDLE_MARGIN, IDLE_TIMEOUT_DEFAULT, READ_BUFFER_BYTES, TCP_USER_TIMEOUT,
+    CONNECT_TIMEOUT, IDLE_MARGIN, IDLE_TIMEOUT_DEFAULT, PART_MAX_BYTES, READ_BUFFER_BYTES,
+    TCP_USER_TIMEOUT,
 };
 use sardinepin_decisions::direct::UpstreamId;
 
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ByteAllowance,
     driver: AbortHandle,
 }
 
@@ -54,6 +56,8 @@
             .map_err(|_| SendError::NotSent)?;
         set_socket_options(&stream);
         reset_on_close(&stream);
+        let allowance = ByteAllowance::default();
+        let stream = BoundedStream::new(stream, allowance.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -66,23 +70,29 @@
         });
         Ok(Self {
             sender,
+            allowance,
             driver: driver.abort_handle(),
         })
     }
 
+    /// Bounds the bytes that may come before the next part of a response.
+    pub(crate) fn expect_part(&self) {
+        self.allowance.set(PART_MAX_BYTES);
+    }
+
     /// Sends a request and waits for the response head.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.sender.ready().await.map_err(|_| SendError::NotSent)?;
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|error| match error.message() {
-                Some(_) => SendError::NotSent,
-                None => SendError::MaybeSent,
-            })
+        self.expect_part();
+        let response = self.sender.try_send_request(request).await;
+        self.allowance.set(usize::MAX);
+        response.map_err(|error| match error.message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::MaybeSent,
+        })
     }
 }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -9,7 +9,7 @@
 const ID_FIELD: &[u8] = b"id:";
 
 /// The largest event that is buffered, in bytes.
-const EVENT_MAX: usize = 1 << 20;
+const EVENT_MAX: usize = 256 * 1024;
 
 /// An event exceeds the size limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -257,7 +257,7 @@
             can_move,
             answering: self.attempt_began.is_some(),
         };
-        let frame = response.body.frame();
+        let frame = response.next_frame();
         match self.gateway.wait_for_upstream(id, limits, frame).await? {
             None => Ok(None),
             Some(Ok(frame)) => {
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod crashes;
 mod crashing_parts;
+mod endless;
 mod late;
 mod limits;
 mod outcomes;
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -10,6 +10,7 @@
     OrganisationSpec, ReadFuture, RequestKind, Route, RunningGateway, StopSettings, StoredObject,
     SyncSettings, Target, UpstreamSpec, WriteFuture, start,
 };
+use sardinepin_standins::http::{Endless, write_endless};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -36,6 +37,8 @@
     Hang,
     /// Sends nothing for this time.
     Pause(Millis),
+    /// Writes an answer that never ends, until the gateway closes the connection.
+    Endless(Endless),
 }
 
 /// What an upstream has received, and the rest of its script.
@@ -136,7 +139,7 @@
         self.log.lock().unwrap().crashed
     }
 
-    /// Returns how many connections the gateway closed during `Step::Hang`.
+    /// Returns how many connections the gateway closed during `Step::Hang` and `Step::Endless`.
     pub(crate) fn disconnects(&self) -> usize {
         self.log.lock().unwrap().disconnects
     }
@@ -173,6 +176,12 @@
                     until(&log, |log| log.closed).await;
                     return;
                 }
+                Step::Endless(part) => {
+                    let fields = format!("x-request-id: {id}\r\nx-signature: s\r\n");
+                    write_endless(&mut stream, part, &fields).await;
+                    log.lock().unwrap().disconnects += 1;
+                    return;
+                }
                 Step::Pause(time) => tokio::time::sleep(time.duration()).await,
                 Step::Reset => {
                     socket2::SockRef::from(&stream)
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,11 +1,13 @@
-//! What every process needs of its runtime: pauses of the process, the connections of callers and
-//! socket options.
+//! What every process needs of its runtime: pauses of the process, the connections of callers and to
+//! upstreams, and socket options.
 
+mod bounded_stream;
 mod caller_stream;
 mod pause_detector;
 mod pauses;
 mod sockets;
 
+pub use bounded_stream::{BoundedStream, ByteAllowance};
 pub use caller_stream::CallerStream;
 pub use pause_detector::{PAUSE_MIN, PauseDetector};
 pub use pauses::PauseWatch;
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use http::{HeaderName, HeaderValue, Request, Response, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -11,6 +11,7 @@
 use sardinepin_decisions::LimitNotice;
 use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField, UpstreamRequest};
+use serde::de::DeserializeOwned;
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -29,6 +30,9 @@
     "content-length",
 ];
 
+/// The largest reply to an order or a query of the load, in bytes.
+const REPLY_MAX_BYTES: usize = 64 * 1024;
+
 /// The header field in which an upstream in need names how many requests a second it takes from all entries together.
 const LIMIT_HEADER: HeaderName = HeaderName::from_static("x-limit");
 
@@ -92,9 +96,7 @@
             .ok()?;
         // A fresh connection, since the pool would retry the order on its own if a reused one
         // closed.
-        let response = self.fresh.request(request).await.ok()?;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        serde_json::from_slice(&body).ok()
+        read_json(&self.fresh, request).await
     }
 
     /// Reads the load that the engine reports; returns `None` if no valid report arrives within
@@ -102,11 +104,7 @@
     pub(crate) async fn read_load(&self, limit: Millis) -> Option<EngineLoad> {
         let uri = format!("http://{}/load", self.address);
         let request = Request::get(uri).body(Full::default()).ok()?;
-        let exchange = async {
-            let response = self.pooled.request(request).await.ok()?;
-            let body = response.into_body().collect().await.ok()?.to_bytes();
-            serde_json::from_slice(&body).ok()
-        };
+        let exchange = read_json(&self.pooled, request);
         timeout(limit.duration(), exchange).await.ok()?
     }
 
@@ -141,6 +139,17 @@
     }
 }
 
+/// Sends a request and reads its response, which must not be longer than [`REPLY_MAX_BYTES`].
+async fn read_json<T: DeserializeOwned>(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Option<T> {
+    let response = client.request(request).await.ok()?;
+    let body = Limited::new(response.into_body(), REPLY_MAX_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&body).ok()
+}
+
 /// Returns what a response says about the upstream's limit.
 pub(crate) fn named_limit(response: &Response<Incoming>) -> LimitNotice {
     let values = response.headers().get_all(LIMIT_HEADER).iter();
