Rank groups: a coordinator calls a large group through a few members, and one takes over at a start

Streams came late in calm: maps did not follow the load at 96 ranks, as a plan took 7 to 10 s to come into force. Cause: a coordinator called all members over its own link of 6 Mbit/s, 95 times the counts (some 3 KB each) and 95 times a new map (8 KB each), within 250 ms a call, so that calls timed out and were repeated. At a start all agents whose delay had passed before their engines answered took over at once, and a coordinator told nobody of itself until it knew all members. The planner weighed a transfer as if ranks loaded one after the other (the threshold grew with the ranks), and each candidate by all ranks. Change: beyond 40 members calls go through neighbourhoods of about the square root of the group, by zone; a member passes them on and sums the counts. One that does not reply is left out and the next one asked. The takeover delay starts with the engine's first report; a coordinator without a complete list tells those it knows. Orders passed on are late or repeated orders of the same term and sequence number, which the model of the switch covers; agents of one group have to be of one version.

--- a/crates/groups/src/placement/popularity.rs
+++ b/crates/groups/src/placement/popularity.rs
@@ -52,23 +52,24 @@
         }
     }
 
-    /// Updates the popularity with the increases of the counts of all ranks since the last update;
-    /// `None` where they are unknown.
+    /// Updates the popularity with increases of the counts since the last update, each of a rank or summed over some of the
+    /// `ranks` ranks; those of others are unknown.
     ///
     /// Each layer has `experts` experts.
     pub fn record_increments(
         &mut self,
         now: Millis,
         epoch: u64,
-        increments: &[Option<Vec<u32>>],
+        ranks: usize,
+        increments: &[Vec<u32>],
         experts: usize,
     ) {
-        if epoch != self.epoch || self.ranks != increments.len() {
+        if epoch != self.epoch || self.ranks != ranks {
             // What was popular before the group formed again is the best guess until it is counted.
             *self = Self {
                 settings: self.settings,
                 weights: std::mem::take(&mut self.weights),
-                ranks: increments.len(),
+                ranks,
                 epoch,
                 observed_at: now,
                 started_at: now,
@@ -119,10 +120,10 @@
     }
 }
 
-/// Returns the increases summed over all ranks.
-fn sum_of(increments: &[Option<Vec<u32>>]) -> Vec<f64> {
+/// Returns the increases added up.
+fn sum_of(increments: &[Vec<u32>]) -> Vec<f64> {
     let mut sum: Vec<f64> = Vec::new();
-    for rank in increments.iter().flatten() {
+    for rank in increments {
         sum.resize(rank.len().max(sum.len()), 0.0);
         for (sum, increment) in sum.iter_mut().zip(rank) {
             *sum += f64::from(*increment);
--- a/crates/groups/src/placement/rebalance.rs
+++ b/crates/groups/src/placement/rebalance.rs
@@ -20,7 +20,8 @@
     pub layer_transfers: usize,
     /// The most experts of all layers that one change loads at a rank.
     pub rank_transfers: usize,
-    /// The least gain of one transfer, relative to the mean expert work of a rank in a step.
+    /// The least gain of one transfer, relative to the mean expert work of a rank in a step and divided by
+    /// the number of ranks, as these load side by side.
     pub transfer_gain: f64,
     /// The least gain of a whole change, relative to the expert work of the slowest ranks in a step.
     pub change_gain: f64,
@@ -32,7 +33,7 @@
             rank_slots: 11,
             layer_transfers: 4,
             rank_transfers: 1,
-            transfer_gain: 0.004,
+            transfer_gain: 0.032,
             change_gain: 0.06,
         }
     }
@@ -104,6 +105,7 @@
     for layer in &mut search {
         layer.find_best_move(settings, &transfers_by_rank);
     }
+    let least_gain = settings.transfer_gain * total_mean / ranks as f64;
     let mut total_gain = 0.0;
     // A move transfers at most one expert. The bound stops a search that makes no progress.
     for _ in 0..ranks * settings.rank_transfers * MOVES_PER_TRANSFER {
@@ -114,17 +116,18 @@
         let Some((at, best)) = best.max_by(|a, b| a.1.gain.total_cmp(&b.1.gain)) else {
             break;
         };
-        if best.gain < settings.transfer_gain * total_mean {
+        if best.gain < least_gain {
             break;
         }
         total_gain += best.gain;
         search[at].apply(best, &mut transfers_by_rank);
-        // A rank without transfers left also limits the moves of the other layers.
+        // A rank without transfers left also ends the moves to it in other layers.
         let full = best
             .to
-            .is_some_and(|to| transfers_by_rank[to] >= settings.rank_transfers);
+            .filter(|to| transfers_by_rank[*to] >= settings.rank_transfers);
         for (other, layer) in search.iter_mut().enumerate() {
-            if full || other == at {
+            let is_ended = full.is_some() && layer.best().is_some_and(|best| best.to == full);
+            if is_ended || other == at {
                 layer.find_best_move(settings, &transfers_by_rank);
             }
         }
--- a/crates/ranks/src/agent.rs
+++ b/crates/ranks/src/agent.rs
@@ -11,7 +11,8 @@
 use crate::engine::{
     CountIncrements, EngineApi, EngineCounts, EngineOrder, EngineReply, EngineReport,
 };
-use crate::messages::{Call, EngineView, Reply, ViewScope};
+use crate::messages::{Call, EngineView, Look, Reply, ViewScope};
+use crate::relay::Neighbours;
 
 /// The timeout of a query to the engine.
 const QUERY_TIMEOUT: Millis = Millis(200);
@@ -37,6 +38,7 @@
     last_counts: Mutex<Option<EngineCounts>>,
     load: Mutex<LoadState>,
     permits: Mutex<PermitAllocator>,
+    neighbours: Mutex<Neighbours>,
 }
 
 /// The last coordinator heard.
@@ -82,6 +84,7 @@
             last_counts: Mutex::default(),
             load: Mutex::default(),
             permits: Mutex::default(),
+            neighbours: Mutex::default(),
         }
     }
 
@@ -97,20 +100,21 @@
     /// Handles a coordinator's call and returns the reply.
     pub(crate) async fn handle_call(&self, call: Call) -> Reply {
         match call {
-            Call::Look {
-                term,
-                scope,
-                sample,
-            } => {
-                self.record_coordinator(term);
-                if let Some(sample) = sample {
-                    self.record_sample(sample);
-                }
-                match self.view(scope).await {
+            Call::Look(look) => {
+                self.record_look(&look);
+                match self.view(look.scope).await {
                     Some(view) => Reply::View(Box::new(view)),
                     None => Reply::Silent,
                 }
             }
+            Call::LookAll { look, others } => {
+                self.record_look(&look);
+                Reply::Views(self.look_at_all(&look, &others).await)
+            }
+            Call::OrderAll { order, others } => {
+                self.record_coordinator(order.term);
+                Reply::Orders(self.order_all(&order, &others).await)
+            }
             Call::Order(order) => {
                 self.record_coordinator(order.term);
                 match self.order(&order).await {
@@ -126,6 +130,13 @@
         }
     }
 
+    fn record_look(&self, look: &Look) {
+        self.record_coordinator(look.term);
+        if let Some(sample) = &look.sample {
+            self.record_sample(sample.clone());
+        }
+    }
+
     fn record_coordinator(&self, term: u64) {
         let now = self.clock.now();
         let mut heard = self.last_coordinator_mut();
@@ -186,6 +197,10 @@
         grant
     }
 
+    pub(crate) fn neighbours(&self) -> MutexGuard<'_, Neighbours> {
+        lock(&self.neighbours)
+    }
+
     fn load_state(&self) -> MutexGuard<'_, LoadState> {
         lock(&self.load)
     }
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -26,6 +26,7 @@
 use crate::messages::{EngineView, ViewScope};
 use crate::peer::PeerClient;
 use crate::policy::RankPolicy;
+use crate::relay::Neighbourhood;
 
 /// The interval between two polls while a map switch is in progress.
 const SWITCH_POLL_INTERVAL: Millis = Millis(15);
@@ -106,6 +107,8 @@
     settings: CoordinatorSettings,
     clock: Clock,
     members: Vec<GroupMember>,
+    /// The members that are called through one of them.
+    neighbourhoods: Vec<Neighbourhood>,
     /// When the member list was last read.
     members_read: Option<Millis>,
     /// Whether the members may have changed since that read.
@@ -113,6 +116,8 @@
     /// When engines were last polled directly.
     direct_polled: Millis,
     rank: usize,
+    /// When the engine first reported; until then no other coordinator can be expected.
+    engine_seen: Option<Millis>,
     term: u64,
     last_version: u64,
     step_down_until: Millis,
@@ -152,10 +157,12 @@
             directory,
             settings,
             members: Vec::new(),
+            neighbourhoods: Vec::new(),
             members_read: None,
             members_stale: false,
             direct_polled: Millis::ZERO,
             rank: 0,
+            engine_seen: None,
             term: 0,
             last_version: 0,
             step_down_until: Millis::ZERO,
@@ -186,6 +193,7 @@
                 continue;
             };
             self.rank = view.report.rank.rank;
+            self.engine_seen.get_or_insert(self.clock.now());
             if !self.may_lead() || !self.others_silent() {
                 self.set_leading(false);
                 continue;
@@ -231,14 +239,16 @@
     }
 
     /// Returns whether no other coordinator has been heard for this rank's takeover delay.
+    ///
+    /// The delay starts when the engine first reports, so that the ranks of a group that starts at once do not all take over.
     fn others_silent(&self) -> bool {
-        let heard = self.agent.last_coordinator();
-        if heard.term == 0 && self.clock.now() < TAKEOVER_DELAY {
+        let Some(engine_seen) = self.engine_seen else {
             return false;
-        }
+        };
         // Its own polls do not reset the time: they reach its own agent without a `Call`.
+        let silent_since = self.agent.last_coordinator().at.max(engine_seen);
         let wait = TAKEOVER_DELAY + Millis(TAKEOVER_RANK_DELAY.0 * self.rank as u64);
-        self.clock.now().since(heard.at) >= wait
+        self.clock.now().since(silent_since) >= wait
     }
 
     /// Sets a term above every known term.
@@ -271,6 +281,7 @@
 
     async fn lead(&mut self, own: &EngineReport) {
         if !self.refresh_members(own).await {
+            self.announce().await;
             return;
         }
         let views = self.poll_members().await;
--- a/crates/ranks/src/coordinator/orders.rs
+++ b/crates/ranks/src/coordinator/orders.rs
@@ -7,6 +7,7 @@
 use super::{Coordinator, DIRECT_TIMEOUT, GroupMember, PREPARE_RETRY_INTERVAL, PollDelay};
 use crate::engine::{Action, EngineOrder, EngineReply};
 use crate::messages::{Call, EngineView, Reply};
+use crate::relay::{Neighbourhood, PassedOrder, RELAY_TIMEOUT};
 
 /// How many times an order is sent until a reply comes.
 const MAX_ATTEMPTS: u32 = 6;
@@ -85,14 +86,75 @@
             .ok()
     }
 
-    /// Sends orders to ranks concurrently; each order is paired with the index of its member.
+    /// Sends the same action to ranks concurrently; each order is paired with the index of its member.
     async fn send_all(&self, orders: &[(usize, EngineOrder)]) -> Vec<Option<EngineReply>> {
-        let calls = orders.iter().filter_map(|(index, order)| {
-            Some(self.send_with_retry(self.members.get(*index)?, order))
+        let sets = self.neighbourhoods.iter();
+        let found = join_all(sets.map(|set| self.send_to_neighbourhood(set, orders))).await;
+        let mut replies = vec![None; orders.len()];
+        for (at, reply) in found.into_iter().flatten() {
+            replies[at] = reply;
+        }
+        replies
+    }
+
+    /// Sends those of the orders that are for members of a neighbourhood, through one of them; the orders without a reply are
+    /// sent once more. Returns the replies by the position of their order.
+    async fn send_to_neighbourhood(
+        &self,
+        set: &Neighbourhood,
+        orders: &[(usize, EngineOrder)],
+    ) -> Vec<(usize, Option<EngineReply>)> {
+        let members = set.members(self.own_index()).into_iter();
+        let positions =
+            members.filter_map(|member| orders.iter().position(|(index, _)| *index == member));
+        let positions: Vec<usize> = positions.collect();
+        let mut replies = vec![None; positions.len()];
+        if positions.len() > 1 {
+            match self.send_through(&positions, orders).await {
+                Some(found) => replies = found,
+                None => set.change_relay(),
+            }
+        }
+        let calls = positions.into_iter().zip(replies).map(async |(at, reply)| {
+            let (index, order) = &orders[at];
+            match (reply, self.members.get(*index)) {
+                (None, Some(target)) => (at, self.send_with_retry(target, order).await),
+                _ => (at, reply),
+            }
         });
         join_all(calls).await
     }
 
+    /// Sends the orders at these positions through the member of the first; `None` if it does not reply.
+    async fn send_through(
+        &self,
+        positions: &[usize],
+        orders: &[(usize, EngineOrder)],
+    ) -> Option<Vec<Option<EngineReply>>> {
+        let (first, order) = orders.get(*positions.first()?)?;
+        let passed = positions.iter().skip(1).filter_map(|at| {
+            let (index, order) = &orders[*at];
+            Some(PassedOrder {
+                agent: self.agent_address(*index)?,
+                epoch: order.epoch,
+                sequence: order.sequence,
+            })
+        });
+        let others: Vec<PassedOrder> = passed.collect();
+        if Some(*first) == self.own_index() {
+            return Some(self.agent.order_all(order, &others).await);
+        }
+        let call = Call::OrderAll {
+            order: order.clone(),
+            others,
+        };
+        let client = &self.members.get(*first)?.client;
+        match client.call_within(RELAY_TIMEOUT, &call).await {
+            Some(Reply::Orders(replies)) if replies.len() == positions.len() => Some(replies),
+            _ => None,
+        }
+    }
+
     /// Sends the same action to every rank concurrently.
     async fn send_to_each(
         &self,
@@ -244,31 +306,53 @@
             layers: layers.clone(),
         };
         log::info!(event = "abort", version = version, step = step, first = first; "replacing a switch that cannot be completed");
-        let mut replies = vec![self.replace_at(report, &reload).await];
+        let mut replies = self.replace_at(&[*report], &reload).await;
         if GroupReply::of(&replies) == GroupReply::Accepted {
             let others = reports.iter().filter(|report| report.rank != first);
-            replies = join_all(others.map(|report| self.replace_at(report, &reload))).await;
+            let others: Vec<RankReport> = others.copied().collect();
+            replies = self.replace_at(&others, &reload).await;
         }
         if GroupReply::of(&replies) == GroupReply::Superseded {
             self.step_down("replace");
         }
     }
 
-    /// Disarms one rank, then has it load a newer version; returns the reply to the last order.
-    async fn replace_at(&self, report: &RankReport, reload: &Action) -> Option<EngineReply> {
-        let target = self.members.get(report.rank)?;
-        let mut current = *report;
-        if let Some(armed) = report.armed {
-            let version = armed.version;
-            let order = self.new_order(&current, Action::Disarm { version });
-            match self.send_with_retry(target, &order).await {
-                Some(EngineReply::Begun) => current.sequence += 1,
-                Some(EngineReply::Done) => {}
-                refused => return refused,
+    /// Disarms ranks, then has them load a newer version; returns the reply of each to its last order.
+    async fn replace_at(
+        &self,
+        reports: &[RankReport],
+        reload: &Action,
+    ) -> Vec<Option<EngineReply>> {
+        let disarmed = join_all(reports.iter().map(|report| self.disarm(report))).await;
+        let mut replies: Vec<Option<EngineReply>> = Vec::new();
+        let mut orders = Vec::new();
+        for found in disarmed {
+            match found {
+                Ok(current) => {
+                    orders.push((current.rank, self.new_order(&current, reload.clone())))
+                }
+                Err(refused) => replies.push(refused),
             }
         }
-        let order = self.new_order(&current, reload.clone());
-        self.send_with_retry(target, &order).await
+        replies.extend(self.send_all(&orders).await);
+        replies
+    }
+
+    /// Disarms a rank if it is armed; returns its report after that, or the reply if it was not accepted.
+    async fn disarm(&self, report: &RankReport) -> Result<RankReport, Option<EngineReply>> {
+        let mut current = *report;
+        let Some(armed) = report.armed else {
+            return Ok(current);
+        };
+        let target = self.members.get(report.rank).ok_or(None)?;
+        let version = armed.version;
+        let order = self.new_order(&current, Action::Disarm { version });
+        match self.send_with_retry(target, &order).await {
+            Some(EngineReply::Begun) => current.sequence += 1,
+            Some(EngineReply::Done) => {}
+            refused => return Err(refused),
+        }
+        Ok(current)
     }
 
     /// Releases a step that is held although no switch is in progress.
--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -7,9 +7,10 @@
 use sardinepin_protocol::GroupSample;
 
 use super::{Coordinator, DIRECT_POLL_INTERVAL, DIRECT_TIMEOUT, GroupMember, MEMBERS_INTERVAL};
-use crate::engine::{EngineReport, Member};
-use crate::messages::{Call, EngineView, Reply, ViewScope};
+use crate::engine::{CountIncrements, EngineReport, Member};
+use crate::messages::{Call, EngineView, Look, Reply, ViewScope};
 use crate::peer::PeerClient;
+use crate::relay::{GroupViews, Neighbourhood, RELAY_TIMEOUT, neighbourhoods, sum_counts};
 
 /// The pause after a poll with counts, as a multiple of its duration. The counts of a large group
 /// saturate the network links of its instances.
@@ -21,6 +22,15 @@
 /// The most limits of upstreams in a sample.
 const LIMITS_MAX: usize = 256;
 
+/// What a poll of some members has found.
+#[derive(Debug)]
+struct FoundViews {
+    /// The view of each member, by its index.
+    views: Vec<(usize, Option<EngineView>)>,
+    /// The sum of their counts.
+    counts: Option<CountIncrements>,
+}
+
 /// When the last poll with counts finished, and how long it took.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct CountsPoll {
@@ -88,38 +98,108 @@
             member,
         });
         self.members = members.collect();
+        let members: Vec<&Member> = self.members.iter().map(|target| &target.member).collect();
+        self.neighbourhoods = neighbourhoods(&members, self.settings.policy.direct_members);
     }
 
     /// Polls all members concurrently and returns the views of those that replied.
     pub(super) async fn poll_members(&mut self) -> Vec<EngineView> {
         let began = self.clock.now();
-        let scope = ViewScope {
-            counts: self
-                .counts_poll
-                .is_due(began, self.settings.policy.poll_interval),
-            experts: self.active_maps.is_none(),
+        let look = Look {
+            term: self.term,
+            scope: ViewScope {
+                counts: self
+                    .counts_poll
+                    .is_due(began, self.settings.policy.poll_interval),
+                experts: self.active_maps.is_none(),
+            },
+            sample: self.sample.take(),
         };
-        let sample = self.sample.take();
         let polls = self
-            .members
+            .neighbourhoods
             .iter()
-            .map(|target| self.poll_member(target, scope, sample.as_ref()));
-        let mut views: Vec<Option<EngineView>> = join_all(polls).await;
+            .map(|set| self.poll_neighbourhood(set, &look));
+        let mut views: Vec<Option<EngineView>> = vec![None; self.members.len()];
+        let mut counts = Vec::new();
+        for found in join_all(polls).await {
+            for (index, view) in found.views {
+                views[index] = view;
+            }
+            counts.extend(found.counts);
+        }
         if views.iter().any(Option::is_none) {
             self.poll_engines_directly(&mut views).await;
         }
         self.sample_loads(&views);
         let complete = views.iter().all(Option::is_some);
         let views: Vec<EngineView> = views.into_iter().flatten().collect();
+        if look.scope.counts {
+            self.record_counts(began, &views, counts);
+        }
         if complete {
-            if scope.counts {
-                self.record_counts(began, &views);
-            }
             self.update_active_maps(&views);
         }
         views
     }
 
+    /// Polls the members of a neighbourhood through one of them, or each by itself if that one does not reply.
+    async fn poll_neighbourhood(&self, set: &Neighbourhood, look: &Look) -> FoundViews {
+        let members = set.members(self.own_index());
+        if let [first, others @ ..] = members.as_slice()
+            && !others.is_empty()
+        {
+            if let Some(found) = self.poll_through(*first, others, look).await {
+                return FoundViews {
+                    views: members.into_iter().zip(found.views).collect(),
+                    counts: found.counts,
+                };
+            }
+            set.change_relay();
+        }
+        let polls = members.iter().map(|index| self.poll_member(*index, look));
+        let mut views = join_all(polls).await;
+        let counts = views.iter_mut().flatten();
+        let counts = sum_counts(counts.filter_map(|view| view.counts.take()));
+        FoundViews {
+            views: members.into_iter().zip(views).collect(),
+            counts,
+        }
+    }
+
+    /// Polls members through the first of them; `None` if it does not reply.
+    async fn poll_through(
+        &self,
+        first: usize,
+        others: &[usize],
+        look: &Look,
+    ) -> Option<GroupViews> {
+        let agents = others.iter().filter_map(|index| self.agent_address(*index));
+        let agents: Vec<SocketAddr> = agents.collect();
+        if Some(first) == self.own_index() {
+            return Some(self.agent.look_at_all(look, &agents).await);
+        }
+        let call = Call::LookAll {
+            look: look.clone(),
+            others: agents,
+        };
+        let client = &self.members.get(first)?.client;
+        match client.call_within(RELAY_TIMEOUT, &call).await {
+            Some(Reply::Views(found)) if found.views.len() == others.len() + 1 => Some(found),
+            _ => None,
+        }
+    }
+
+    /// Tells the members that are known of this coordinator while others are missing from the list, so that no other takes over.
+    pub(super) async fn announce(&self) {
+        let look = Look {
+            term: self.term,
+            scope: ViewScope::default(),
+            sample: None,
+        };
+        let polls = self.neighbourhoods.iter();
+        join_all(polls.map(|set| self.poll_neighbourhood(set, &look))).await;
+    }
+
     /// Samples the load of the group, for this rank's agent and, with the next poll, for the others.
     fn sample_loads(&mut self, views: &[Option<EngineView>]) {
         let now = self.clock.now();
@@ -144,41 +224,44 @@
         self.sample = Some(sample);
     }
 
-    /// Updates the popularity from the counts of all ranks.
-    fn record_counts(&mut self, began: Millis, views: &[EngineView]) {
+    /// Updates the popularity from the sums of the counts of some ranks each.
+    fn record_counts(&mut self, began: Millis, views: &[EngineView], counts: Vec<CountIncrements>) {
         let now = self.clock.now();
         self.counts_poll = CountsPoll::new(now, now.since(began));
-        let epoch = views.first().map_or(0, |view| view.report.rank.epoch);
-        let counts = views.iter().map(|view| {
-            let counts = view.counts.as_ref()?;
-            Some(counts.increments.clone())
-        });
-        let counts: Vec<_> = counts.collect();
+        let Some(epoch) = views.first().map(|view| view.report.rank.epoch) else {
+            return;
+        };
+        let counts = counts.into_iter().filter(|counts| counts.epoch == epoch);
+        let increments: Vec<_> = counts.map(|counts| counts.increments).collect();
+        let ranks = self.members.len();
         let experts = self.settings.shape.experts;
         self.popularity
-            .record_increments(now, epoch, &counts, experts);
+            .record_increments(now, epoch, ranks, &increments, experts);
     }
 
-    async fn poll_member(
-        &self,
-        target: &GroupMember,
-        scope: ViewScope,
-        sample: Option<&GroupSample>,
-    ) -> Option<EngineView> {
-        if target.member.engine == self.settings.engine {
-            return self.agent.view(scope).await;
+    async fn poll_member(&self, index: usize, look: &Look) -> Option<EngineView> {
+        if Some(index) == self.own_index() {
+            return self.agent.view(look.scope).await;
         }
-        let call = Call::Look {
-            term: self.term,
-            scope,
-            sample: sample.cloned(),
-        };
-        match target.client.call(&call).await {
+        let client = &self.members.get(index)?.client;
+        match client.call(&Call::Look(look.clone())).await {
             Some(Reply::View(view)) => Some(*view),
             _ => None,
         }
     }
 
+    /// Returns the index of the member on this instance.
+    pub(super) fn own_index(&self) -> Option<usize> {
+        let is_own = |target: &GroupMember| target.member.engine == self.settings.engine;
+        self.members.iter().position(is_own)
+    }
+
+    /// Returns the address of a member's agent.
+    pub(super) fn agent_address(&self, index: usize) -> Option<SocketAddr> {
+        let engine = self.members.get(index)?.member.engine;
+        Some(SocketAddr::new(engine.ip(), self.settings.peer_port))
+    }
+
     /// Polls the engines whose agents did not reply, so that a held step does not wait for an
     /// agent.
     async fn poll_engines_directly(&mut self, views: &mut [Option<EngineView>]) {
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -190,6 +190,8 @@
     pub rank: usize,
     /// The address of the engine; its agent listens on the same instance.
     pub engine: SocketAddr,
+    /// The availability zone of the instance.
+    pub zone: Arc<str>,
 }
 
 /// A source of the members of all groups.
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod peer;
 mod policy;
+mod relay;
 mod run;
 
 #[cfg(test)]
@@ -18,7 +19,8 @@
     Action, CountIncrements, Directory, EngineApi, EngineCounts, EngineError, EngineExperts,
     EngineFuture, EngineOrder, EngineReply, EngineReport, ExpertShape, Member,
 };
-pub use messages::{Call, EngineView, Reply, ViewScope};
+pub use messages::{Call, EngineView, Look, Reply, ViewScope};
 pub use peer::PeerClient;
 pub use policy::RankPolicy;
+pub use relay::{GroupViews, PassedOrder};
 pub use run::{RankSettings, run};
--- a/crates/ranks/src/messages.rs
+++ b/crates/ranks/src/messages.rs
@@ -1,24 +1,34 @@
 //! The messages between a coordinator and the agents of its group.
 
+use std::net::SocketAddr;
+
 use sardinepin_protocol::{GroupLoad, GroupSample, PermitGrant, PermitRequest, UpstreamLimit};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{CountIncrements, EngineExperts, EngineOrder, EngineReply, EngineReport};
+use crate::relay::{GroupViews, PassedOrder};
 
 /// A call from a coordinator to an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
     /// Queries the state of the engine.
-    Look {
-        /// The coordinator's term.
-        term: u64,
-        /// What to return in addition to the report.
-        scope: ViewScope,
-        /// The load of the group, if it was sampled since the last query.
-        sample: Option<GroupSample>,
+    Look(Look),
+    /// Queries the state of the engine and of those of other members.
+    LookAll {
+        /// The query for each of them.
+        look: Look,
+        /// The agents to which the query is passed on.
+        others: Vec<SocketAddr>,
     },
     /// Forwards an order to the engine.
     Order(EngineOrder),
+    /// Forwards an order to the engine and its action to those of other members.
+    OrderAll {
+        /// The order for the own engine.
+        order: EngineOrder,
+        /// The agents to which the action is passed on.
+        others: Vec<PassedOrder>,
+    },
     /// Requests permits for an upstream that has named a limit, on behalf of a gateway.
     Permits(PermitRequest),
     /// Queries the load of the group, on behalf of a gateway.
@@ -28,6 +38,17 @@
     },
 }
 
+/// A coordinator's query.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Look {
+    /// The coordinator's term.
+    pub term: u64,
+    /// What to return in addition to the report.
+    pub scope: ViewScope,
+    /// The load of the group, if it was sampled since the last query.
+    pub sample: Option<GroupSample>,
+}
+
 /// What a view of an engine contains in addition to its report.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewScope {
@@ -42,8 +63,12 @@
 pub enum Reply {
     /// The state of the engine.
     View(Box<EngineView>),
+    /// The states of several engines.
+    Views(GroupViews),
     /// The engine's reply to an order.
     Order(EngineReply),
+    /// The replies of several engines; `None` where none came.
+    Orders(Vec<Option<EngineReply>>),
     /// The load of the group.
     Load(GroupLoad),
     /// Permits for an upstream.
--- a/crates/ranks/src/peer.rs
+++ b/crates/ranks/src/peer.rs
@@ -45,7 +45,12 @@
     /// Calls the agent; `None` means that no reply came and the call may or may not have been
     /// carried out.
     pub async fn call(&self, call: &Call) -> Option<Reply> {
-        let reply = tokio::time::timeout(CALL_TIMEOUT.duration(), self.exchange(call));
+        self.call_within(CALL_TIMEOUT, call).await
+    }
+
+    /// Calls the agent like [`PeerClient::call`], with another timeout.
+    pub(crate) async fn call_within(&self, timeout: Millis, call: &Call) -> Option<Reply> {
+        let reply = tokio::time::timeout(timeout.duration(), self.exchange(call));
         reply.await.ok().flatten()
     }
 
--- a/crates/ranks/src/policy.rs
+++ b/crates/ranks/src/policy.rs
@@ -12,6 +12,8 @@
     pub rebalances: bool,
     /// The interval between two polls of a group.
     pub poll_interval: Millis,
+    /// The most members that a coordinator calls itself; in a larger group members pass its calls on.
+    pub direct_members: usize,
     /// How long expert counts are observed before the first plan.
     pub min_observation: Millis,
     /// The longest time that one change may load experts, unless a single expert takes longer. After
@@ -19,7 +21,8 @@
     pub change_load_time: Millis,
     /// How popularity is derived from counts.
     pub popularity: PopularitySettings,
-    /// The least gain of one transfer, relative to the mean expert work of a rank in a step.
+    /// The least gain of one transfer, relative to the mean expert work of a rank in a step and divided by the
+    /// number of ranks.
     pub transfer_gain: f64,
     /// The least gain of a whole change, relative to the expert work of the slowest ranks in a step.
     pub change_gain: f64,
@@ -31,6 +34,7 @@
         Self {
             rebalances: true,
             poll_interval: Millis(100),
+            direct_members: 40,
             min_observation: Millis::ZERO,
             change_load_time: Millis(160),
             popularity: PopularitySettings::default(),
--- a/trials/src/maps/simulation.rs
+++ b/trials/src/maps/simulation.rs
@@ -51,7 +51,8 @@
     let (mut skews, mut step_times, mut transferring_samples) = (Vec::new(), Vec::new(), 0);
     for (index, sample) in traffic.samples.iter().enumerate() {
         let increments = traffic.increments_before(index);
-        popularity.record_increments(sample.at, 1, &[increments], EXPERTS);
+        let increments: Vec<_> = increments.into_iter().collect();
+        popularity.record_increments(sample.at, 1, RANKS, &increments, EXPERTS);
         if let Some(switch) =
             pending_switch.take_if(|pending_switch| sample.at >= pending_switch.active_at)
         {
