Heed what upstreams say of leaving and resting in their answers

Upstreams that were leaving, or had asked to be spared, got further requests until the store or the load reports told of it. Cause: new on the users' pages; nothing read the fields. Besides, what a 421 had taught of an upstream was lost with its next entry in the list. Change: a leaving upstream is out for first tries, retries, resumptions and moves for the life of its process, whatever the list says; a new process of it is not. Others get the rest; where none is left in time a request is refused at once as upstream_resting, with the time that is left.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -14,6 +14,7 @@
 mod returns;
 mod upstream_set;
 mod upstream_spec;
+mod withdrawal;
 
 pub use balancer::{
     Balancer, BalancerSettings, Decision, PlacementRequest, QueueDecision, RequestNumber,
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -259,7 +259,7 @@
         };
         let expires_at = request.deadline.min(now + self.longest_wait(&request));
         if turn.not_before > expires_at {
-            return Some(self.refuse(now, &request, ErrorKind::UpstreamLimited));
+            return Some(self.refuse(now, &request, turn.refusal()));
         }
         let queue = self.queues.entry(Arc::clone(&request.service)).or_default();
         if queue.len() >= self.settings.queue_max {
@@ -368,9 +368,14 @@
                 .should_move(now, id, self.settings.policy.backlog)
     }
 
-    /// Marks an upstream as draining before the list says so.
-    pub fn mark_draining(&mut self, id: UpstreamId) {
-        self.upstreams.mark_draining(id);
+    /// Records that an upstream has said that it is leaving; returns whether that is new.
+    pub fn record_leaving(&mut self, id: UpstreamId) -> bool {
+        self.upstreams.record_leaving(id)
+    }
+
+    /// Records that an upstream has turned a request away and wants none for `time`.
+    pub fn record_rest(&mut self, now: Millis, id: UpstreamId, time: Millis) {
+        self.upstreams.record_rest(now, id, time);
     }
 
     /// Decides on queued requests; call it at short intervals while the queues are not empty.
@@ -398,13 +403,9 @@
             return;
         };
         while let Some(expired) = queue.pop_expired(now) {
-            let is_limited = self
-                .next_turn(now, &expired.request)
-                .is_some_and(|turn| turn.expected > now);
-            let kind = match is_limited {
-                true => ErrorKind::UpstreamLimited,
-                false => ErrorKind::TooLate,
-            };
+            let turn = self.next_turn(now, &expired.request);
+            let turn = turn.filter(|turn| turn.expected > now);
+            let kind = turn.map_or(ErrorKind::TooLate, NextTurn::refusal);
             let decision = self.refuse(now, &expired.request, kind);
             decisions.push(self.deliver(now, &expired.request, decision));
         }
@@ -418,14 +419,16 @@
             self.record_send(now, id, &sent.request);
             decisions.push(self.deliver(now, &sent.request, Decision::Send(id)));
         }
-        while self.upstreams.has_limited()
-            && let Some(limited) = queue.pop_first(|queued| {
+        while self.upstreams.has_turns(now)
+            && let Some(held) = queue.pop_first(|queued| {
                 let turn = self.next_turn(now, &queued.request);
                 turn.is_some_and(|turn| turn.not_before > queued.expires_at)
             })
         {
-            let decision = self.refuse(now, &limited.request, ErrorKind::UpstreamLimited);
-            decisions.push(self.deliver(now, &limited.request, decision));
+            let turn = self.next_turn(now, &held.request);
+            let kind = turn.map_or(ErrorKind::NoUpstream, NextTurn::refusal);
+            let decision = self.refuse(now, &held.request, kind);
+            decisions.push(self.deliver(now, &held.request, decision));
         }
         self.queues.insert(Arc::clone(service), queue);
     }
@@ -463,10 +466,14 @@
             .count_by_state(now, &request.service, &request.tried);
         let returns = self.returns.entry(Arc::clone(&request.service));
         let retry_after = match kind {
-            ErrorKind::UpstreamLimited => {
+            ErrorKind::UpstreamLimited | ErrorKind::UpstreamResting => {
                 let turn = self.next_turn(now, request);
-                let expected = turn.map_or(now, |turn| turn.expected);
-                turn_delay(expected.since(now), &mut self.rng)
+                let wait = turn.map_or(Millis::ZERO, |turn| turn.expected.since(now));
+                match kind {
+                    // The end of a rest is known, so no time is added to it.
+                    ErrorKind::UpstreamResting => wait,
+                    _ => turn_delay(wait, &mut self.rng),
+                }
             }
             ErrorKind::NoUpstream if self.settings.policy.expects_outages => {
                 let returns = returns.or_default();
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -8,7 +8,7 @@
 
 use rand::Rng as _;
 use sardinepin_common::{Map, Millis, Rng, rendezvous_order};
-use sardinepin_protocol::{GroupLoad, UpstreamLimit};
+use sardinepin_protocol::{ErrorKind, GroupLoad, UpstreamLimit};
 
 use crate::direct::limit_state::LimitState;
 use crate::direct::policy::Policy;
@@ -38,6 +38,8 @@
     pub group_suspended: usize,
     /// Upstreams that take no more requests at present, by the limits that they have named.
     pub limited: usize,
+    /// Upstreams that have turned a request away and want none for some time.
+    pub resting: usize,
     /// Upstreams already tried for the request.
     pub tried: usize,
     /// Upstreams that could take the request if they were not full.
@@ -72,13 +74,15 @@
     pub tried: &'a [UpstreamId],
 }
 
-/// When limits that upstreams have named allow the next request.
+/// When the limits and rests that upstreams have named allow the next request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct NextTurn {
     /// Before this time certainly none.
     pub(super) not_before: Millis,
     /// When one can be expected.
     pub(super) expected: Millis,
+    /// Whether a rest, not a limit, holds requests back.
+    pub(super) is_resting: bool,
 }
 
 impl NextTurn {
@@ -86,6 +90,24 @@
         Self {
             not_before: now,
             expected: now,
+            is_resting: false,
+        }
+    }
+
+    /// Returns why a request that cannot wait for this turn is refused.
+    pub(super) fn refusal(self) -> ErrorKind {
+        match self.is_resting {
+            true => ErrorKind::UpstreamResting,
+            false => ErrorKind::UpstreamLimited,
+        }
+    }
+
+    /// Returns the earlier of two turns.
+    fn earlier(self, other: Self) -> Self {
+        Self {
+            not_before: self.not_before.min(other.not_before),
+            expected: self.expected.min(other.expected),
+            is_resting: self.is_resting && other.is_resting,
         }
     }
 }
@@ -108,6 +130,8 @@
     groups: RankGroups,
     /// The upstreams that have named a limit.
     limited: BTreeSet<UpstreamId>,
+    /// Until when any upstream rests.
+    rests_until: Millis,
     rank_choices: usize,
     next_id: u32,
 }
@@ -159,7 +183,7 @@
             members: members
                 .iter()
                 .filter_map(|id| self.upstreams.get(id))
-                .filter(|upstream| !upstream.spec.draining)
+                .filter(|upstream| !upstream.is_leaving())
                 .map(|upstream| (upstream.spec.address, Arc::clone(&upstream.spec.zone)))
                 .collect(),
         });
@@ -277,7 +301,7 @@
         let takes = upstream.is_usable(now)
             && !upstream.is_ejected(now)
             && !needs.tried.contains(&id)
-            && upstream.limit.is_open(now)
+            && upstream.is_open(now)
             && upstream.estimated_load(now) + 1.0 <= max;
         takes.then(|| (upstream.score(now, zone), id))
     }
@@ -361,13 +385,13 @@
                         && !self.groups.is_stalled(now, &other_group.name)
                 });
                 let free_slots = f64::from(other.spec.slots) + backlog - other.estimated_load(now);
-                let is_open = other.limit.is_open(now);
+                let is_open = other.is_open(now);
                 working_elsewhere && self.is_usable(now, other) && is_open && free_slots >= 1.0
             })
     }
 
-    /// Returns when the limits of the usable upstreams of a service that were not tried yet allow a request: at once if one of them
-    /// has no limit. `None` if no upstream is usable.
+    /// Returns when the limits and rests of the usable upstreams of a service that were not tried yet allow a request: at once if one
+    /// of them has none. `None` if no upstream is usable.
     #[must_use]
     pub(super) fn next_turn(
         &self,
@@ -378,17 +402,11 @@
         let mut usable = self
             .in_service(service)
             .filter(|(id, upstream)| self.is_usable(now, upstream) && !tried.contains(id));
-        if self.limited.is_empty() {
+        if !self.has_turns(now) {
             return usable.next().map(|_| NextTurn::at_once(now));
         }
-        let turns = usable.map(|(_, upstream)| NextTurn {
-            not_before: upstream.limit.next_at(now),
-            expected: upstream.limit.turn_at(now),
-        });
-        turns.reduce(|one, other| NextTurn {
-            not_before: one.not_before.min(other.not_before),
-            expected: one.expected.min(other.expected),
-        })
+        let turns = usable.map(|(_, upstream)| upstream.next_turn(now));
+        turns.reduce(NextTurn::earlier)
     }
 
     /// Counts the upstreams of a service by state.
@@ -403,7 +421,7 @@
         for (id, upstream) in self.in_service(service) {
             counts.listed += 1;
             let health = self.health(now, id);
-            let count = if upstream.spec.draining {
+            let count = if upstream.is_leaving() {
                 &mut counts.draining
             } else if health.backing_off {
                 &mut counts.backing_off
@@ -411,7 +429,9 @@
                 &mut counts.group_suspended
             } else if tried.contains(&id) {
                 &mut counts.tried
-            } else if !upstream.limit.is_open(now) {
+            } else if upstream.withdrawal.is_resting(now) {
+                &mut counts.resting
+            } else if !upstream.is_open(now) {
                 &mut counts.limited
             } else {
                 &mut counts.usable
@@ -502,6 +522,25 @@
         !self.limited.is_empty()
     }
 
+    /// Returns whether any upstream has named a limit, or rests.
+    pub(super) fn has_turns(&self, now: Millis) -> bool {
+        !self.limited.is_empty() || now < self.rests_until
+    }
+
+    /// Records that an upstream has said that it is leaving; returns whether that is new.
+    pub fn record_leaving(&mut self, id: UpstreamId) -> bool {
+        let upstream = self.upstreams.get_mut(&id);
+        upstream.is_some_and(|upstream| upstream.withdrawal.record_leaving())
+    }
+
+    /// Records that an upstream has turned a request away and wants none for `time`.
+    pub fn record_rest(&mut self, now: Millis, id: UpstreamId, time: Millis) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.withdrawal.record_rest(now, time);
+            self.rests_until = self.rests_until.max(upstream.withdrawal.rests_until());
+        }
+    }
+
     /// Returns the upstreams that have named a limit, or have just lifted one.
     pub(super) fn limited(&self) -> impl Iterator<Item = (UpstreamId, &UpstreamState)> {
         let ids = self.limited.iter();
@@ -541,13 +580,6 @@
             upstream.record_peer_load(now, f64::from(peer_load));
         }
     }
-
-    /// Marks an upstream as draining before the list says so.
-    pub fn mark_draining(&mut self, id: UpstreamId) {
-        if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.spec.draining = true;
-        }
-    }
 }
 
 /// Returns the member at a position, counted over all groups.
--- a/crates/decisions/src/direct/upstream_set/state.rs
+++ b/crates/decisions/src/direct/upstream_set/state.rs
@@ -6,7 +6,9 @@
 use sardinepin_protocol::{RankLoad, RequestRate};
 
 use crate::direct::limit_state::{LimitState, ON_WAY_TIME};
+use crate::direct::upstream_set::NextTurn;
 use crate::direct::upstream_spec::UpstreamSpec;
+use crate::direct::withdrawal::Withdrawal;
 use crate::heard_limit::LimitNotice;
 
 /// The weight of the latest attempt in the moving average of the failure rate.
@@ -115,6 +117,8 @@
     pub(super) backoff_until: Millis,
     /// The limit that the upstream has named.
     pub(in crate::direct) limit: LimitState,
+    /// Whether the upstream leaves or rests.
+    pub(in crate::direct) withdrawal: Withdrawal,
 }
 
 impl UpstreamState {
@@ -133,6 +137,7 @@
             connect_failures: 0,
             backoff_until: Millis::ZERO,
             limit: LimitState::default(),
+            withdrawal: Withdrawal::default(),
         }
     }
 
@@ -239,7 +244,27 @@
     }
 
     pub(in crate::direct) fn is_usable(&self, now: Millis) -> bool {
-        !self.spec.draining && now >= self.backoff_until
+        !self.is_leaving() && now >= self.backoff_until
+    }
+
+    /// Returns whether the upstream drains, as its entry or it itself says.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.spec.draining || self.withdrawal.is_leaving()
+    }
+
+    /// Returns whether neither a limit nor a rest holds requests back now.
+    pub(super) fn is_open(&self, now: Millis) -> bool {
+        self.limit.is_open(now) && !self.withdrawal.is_resting(now)
+    }
+
+    /// Returns when limits and rests allow the next request.
+    pub(super) fn next_turn(&self, now: Millis) -> NextTurn {
+        let rest = self.withdrawal.rests_until();
+        NextTurn {
+            not_before: self.limit.next_at(now).max(rest),
+            expected: self.limit.turn_at(now).max(rest),
+            is_resting: rest > self.limit.turn_at(now),
+        }
     }
 
     pub(super) fn record_end(&mut self, now: Millis, end: AttemptEnd) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::header_names::HeaderNames;
 use crate::headers;
 use crate::upstream_limits;
+use crate::withdrawals;
 use sardinepin_decisions::LimitNotice;
 use sardinepin_decisions::direct::{AttemptEnd, LoadReport, UpstreamId};
 
@@ -208,6 +209,7 @@
         let (parts, body) = response.into_parts();
         self.record_load(permit, &parts.headers);
         self.record_limit(call, permit, &parts);
+        self.record_withdrawal(permit, &parts);
         if parts.status.is_success() {
             self.record_progress(permit.id);
         }
@@ -282,6 +284,26 @@
         }
     }
 
+    /// Records that an upstream is leaving, or wants no requests for some time, as an answer says. The process that answers a request
+    /// for another one speaks only for itself.
+    fn record_withdrawal(&self, permit: &UpstreamPermit, parts: &Parts) {
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let id = permit.id;
+        let is_leaving = withdrawals::is_leaving(&parts.headers, &self.names.leaving);
+        let dispatcher = &self.dispatcher;
+        if is_leaving && dispatcher.with_balancer(|balancer, _| balancer.record_leaving(id)) {
+            withdrawals::log_leaving(&permit.spec);
+        }
+        if parts.status == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(time) = withdrawals::rest_time(&parts.headers)
+        {
+            dispatcher.with_balancer(|balancer, now| balancer.record_rest(now, id, time));
+            withdrawals::log_rest(&permit.spec, time);
+        }
+    }
+
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport> {
         parse_load(headers::text(headers, &self.names.load)?)
     }
@@ -296,7 +318,7 @@
         let names = &self.names;
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             self.dispatcher
-                .with_balancer(|balancer, _| balancer.mark_draining(permit.id));
+                .with_balancer(|balancer, _| balancer.record_leaving(permit.id));
             return Err(AttemptFailure::Rejected);
         }
         if parts.headers.contains_key(&names.not_run) {
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -21,6 +21,8 @@
     pub load: HeaderName,
     /// The number of requests a second that an upstream takes from all gateways together, while it is in need.
     pub limit: HeaderName,
+    /// `1` in all responses of an upstream that is leaving.
+    pub leaving: HeaderName,
     /// Present on a response to a request that the upstream did not run.
     pub not_run: HeaderName,
     /// The identifier of the upstream that caused the rejection of a request that did not run.
@@ -47,6 +49,7 @@
             target_upstream: HeaderName::from_static("x-upstream"),
             load: HeaderName::from_static("x-load"),
             limit: HeaderName::from_static("x-limit"),
+            leaving: HeaderName::from_static("x-leaving"),
             not_run: HeaderName::from_static("x-not-run"),
             faulty_upstream: HeaderName::from_static("x-fault-at"),
             priority: HeaderName::from_static("x-priority"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod store;
 mod sync;
 mod upstream_limits;
+mod withdrawals;
 
 pub use attempt::AttemptFailure;
 pub use events::{CompleteEvents, EventSplitter, EventTooLarge, events_after};
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -15,3 +15,4 @@
 mod stopping;
 mod streams;
 mod util;
+mod withdrawals;
--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -156,6 +156,8 @@
     Unsettled => 504, Unknown, Later, "unsettled", "The platform did not confirm the change";
     /// The upstreams that could take the request have named limits, which allow no more at present.
     UpstreamLimited => 503, NotRun, Later, "upstream_limited", "The upstreams take no more requests now";
+    /// The upstreams that could take the request have turned others away, and asked for none for some time.
+    UpstreamResting => 503, NotRun, Later, "upstream_resting", "The upstreams have asked to be spared for some time";
 }
 
 impl fmt::Display for ErrorKind {
--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -75,6 +75,8 @@
     is_up: bool,
     /// The terms of all orders.
     terms: BTreeSet<u64>,
+    /// How many times the list of members was read, which each coordinator does.
+    member_reads: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -119,6 +121,7 @@
             cut_term: None,
             is_up: true,
             terms: BTreeSet::new(),
+            member_reads: 0,
         }
     }
 
@@ -282,6 +285,7 @@
 
 impl Directory for SharedGroup {
     fn members(&self) -> BoxFuture<'_, anyhow::Result<Vec<Member>>> {
+        self.0.lock().unwrap().member_reads += 1;
         let members = (0..RANKS).map(|rank| Member {
             group: Arc::from("g0"),
             rank,
@@ -454,8 +458,8 @@
     tokio::time::sleep(STARTUP_TIME.duration()).await;
     shared.0.lock().unwrap().is_up = true;
     wait_until_replicated(&shared).await;
-    let terms = shared.0.lock().unwrap().terms.len();
-    assert_eq!(terms, 1);
+    let group = shared.0.lock().unwrap();
+    assert_eq!((group.member_reads, group.terms.len()), (1, 1));
 }
 
 /// Guards against a group that stays blocked after its coordinator fails right after holding a
