--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -40,11 +40,6 @@
                 }
                 let changed = !batch.items.is_empty();
                 let has_table = apply_manifest(&gateway, batch);
-                if !has_table {
-                    // There is no configuration yet, so the next call reads it again instead of
-                    // watching.
-                    position.reset();
-                }
                 if changed || !has_table {
                     tokio::time::sleep(settings.manifest_pause.duration()).await;
                 }
--- a/crates/gateway/tests/path/records.rs
+++ b/crates/gateway/tests/path/records.rs
@@ -260,3 +260,15 @@
         assert!(is_counted("sardinepin_refusals_total", &label), "{label}");
     }
 }
+
+/// At a start all gateways wait for the first configuration: each asks once, and is told.
+#[tokio::test]
+async fn a_gateway_watches_for_its_first_configuration_instead_of_reading_it_again() {
+    let store = FakeStore::default();
+    let running = start(settings(), Arc::new(store.clone())).await.unwrap();
+    wait_for(async || store.manifest_watches() > 2).await;
+    assert_eq!(store.manifest_reads(), 1);
+    store.set_manifest(manifest(1));
+    store.set_upstreams(Vec::new());
+    wait_for(async || is_ready(&running).await).await;
+}
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -262,6 +262,9 @@
     manifest: Option<Manifest>,
     upstreams: Vec<UpstreamSpec>,
     crashes: Vec<Crash>,
+    /// How many times the configuration was read, and watched.
+    manifest_reads: usize,
+    manifest_watches: usize,
     /// How many watches of crashes have begun.
     crash_watches: usize,
     unavailable: bool,
@@ -304,6 +307,16 @@
         self.state.lock().unwrap().unavailable = unavailable;
     }
 
+    /// Returns how many times the configuration was read.
+    pub(crate) fn manifest_reads(&self) -> usize {
+        self.state.lock().unwrap().manifest_reads
+    }
+
+    /// Returns how many times the configuration was watched.
+    pub(crate) fn manifest_watches(&self) -> usize {
+        self.state.lock().unwrap().manifest_watches
+    }
+
     /// Returns the number of shared crashes.
     pub(crate) fn crash_count(&self) -> usize {
         self.state.lock().unwrap().crashes.len()
@@ -326,24 +339,13 @@
 
 impl GatewayStore for FakeStore {
     fn manifest(&self) -> ReadFuture<'_, Manifest> {
-        Box::pin(async {
-            self.check()?;
-            let state = self.state.lock().unwrap();
-            let item = state.manifest.clone().map(|manifest| StoredObject {
-                name: Arc::from("main"),
-                revision: state.revision,
-                value: Some(manifest),
-            });
-            Ok(ObjectBatch {
-                era: state.era,
-                revision: state.revision,
-                items: item.into_iter().collect(),
-            })
-        })
+        self.state.lock().unwrap().manifest_reads += 1;
+        Box::pin(async { self.current_manifest() })
     }
 
     fn watch_manifest(&self, _: u64, _: Millis) -> ReadFuture<'_, Manifest> {
-        self.manifest()
+        self.state.lock().unwrap().manifest_watches += 1;
+        Box::pin(async { self.current_manifest() })
     }
 
     fn upstreams(&self) -> ReadFuture<'_, UpstreamSpec> {
@@ -427,6 +429,21 @@
 }
 
 impl FakeStore {
+    fn current_manifest(&self) -> Result<ObjectBatch<Manifest>, GatewayStoreError> {
+        self.check()?;
+        let state = self.state.lock().unwrap();
+        let item = state.manifest.clone().map(|manifest| StoredObject {
+            name: Arc::from("main"),
+            revision: state.revision,
+            value: Some(manifest),
+        });
+        Ok(ObjectBatch {
+            era: state.era,
+            revision: state.revision,
+            items: item.into_iter().collect(),
+        })
+    }
+
     /// Returns an empty batch, or reports a change as expired history so that everything is read
     /// again.
     async fn changes<T>(&self, revision: u64) -> Result<ObjectBatch<T>, GatewayStoreError> {
