--- a/trials/src/bounds.rs
+++ b/trials/src/bounds.rs
@@ -12,11 +12,13 @@
 mod limit_check;
 mod mutant;
 mod network;
+mod notice;
 mod record;
 mod sender;
 #[cfg(test)]
 mod tests;
 mod upstreams;
+mod withdrawal_check;
 mod world;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser};
@@ -58,6 +60,12 @@
                 .help("Leaves out all disturbances of a day with a limit")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("withdrawals")
+                .long("withdrawals")
+                .help("Lets upstreams leave and rest, as only their answers say")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("mutant")
                 .long("mutant")
@@ -90,6 +98,7 @@
             mutant,
             length: Millis(integer_value(arguments, "seconds") * 1_000),
             limit,
+            withdraws: arguments.get_flag("withdrawals"),
         };
         broken += u64::from(!print_day(&settings));
     }
@@ -111,7 +120,8 @@
         .limit
         .as_ref()
         .map(|plan| limit_check::used_share(&record, plan));
-    let is_kept = budget.is_kept() && limit.is_none_or(|worst| worst.is_kept());
+    let late = withdrawal_check::count_broken(&record);
+    let is_kept = budget.is_kept() && limit.is_none_or(|worst| worst.is_kept()) && late == 0;
     let line = json!({
         "senders": settings.senders,
         "seed": settings.seed,
@@ -129,6 +139,8 @@
         "limit_allowed": limit.map(|worst| worst.allowed),
         "limit_used": used,
         "permit_requests": record.permit_requests,
+        "withdrawn": record.withdrawn.len(),
+        "late": late,
         "kept": is_kept,
         "disturbances": disturbances,
     });
--- a/trials/src/bounds/day.rs
+++ b/trials/src/bounds/day.rs
@@ -17,6 +17,8 @@
     pub(super) length: Millis,
     /// The limit that upstreams name, if any does.
     pub(super) limit: Option<LimitSettings>,
+    /// Whether upstreams leave and rest.
+    pub(super) withdraws: bool,
 }
 
 /// The limit that upstreams name on a day.
@@ -54,10 +56,28 @@
             mutant: Mutant::None,
             length: Millis(20_000),
             limit: None,
+            withdraws: false,
         }
     }
 }
 
+/// An upstream that wants no requests, and when; its entry in the list does not say so.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WithdrawalPlan {
+    pub(super) upstream: usize,
+    pub(super) from: Millis,
+    pub(super) until: Millis,
+    /// For how long it sends away whoever asks; `None` if it leaves.
+    pub(super) rest: Option<Millis>,
+}
+
+impl WithdrawalPlan {
+    /// Returns whether the upstream says so at a time.
+    pub(super) fn is_said(&self, at: Millis, upstream: usize) -> bool {
+        self.upstream == upstream && self.from <= at && at < self.until
+    }
+}
+
 /// A simulated deployment and what goes wrong there.
 #[derive(Debug, Clone)]
 pub(super) struct Day {
@@ -75,6 +95,8 @@
     pub(super) disturbances: Vec<Disturbance>,
     /// Which upstreams name a limit.
     pub(super) limit: Option<LimitPlan>,
+    /// Which upstreams leave or rest.
+    pub(super) withdrawals: Vec<WithdrawalPlan>,
 }
 
 /// The requests for the service of a single upstream in a second, where it names no limit.
@@ -92,6 +114,12 @@
 /// The shortest and the longest disturbance, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 400..5_000;
 
+/// One of so many ranks leaves or rests on a day.
+const WITHDRAWING_DIVISOR: usize = 6;
+
+/// The shortest and the longest rest, in milliseconds.
+const REST_MS: std::ops::Range<u64> = 700..6_000;
+
 /// How long a process that lost power takes to start again.
 const POWER_LOSS: Millis = Millis(300);
 
@@ -117,13 +145,37 @@
             attempts_max: rng.random_range(2..=3),
             disturbances,
             limit: None,
+            withdrawals: Vec::new(),
         };
+        if settings.withdraws {
+            day.draw_withdrawals(settings.length, &mut rng);
+        }
         if let Some(limit) = settings.limit {
             day.set_limit(limit, settings.length, &mut rng);
         }
         day
     }
 
+    /// Lets some ranks leave and others rest during the day.
+    fn draw_withdrawals(&mut self, length: Millis, rng: &mut Rng) {
+        let ranks = self.groups * self.ranks;
+        for _ in 0..(ranks / WITHDRAWING_DIVISOR).max(2) {
+            let from = LEAD_TIME + Millis(rng.random_range(0..length.0 * 3 / 4));
+            let rest = rng.random_bool(0.5);
+            let rest = rest.then(|| Millis(rng.random_range(REST_MS)));
+            let duration = match rest {
+                Some(_) => Millis(rng.random_range(DURATION_MS)),
+                None => length + LEAD_TIME,
+            };
+            self.withdrawals.push(WithdrawalPlan {
+                upstream: rng.random_range(0..ranks),
+                from,
+                until: from + duration,
+                rest,
+            });
+        }
+    }
+
     /// Lets the upstream that is alone and some ranks name a limit during the day.
     fn set_limit(&mut self, limit: LimitSettings, length: Millis, rng: &mut Rng) {
         let alone = self.groups * self.ranks;
--- a/trials/src/bounds/event.rs
+++ b/trials/src/bounds/event.rs
@@ -1,7 +1,6 @@
 //! The events of a simulated day.
 
-use sardinepin_decisions::LimitNotice;
-
+use crate::bounds::notice::Notice;
 use crate::bounds::record::RequestId;
 use crate::bounds::sender::Outcome;
 use crate::bounds::upstreams::{RunEnd, ServiceIndex};
@@ -25,11 +24,11 @@
     /// An upstream reads it.
     Read(Attempt),
     /// A sender learns that an upstream has begun to answer.
-    Progress(Attempt, LimitNotice),
+    Progress(Attempt, Notice),
     /// An upstream ends a request.
     End(Attempt, RunEnd),
     /// A sender learns how an attempt ended.
-    Outcome(Attempt, Outcome, LimitNotice),
+    Outcome(Attempt, Outcome, Notice),
     /// A sender asks an agent about a group.
     Query { sender: usize, group: usize },
     /// A request for permits, by its number, reaches an agent.
--- a/trials/src/bounds/mutant.rs
+++ b/trials/src/bounds/mutant.rs
@@ -16,17 +16,23 @@
     Unlimited,
     /// Each sender gets the permits of an upstream from an allocator of its own.
     OwnAllocators,
+    /// What upstreams say of leaving is not read.
+    LeavingUnread,
+    /// What upstreams say of resting is not read.
+    RestUnread,
 }
 
 impl Mutant {
     /// All mutants, and none.
-    pub(super) const ALL: [Self; 6] = [
+    pub(super) const ALL: [Self; 8] = [
         Self::None,
         Self::NeverCharged,
         Self::HalfCharged,
         Self::ShareNotDivided,
         Self::Unlimited,
         Self::OwnAllocators,
+        Self::LeavingUnread,
+        Self::RestUnread,
     ];
 
     /// Returns the name on the command line.
@@ -38,6 +44,8 @@
             Self::ShareNotDivided => "share_not_divided",
             Self::Unlimited => "unlimited",
             Self::OwnAllocators => "own_allocators",
+            Self::LeavingUnread => "leaving_unread",
+            Self::RestUnread => "rest_unread",
         }
     }
 
--- a/trials/src/bounds/record.rs
+++ b/trials/src/bounds/record.rs
@@ -28,6 +28,16 @@
     pub(super) upstream: usize,
 }
 
+/// An answer by which an upstream told a sender that it wants no more requests.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Withdrawn {
+    pub(super) at: Millis,
+    pub(super) sender: usize,
+    pub(super) upstream: usize,
+    /// For how long; `None` if the upstream leaves.
+    pub(super) rest: Option<Millis>,
+}
+
 /// A time in which a sender was restarted, stood still or was cut off.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Excuse {
@@ -47,6 +57,8 @@
     pub(super) arrivals: Vec<Arrival>,
     /// Who was told of limits, in order.
     pub(super) told: Vec<Told>,
+    /// Who was told that an upstream leaves or rests, in order.
+    pub(super) withdrawn: Vec<Withdrawn>,
     /// Which senders were disturbed.
     pub(super) excuses: Vec<Excuse>,
     /// The requests for permits that agents received.
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -12,6 +12,7 @@
 
 use crate::bounds::budget_check::BudgetRule;
 use crate::bounds::mutant::Mutant;
+use crate::bounds::notice::Notice;
 use crate::bounds::record::RequestId;
 use crate::bounds::upstreams::{RunEnd, SERVICES, ServiceIndex, zone_name};
 
@@ -232,7 +233,7 @@
         now: Millis,
         attempt: u64,
         outcome: Outcome,
-        notice: LimitNotice,
+        notice: Notice,
         actions: &mut Vec<Action>,
     ) {
         let Some(number) = self.attempts.remove(&attempt) else {
@@ -246,8 +247,8 @@
             open.sent -= 1;
         }
         let id = open.tried.last().copied().unwrap_or(UpstreamId(0));
-        let notice = heard(self.mutant, notice);
-        self.balancer.record_limit(now, id, open.sent_at, notice);
+        let sent_at = open.sent_at;
+        self.record_notice(now, id, sent_at, notice);
         if outcome == Outcome::Run(RunEnd::Served) {
             self.balancer.record_progress(now, id);
         }
@@ -280,29 +281,47 @@
         let charged = match self.mutant {
             Mutant::NeverCharged => false,
             Mutant::HalfCharged => self.retries.is_multiple_of(2),
-            Mutant::None | Mutant::ShareNotDivided | Mutant::Unlimited | Mutant::OwnAllocators => {
-                true
-            }
+            _ => true,
         };
         self.retries += 1;
         let granted = !charged || self.balancer.try_reserve_retry(now, &open.service);
         granted.then_some(charged)
     }
 
+    /// Returns whether a sender still reads the answer to an attempt: it has not moved the request elsewhere.
+    pub(super) fn reads(&self, attempt: u64) -> bool {
+        self.attempts.contains_key(&attempt)
+    }
+
     /// Records that an upstream has begun to answer, and what the answer says about its limit.
     pub(super) fn record_progress(
         &mut self,
         now: Millis,
         attempt: u64,
         upstream: usize,
-        notice: LimitNotice,
+        notice: Notice,
     ) {
         let id = UpstreamId(upstream as u32);
         self.balancer.record_progress(now, id);
         let number = self.attempts.get(&attempt);
         if let Some(open) = number.and_then(|number| self.open.get(number)) {
-            let notice = heard(self.mutant, notice);
-            self.balancer.record_limit(now, id, open.sent_at, notice);
+            let sent_at = open.sent_at;
+            self.record_notice(now, id, sent_at, notice);
+        }
+    }
+
+    /// Records what an answer to a request sent at `sent_at` says about its upstream.
+    fn record_notice(&mut self, now: Millis, id: UpstreamId, sent_at: Millis, notice: Notice) {
+        let limit = match self.mutant {
+            Mutant::Unlimited => LimitNotice::Unreadable,
+            _ => notice.limit,
+        };
+        self.balancer.record_limit(now, id, sent_at, limit);
+        if notice.leaving && self.mutant != Mutant::LeavingUnread {
+            self.balancer.record_leaving(id);
+        }
+        if let Some(time) = notice.rest.filter(|_| self.mutant != Mutant::RestUnread) {
+            self.balancer.record_rest(now, id, time);
         }
     }
 
@@ -358,21 +377,12 @@
                 continue;
             };
             if self.balancer.should_move(now, id) {
-                let unheard = LimitNotice::Unreadable;
-                self.handle_end(now, attempt, Outcome::Stalled, unheard, actions);
+                self.handle_end(now, attempt, Outcome::Stalled, Notice::NONE, actions);
             }
         }
     }
 }
 
-/// Returns what a sender hears of an answer's limit.
-fn heard(mutant: Mutant, notice: LimitNotice) -> LimitNotice {
-    match mutant {
-        Mutant::Unlimited => LimitNotice::Unreadable,
-        _ => notice,
-    }
-}
-
 fn attempt_end(outcome: Outcome) -> AttemptEnd {
     match outcome {
         Outcome::Run(RunEnd::Served) => AttemptEnd::Served,
--- a/trials/src/bounds/tests.rs
+++ b/trials/src/bounds/tests.rs
@@ -8,7 +8,8 @@
 use crate::bounds::day::{Day, DaySettings, LimitPlan, LimitSettings};
 use crate::bounds::limit_check;
 use crate::bounds::mutant::Mutant;
-use crate::bounds::record::{Arrival, Excuse, Record, Told};
+use crate::bounds::record::{Arrival, Excuse, Record, Told, Withdrawn};
+use crate::bounds::withdrawal_check;
 use crate::bounds::world::World;
 
 /// Returns the worst window of a day.
@@ -212,6 +213,77 @@
     assert_eq!(limit_check::worst_window(&record, &plan).counted, 0);
 }
 
+/// Simulates a day on which upstreams leave and rest; returns how many were told, and how many requests broke a rule.
+fn withdrawal_day(seed: u64, senders: usize, mutant: Mutant) -> (usize, usize) {
+    let settings = DaySettings {
+        seed,
+        senders,
+        mutant,
+        withdraws: true,
+        ..DaySettings::default()
+    };
+    let day = Day::draw(&settings);
+    let record = World::new(&settings, &day).run();
+    let broken = withdrawal_check::count_broken(&record);
+    (record.withdrawn.len(), broken)
+}
+
+fn assert_withdrawals_heeded(senders: usize, seeds: std::ops::RangeInclusive<u64>) {
+    for seed in seeds {
+        let (told, broken) = withdrawal_day(seed, senders, Mutant::None);
+        assert!(told > 0, "{senders} senders, seed {seed}: nobody was told");
+        assert_eq!(broken, 0, "{senders} senders, seed {seed}");
+    }
+}
+
+#[test]
+fn upstreams_that_leave_or_rest_are_spared_by_6_senders() {
+    assert_withdrawals_heeded(6, 1..=20);
+}
+
+#[test]
+fn upstreams_that_leave_or_rest_are_spared_by_32_senders() {
+    assert_withdrawals_heeded(32, 1..=8);
+}
+
+#[test]
+fn upstreams_that_leave_or_rest_are_spared_by_149_and_390_senders() {
+    assert_withdrawals_heeded(149, 1..=1);
+    assert_withdrawals_heeded(390, 2..=2);
+}
+
+#[test]
+fn what_is_not_read_of_leaving_or_resting_is_noticed() {
+    for mutant in [Mutant::LeavingUnread, Mutant::RestUnread] {
+        let broken = (1..=3).any(|seed| withdrawal_day(seed, 32, mutant).1 > 0);
+        assert!(broken, "{} was not noticed", mutant.name());
+    }
+}
+
+#[test]
+fn the_check_counts_requests_to_upstreams_that_leave_or_rest() {
+    let withdrawn = |rest| Withdrawn {
+        at: Millis(9_000),
+        sender: 0,
+        upstream: 0,
+        rest,
+    };
+    let mut record = told_record();
+    record.requests = record.arrivals.iter().map(|arrival| arrival.at).collect();
+    // Of the arrivals of this sender, every 600 ms from 10 s, four were asked for after 11 s.
+    record.withdrawn = vec![withdrawn(None)];
+    assert_eq!(withdrawal_check::count_broken(&record), 4);
+    // Five came before 12.5 s, of which two are allowed.
+    record.withdrawn = vec![withdrawn(Some(Millis(3_500)))];
+    assert_eq!(withdrawal_check::count_broken(&record), 3);
+    record.excuses.push(Excuse {
+        sender: 0,
+        from: Millis(9_100),
+        until: Millis(9_200),
+    });
+    assert_eq!(withdrawal_check::count_broken(&record), 0);
+}
+
 /// One request a millisecond for `length`, of which each tenth arrives twice.
 fn steady_record(length: Millis) -> Record {
     let arrivals = (0..length.0).flat_map(|at| {
--- a/trials/src/bounds/upstreams.rs
+++ b/trials/src/bounds/upstreams.rs
@@ -9,9 +9,10 @@
 use sardinepin_decisions::direct::{GroupMembership, UpstreamSpec};
 use sardinepin_protocol::{GroupLoad, GroupSample, RankLoad, UpstreamLimit};
 
-use crate::bounds::day::{Day, LimitPlan};
+use crate::bounds::day::{Day, LimitPlan, WithdrawalPlan};
 use crate::bounds::disturbance::Kind;
 use crate::bounds::network::ZONES;
+use crate::bounds::notice::Notice;
 
 /// The position of a service.
 pub(super) type ServiceIndex = usize;
@@ -83,6 +84,7 @@
     /// The shares of answers that are lost, and when.
     losses: Vec<(Span, f64)>,
     limit: Option<LimitPlan>,
+    withdrawals: Vec<WithdrawalPlan>,
     ranks: usize,
 }
 
@@ -102,6 +104,7 @@
         let mut upstreams = Self {
             list: list.chain([Upstream::default()]).collect(),
             limit: day.limit.clone(),
+            withdrawals: day.withdrawals.clone(),
             down: vec![Vec::new(); day.groups],
             losses: Vec::new(),
             ranks: day.ranks,
@@ -151,14 +154,30 @@
         self.list[agent].group.unwrap_or_default()
     }
 
-    /// Returns what an answer that is written at `at` says about the limit of its upstream.
-    pub(super) fn limit_notice(&self, at: Millis, index: usize) -> LimitNotice {
-        match &self.limit {
+    /// Returns what an answer that is written at `at` says about its upstream; `is_rejected` tells whether it turns a request away.
+    pub(super) fn notice(&self, at: Millis, index: usize, is_rejected: bool) -> Notice {
+        let limit = match &self.limit {
             Some(plan) if plan.is_named(at, index) => LimitNotice::Named(plan.rate),
             _ => LimitNotice::None,
+        };
+        Notice {
+            limit,
+            leaving: self.said(at, index).any(|plan| plan.rest.is_none()),
+            rest: self.rest(at, index).filter(|_| is_rejected),
         }
     }
 
+    /// Returns the withdrawals of an upstream in force at a time.
+    fn said(&self, at: Millis, index: usize) -> impl Iterator<Item = &WithdrawalPlan> {
+        let plans = self.withdrawals.iter();
+        plans.filter(move |plan| plan.is_said(at, index))
+    }
+
+    /// Returns for how long an upstream wants nothing of whoever asks at a time.
+    fn rest(&self, at: Millis, index: usize) -> Option<Millis> {
+        self.said(at, index).filter_map(|plan| plan.rest).max()
+    }
+
     /// Returns the position of the upstream at an address.
     pub(super) fn position_of(address: SocketAddr) -> usize {
         usize::from(address.port()) - 1
@@ -202,9 +221,10 @@
 
     /// Begins to run a request; returns how it ends and when.
     pub(super) fn begin(&mut self, now: Millis, index: usize, rng: &mut Rng) -> (RunEnd, Millis) {
+        let rests = self.rest(now, index).is_some();
         let upstream = &mut self.list[index];
         upstream.running += 1;
-        if upstream.running > SLOTS + QUEUE {
+        if rests || upstream.running > SLOTS + QUEUE {
             return (RunEnd::Rejected, now);
         }
         let Some(group) = upstream.group else {
--- a/trials/src/bounds/world.rs
+++ b/trials/src/bounds/world.rs
@@ -16,7 +16,8 @@
 use crate::bounds::event::{Attempt, Event};
 use crate::bounds::mutant::Mutant;
 use crate::bounds::network::{Network, ZONES};
-use crate::bounds::record::{Arrival, Record, RequestId, Told};
+use crate::bounds::notice::Notice;
+use crate::bounds::record::{Arrival, Record, RequestId, Told, Withdrawn};
 use crate::bounds::sender::{Action, Outcome, Sender};
 use crate::bounds::upstreams::{RunEnd, ServiceIndex, Upstreams};
 
@@ -244,14 +245,41 @@
         self.nodes[attempt.sender].incarnation == attempt.incarnation
     }
 
-    /// Records that a sender has been told of a limit.
-    fn record_told(&mut self, now: Millis, attempt: &Attempt, notice: LimitNotice) {
-        let is_awake = now >= self.nodes[attempt.sender].frozen_until;
-        if is_awake && self.is_current(attempt) && matches!(notice, LimitNotice::Named(_)) {
+    /// Records what a sender has been told of a limit, of leaving and of a rest.
+    fn record_told(&mut self, now: Millis, attempt: &Attempt, notice: Notice) {
+        let (sender, upstream) = (attempt.sender, attempt.upstream);
+        let is_awake = now >= self.nodes[sender].frozen_until;
+        if !is_awake || !self.is_current(attempt) {
+            return;
+        }
+        if matches!(notice.limit, LimitNotice::Named(_)) {
             self.record.told.push(Told {
                 at: now,
-                sender: attempt.sender,
-                upstream: attempt.upstream,
+                sender,
+                upstream,
+            });
+        }
+        let node = &self.nodes[sender];
+        if !node
+            .sender
+            .as_ref()
+            .is_some_and(|one| one.reads(attempt.attempt))
+        {
+            return;
+        }
+        let withdrawn = Withdrawn {
+            at: now,
+            sender,
+            upstream,
+            rest: notice.rest,
+        };
+        if notice.rest.is_some() {
+            self.record.withdrawn.push(withdrawn);
+        }
+        if notice.leaving {
+            self.record.withdrawn.push(Withdrawn {
+                rest: None,
+                ..withdrawn
             });
         }
     }
@@ -303,8 +331,7 @@
 
     /// Lets a sender learn at `at` that no answer comes.
     fn lose(&mut self, at: Millis, attempt: Attempt, outcome: Outcome) {
-        let unheard = LimitNotice::Unreadable;
-        self.schedule(at, Event::Outcome(attempt, outcome, unheard));
+        self.schedule(at, Event::Outcome(attempt, outcome, Notice::NONE));
     }
 
     fn handle_call(&mut self, now: Millis, service: ServiceIndex, is_first: bool) {
@@ -341,7 +368,7 @@
         let (end, at) = self.upstreams.begin(now, attempt.upstream, &mut self.rng);
         let first = now + FIRST_EVENT;
         if at > first && matches!(end, RunEnd::Served | RunEnd::Broken) {
-            let notice = self.upstreams.limit_notice(first, attempt.upstream);
+            let notice = self.upstreams.notice(first, attempt.upstream, false);
             self.schedule(first, Event::Progress(attempt, notice));
         }
         self.schedule(at, Event::End(attempt, end));
@@ -351,7 +378,8 @@
         self.upstreams.end(attempt.upstream);
         let from = self.upstreams.zone(attempt.upstream);
         let to = zone_of(attempt.sender);
-        let notice = self.upstreams.limit_notice(now, attempt.upstream);
+        let is_rejected = end == RunEnd::Rejected;
+        let notice = self.upstreams.notice(now, attempt.upstream, is_rejected);
         match self.network.arrival(now, from, to, &mut self.rng) {
             Some(at) => self.schedule(at, Event::Outcome(attempt, Outcome::Run(end), notice)),
             None => self.lose(now + USER_TIMEOUT, attempt, Outcome::Run(RunEnd::Broken)),
