--- a/crates/ranks/src/agent.rs
+++ b/crates/ranks/src/agent.rs
@@ -8,9 +8,8 @@
 use sardinepin_protocol::{GroupLoad, GroupSample, PermitGrant, PermitRequest};
 use sardinepin_runtime::PauseWatch;
 
-use crate::engine::{
-    CountIncrements, EngineApi, EngineCounts, EngineOrder, EngineReply, EngineReport,
-};
+use crate::counts::CountIncrements;
+use crate::engine::{EngineApi, EngineCounts, EngineOrder, EngineReply, EngineReport};
 use crate::messages::{Call, EngineView, Look, Reply, ViewScope};
 use crate::relay::Neighbours;
 
--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -7,10 +7,11 @@
 use sardinepin_protocol::GroupSample;
 
 use super::{Coordinator, DIRECT_POLL_INTERVAL, DIRECT_TIMEOUT, GroupMember, MEMBERS_INTERVAL};
-use crate::engine::{CountIncrements, EngineReport, Member};
+use crate::counts::{CountIncrements, sum_counts};
+use crate::engine::{EngineReport, Member};
 use crate::messages::{Call, EngineView, Look, Reply, ViewScope};
 use crate::peer::PeerClient;
-use crate::relay::{GroupViews, Neighbourhood, RELAY_TIMEOUT, neighbourhoods, sum_counts};
+use crate::relay::{GroupViews, Neighbourhood, RELAY_TIMEOUT, neighbourhoods};
 
 /// The pause after a poll with counts, as a multiple of its duration. The counts of a large group
 /// saturate the network links of its instances.
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -32,16 +32,6 @@
     pub counts: Vec<u64>,
 }
 
-/// How often the engine's own requests have chosen each expert since its counts were last read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CountIncrements {
-    /// How many times the group had formed when the counts were read.
-    pub epoch: u64,
-    /// The increases of the counts of every expert, concatenated layer by layer. They are much
-    /// shorter on the wire than the counts themselves.
-    pub increments: Vec<u32>,
-}
-
 /// The experts that an engine holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineExperts {
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod agent;
 mod coordinator;
+mod counts;
 mod engine;
 mod messages;
 mod peer;
@@ -15,9 +16,10 @@
 #[cfg(test)]
 mod tests;
 
+pub use counts::CountIncrements;
 pub use engine::{
-    Action, CountIncrements, Directory, EngineApi, EngineCounts, EngineError, EngineExperts,
-    EngineFuture, EngineOrder, EngineReply, EngineReport, ExpertShape, Member,
+    Action, Directory, EngineApi, EngineCounts, EngineError, EngineExperts, EngineFuture,
+    EngineOrder, EngineReply, EngineReport, ExpertShape, Member,
 };
 pub use messages::{Call, EngineView, Look, Reply, ViewScope};
 pub use peer::PeerClient;
--- a/crates/ranks/src/messages.rs
+++ b/crates/ranks/src/messages.rs
@@ -5,7 +5,8 @@
 use sardinepin_protocol::{GroupLoad, GroupSample, PermitGrant, PermitRequest, UpstreamLimit};
 use serde::{Deserialize, Serialize};
 
-use crate::engine::{CountIncrements, EngineExperts, EngineOrder, EngineReply, EngineReport};
+use crate::counts::CountIncrements;
+use crate::engine::{EngineExperts, EngineOrder, EngineReply, EngineReport};
 use crate::relay::{GroupViews, PassedOrder};
 
 /// A call from a coordinator to an agent.
--- a/crates/ranks/src/relay.rs
+++ b/crates/ranks/src/relay.rs
@@ -16,7 +16,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agent::Agent;
-use crate::engine::{CountIncrements, EngineOrder, EngineReply, Member};
+use crate::counts::{CountIncrements, sum_counts};
+use crate::engine::{EngineOrder, EngineReply, Member};
 use crate::messages::{Call, EngineView, Look, Reply};
 use crate::peer::PeerClient;
 
@@ -89,20 +90,6 @@
     sets.map(Neighbourhood::new).collect()
 }
 
-/// Adds up counts of several ranks; those of another epoch than the first are left out.
-pub(crate) fn sum_counts(
-    counts: impl IntoIterator<Item = CountIncrements>,
-) -> Option<CountIncrements> {
-    counts.into_iter().reduce(|mut sum, next| {
-        if next.epoch == sum.epoch && next.increments.len() == sum.increments.len() {
-            for (sum, increment) in sum.increments.iter_mut().zip(next.increments) {
-                *sum = sum.saturating_add(increment);
-            }
-        }
-        sum
-    })
-}
-
 /// The clients of the members to which an agent passes calls on.
 #[derive(Debug, Default)]
 pub(crate) struct Neighbours(Map<SocketAddr, Arc<PeerClient>>);
--- a/crates/ranks/src/relay/tests.rs
+++ b/crates/ranks/src/relay/tests.rs
@@ -1,10 +1,10 @@
-//! Tests of neighbourhoods and of the sums of counts.
+//! Tests of neighbourhoods.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{neighbourhoods, sum_counts};
-use crate::engine::{CountIncrements, Member};
+use super::neighbourhoods;
+use crate::engine::Member;
 
 fn members(count: usize) -> Vec<Member> {
     let member = |rank: usize| Member {
@@ -48,14 +48,3 @@
     assert_eq!(set.members(None)[0], before[1]);
     assert_eq!(set.members(Some(before[4]))[0], before[4]);
 }
-
-#[test]
-fn counts_of_another_epoch_are_left_out_of_a_sum() {
-    let counts = |epoch, increments: &[u32]| CountIncrements {
-        epoch,
-        increments: increments.to_vec(),
-    };
-    let sum = sum_counts([counts(2, &[1, 2]), counts(1, &[9, 9]), counts(2, &[3, 4])]);
-    assert_eq!(sum, Some(counts(2, &[4, 6])));
-    assert_eq!(sum_counts([]), None);
-}
