Rank groups: a bypassed step is released by a fresh report of its holder

Cause: a replacement that loads nothing raises no sequence number at the engines of the users, so that the release was refused. Change: the holder is asked again, and the step released only if it has loaded this replacement, is not armed and still holds the step.

--- a/crates/ranks/src/coordinator/bypass.rs
+++ b/crates/ranks/src/coordinator/bypass.rs
@@ -5,7 +5,7 @@
 use super::orders::GroupReply;
 use super::{Coordinator, PollDelay};
 use crate::engine::{Action, EngineReply};
-use crate::messages::EngineView;
+use crate::messages::{EngineView, Look, ViewScope};
 
 impl Coordinator {
     /// Returns the member that is the only one without a report.
@@ -39,24 +39,31 @@
             reply = GroupReply::of(&self.replace_at(&others, &reload).await);
         }
         match reply {
-            GroupReply::Accepted => self.release_bypassed(step, holder, &reports).await,
+            GroupReply::Accepted => self.release_bypassed(version, step, holder).await,
             GroupReply::Superseded => self.step_down("bypass"),
             GroupReply::Incomplete => {}
         }
     }
 
     /// Releases the step once every rank that reports has begun to load the replacement.
-    async fn release_bypassed(&mut self, step: u64, holder: usize, reports: &[RankReport]) {
-        let holding = reports.iter().find(|report| report.rank == holder);
-        let (Some(holding), Some(target)) = (holding, self.members.get(holder)) else {
-            return;
+    async fn release_bypassed(&mut self, version: u64, step: u64, holder: usize) {
+        let look = Look {
+            term: self.term,
+            scope: ViewScope::default(),
+            sample: None,
+        };
+        // To load the replacement may have raised the sequence number.
+        let view = self.poll_member(holder, &look).await;
+        let holding = view.map(|view| view.report.rank);
+        let is_unchanged = |report: &RankReport| {
+            report.prepared == Some(version) && report.armed.is_none() && report.held == Some(step)
         };
-        // To load the replacement has raised the sequence number.
-        let changed = RankReport {
-            sequence: holding.sequence + 1,
-            ..*holding
+        let (Some(holding), Some(target)) =
+            (holding.filter(is_unchanged), self.members.get(holder))
+        else {
+            return;
         };
-        let order = self.new_order(&changed, Action::Release { step });
+        let order = self.new_order(&holding, Action::Release { step });
         let reply = self.send_with_retry(target, &order).await;
         log::info!(event = "released", step = step, reply:? = reply; "released the step on the map in use");
         if reply == Some(EngineReply::Superseded) {
--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -247,7 +247,7 @@
             .record_increments(now, epoch, ranks, &increments, experts);
     }
 
-    async fn poll_member(&self, index: usize, look: &Look) -> Option<EngineView> {
+    pub(super) async fn poll_member(&self, index: usize, look: &Look) -> Option<EngineView> {
         if Some(index) == self.own_index() {
             return self.agent.view(look.scope).await;
         }
