--- a/crates/gateway/tests/path/streams.rs
+++ b/crates/gateway/tests/path/streams.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use sardinepin_common::Millis;
+use sardinepin_common::{Clock, Millis};
 use sardinepin_gateway::GroupMembership;
 
 use crate::util::{
@@ -165,3 +165,38 @@
     assert!(is_complete(&response), "{response}");
     assert_eq!(two.count(), 0);
 }
+
+/// A slow stream is not cut, however long it pauses, while its deadline allows.
+#[tokio::test]
+async fn stream_that_is_slow_but_sound_is_forwarded_whole() {
+    let mut script = vec![stream_head()];
+    for number in 1..=5 {
+        script.push(Step::Pause(Millis(700)));
+        script.push(chunk(&event(number)));
+    }
+    script.push(last_chunk());
+    let slow = ScriptedUpstream::start("slow", vec![script]).await;
+    let (running, _) = start_gateway(&[&slow]).await;
+    let call = request("/stream/a", "r", "x-deadline-ms: 15000\r\n");
+    let response = send_raw(running.caller_address(), &call).await;
+    assert_eq!(numbers(&response), [1, 2, 3, 4, 5]);
+    assert!(is_complete(&response), "{response}");
+    assert_eq!(slow.count(), 1);
+}
+
+/// Bytes that never make an event do not keep a stream open beyond its deadline.
+#[tokio::test]
+async fn stream_that_sends_a_byte_now_and_then_ends_at_its_deadline() {
+    let mut script = vec![stream_head()];
+    for _ in 0..100 {
+        script.push(chunk(":"));
+        script.push(Step::Pause(Millis(100)));
+    }
+    let stalled = ScriptedUpstream::start("stalled", vec![script]).await;
+    let (running, _) = start_gateway(&[&stalled]).await;
+    let clock = Clock::start();
+    let call = request("/stream/a", "r", "x-deadline-ms: 1500\r\n");
+    let response = send_raw(running.caller_address(), &call).await;
+    assert!(clock.now() < Millis(3_000), "{}", clock.now());
+    assert!(!is_complete(&response), "{response}");
+}
