--- a/standins/src/arguments.rs
+++ b/standins/src/arguments.rs
@@ -9,6 +9,7 @@
 use sardinepin_standins::demo;
 use sardinepin_standins::engine;
 use sardinepin_standins::load::{self, CallMix};
+use sardinepin_standins::plain;
 
 /// Numeric arguments of the engine, each with its help text.
 const ENGINE_NUMBER_ARGS: [(&str, &str); 8] = [
@@ -126,6 +127,14 @@
         .long("journal")
         .help("A file that preserves the run counts across a restart")
         .value_parser(value_parser!(PathBuf));
+    let leaving = Arg::new("leaving")
+        .long("leaving")
+        .help("Says in every answer that the service is leaving")
+        .action(ArgAction::SetTrue);
+    let rest_seconds = Arg::new("rest-seconds")
+        .long("rest-seconds")
+        .help("Rejects calls without a run, and asks for a rest of so many seconds")
+        .value_parser(value_parser!(u32));
     Command::new("sardinepin-standins")
         .about("Stand-ins for the systems around sardinepin, and a load client")
         .subcommand_required(true)
@@ -134,7 +143,7 @@
                 "plain",
                 "A plain service that counts how often each call runs",
             )
-            .arg(journal),
+            .args([journal, leaving, rest_seconds]),
         )
         .subcommand(server_command(
             "platform",
@@ -166,6 +175,15 @@
     })
 }
 
+/// Reads the faults that a plain service starts with.
+pub(crate) fn plain_faults(matches: &ArgMatches) -> plain::Faults {
+    plain::Faults {
+        leaving: matches.get_flag("leaving"),
+        rest_seconds: matches.get_one("rest-seconds").copied(),
+        ..plain::Faults::default()
+    }
+}
+
 /// Reads the settings of a load run.
 pub(crate) fn load_settings(matches: &ArgMatches) -> Result<load::Settings> {
     let default = load::Settings::default();
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -18,7 +18,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
-use arguments::{argument, command, demo_settings, engine_settings, load_settings};
+use arguments::{argument, command, demo_settings, engine_settings, load_settings, plain_faults};
 
 /// The exit code of a load run that received a wrong answer.
 const EXIT_WRONG_ANSWER: u8 = 1;
@@ -51,7 +51,9 @@
     match name {
         "plain" => {
             let journal = matches.get_one::<PathBuf>("journal");
-            Ok((PlainService::start(journal.map(PathBuf::as_path))?, None))
+            let journal = journal.map(PathBuf::as_path);
+            let service = PlainService::start_with(journal, plain_faults(matches))?;
+            Ok((service, None))
         }
         "platform" => Ok((Platform::start(), None)),
         "engine" => {
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -8,7 +8,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
-use hyper::{Method, Request, StatusCode, Version};
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use sardinepin_common::Millis;
 use sardinepin_protocol::Digest;
 use sardinepin_store::BoxFuture;
@@ -19,8 +20,8 @@
 pub use faults::{CrashPoint, Faults};
 
 use crate::http::{
-    CloseConnection, Handler, HandlerResult, json_response, streaming_response, text_response,
-    truncated_body,
+    Body, CloseConnection, Handler, HandlerResult, json_response, streaming_response,
+    text_response, truncated_body,
 };
 use crate::pause::pause;
 use counts::Journal;
@@ -28,6 +29,15 @@
 /// The exit code of a process that a call crashes.
 const CRASH_EXIT_CODE: i32 = 70;
 
+/// The header field of the users' platform with the identifier of an attempt; an answer repeats it.
+const ATTEMPT_HEADER: &str = "x-attempt-id";
+
+/// The header field by which a worker of the users' platform signs an answer.
+const SIGNATURE_HEADER: &str = "x-response-signature";
+
+/// The header field of the users' platform that says that a call did not run.
+const NOT_RUN_HEADER: &str = "x-not-executed";
+
 /// The body of an answer, which repeats the relevant parts of the request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
@@ -35,9 +45,9 @@
     pub method: String,
     /// The request path with its query.
     pub path: String,
-    /// The value of `x-organisation`.
+    /// The value of `x-organisation`, or of `x-tenant` on the users' platform.
     pub organisation: String,
-    /// The value of `x-request-id`.
+    /// The value of `x-request-id`, or of `x-attempt-id` on the users' platform.
     pub request: String,
     /// The value of `idempotency-key`.
     pub key: String,
@@ -60,6 +70,8 @@
 struct Call {
     echo: Echo,
     body: Bytes,
+    /// The identifier of the attempt, on the users' platform.
+    attempt: Option<HeaderValue>,
 }
 
 impl PlainService {
@@ -70,8 +82,17 @@
     ///
     /// Fails if the journal cannot be read or written.
     pub fn start(journal: Option<&Path>) -> io::Result<Arc<Self>> {
+        Self::start_with(journal, Faults::default())
+    }
+
+    /// Starts a service with these faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the journal cannot be read or written.
+    pub fn start_with(journal: Option<&Path>, faults: Faults) -> io::Result<Arc<Self>> {
         Ok(Arc::new(Self {
-            faults: watch::Sender::new(Faults::default()),
+            faults: watch::Sender::new(faults),
             journal: Mutex::new(Journal::open(journal)?),
         }))
     }
@@ -108,6 +129,14 @@
     /// Runs a call to its end, even if its connection is closed.
     async fn run(self: Arc<Self>, mut call: Call) -> HandlerResult {
         self.with_counts(|counts| counts.record_arrival(&call.echo.request));
+        let rest_seconds = self.faults.borrow().rest_seconds;
+        if let Some(seconds) = rest_seconds {
+            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "at rest")?;
+            let headers = response.headers_mut();
+            headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+            headers.insert(RETRY_AFTER, seconds.into());
+            return self.complete(&call, response);
+        }
         self.crash_if_set(&call, CrashPoint::BeforeRun);
         self.wait_while_held(
             &call,
@@ -137,6 +166,21 @@
             let limit = limit.parse().map_err(|_| CloseConnection)?;
             response.headers_mut().insert("x-limit", limit);
         }
+        self.complete(&call, response)
+    }
+
+    /// Adds the header fields that the users' platform requires, to calls that name an attempt.
+    fn complete(&self, call: &Call, mut response: Response<Body>) -> HandlerResult {
+        let headers = response.headers_mut();
+        if self.faults.borrow().leaving {
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        if let Some(attempt) = &call.attempt {
+            if !headers.contains_key(NOT_RUN_HEADER) {
+                headers.insert(SIGNATURE_HEADER, HeaderValue::from_static("signed"));
+            }
+            headers.insert(ATTEMPT_HEADER, attempt.clone());
+        }
         Ok(response)
     }
 
@@ -220,11 +264,15 @@
     let echo = Echo {
         method: head.method.to_string(),
         path: head.uri.to_string(),
-        organisation: header("x-organisation"),
-        request: header("x-request-id"),
+        organisation: header("x-organisation") + &header("x-tenant"),
+        request: header("x-request-id") + &header(ATTEMPT_HEADER),
         key: header("idempotency-key"),
         digest: Digest::of(&[&body]).to_string(),
         run: 0,
     };
-    Call { echo, body }
+    Call {
+        echo,
+        body,
+        attempt: head.headers.get(ATTEMPT_HEADER).cloned(),
+    }
 }
--- a/standins/src/plain/faults.rs
+++ b/standins/src/plain/faults.rs
@@ -40,6 +40,10 @@
     pub break_after: Option<usize>,
     /// The limit that every answer names, in thousandths of a request a second.
     pub limit_milli: Option<u32>,
+    /// Every answer says that the service is leaving, as the users' platform does.
+    pub leaving: bool,
+    /// Calls are rejected without a run, with `Retry-After` of so many seconds.
+    pub rest_seconds: Option<u32>,
     /// The part of every answer that never ends.
     pub endless: Option<Endless>,
 }
