Gateways: the free places of a rank group are shared between all of them

Cause: every gateway filled every free place that a sample of the group's load showed. At 2.6 times the load the samples were right and 75 ms old, yet 37 gateways sent up to 959 requests a second to ranks that complete about 350, and the ranks' queues held 960 requests: rejections, attempts that ended at their callers' deadline, and late work for eight seconds after the burst. Ruled out: stale samples (75 ms, 188 at most); a target below all slots (0.8, 0.9) and other waits in the queue (return-wait 1,500, wait-ratio 0.3): no more requests in time. Change: a gateway may have as many requests at a group as when the load was sampled, and its part of the places free then.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod limit_state;
 mod permits;
+mod place_share;
 mod policy;
 mod queue;
 mod rank_groups;
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -131,14 +131,15 @@
     #[must_use]
     pub fn new(settings: BalancerSettings) -> Self {
         let mut rng = seeded_rng(settings.seed);
+        let position = rng.random();
         Self {
-            upstreams: UpstreamSet::new(settings.policy),
+            upstreams: UpstreamSet::new(settings.policy, position),
             queues: Map::default(),
             budgets: Map::default(),
             returns: Map::default(),
             last_requests: Map::default(),
             gateways: NodeCount::default(),
-            position: rng.random(),
+            position,
             rng,
             settings,
         }
--- a/crates/decisions/src/direct/policy.rs
+++ b/crates/decisions/src/direct/policy.rs
@@ -18,6 +18,8 @@
     /// How many random ranks of all groups are compared for one request, at least 1. Comparing all of
     /// them would lead all gateways to the same rank until its next report.
     pub rank_choices: usize,
+    /// Whether the free places of a rank group are shared between the gateways, from one sample of its load to the next.
+    pub shares_places: bool,
     /// The longest time in the queue of a request that can still be on time, as a fraction of its
     /// latency objective.
     pub wait_ratio: f64,
@@ -34,6 +36,7 @@
             closes_stalled: true,
             backlog: 0.0,
             rank_choices: 4,
+            shares_places: true,
             wait_ratio: 0.5,
             return_wait: Millis(300),
             expects_outages: true,
--- a/crates/decisions/src/direct/rank_groups.rs
+++ b/crates/decisions/src/direct/rank_groups.rs
@@ -9,6 +9,7 @@
 use sardinepin_common::{Map, Millis};
 use sardinepin_protocol::GroupLoad;
 
+use crate::direct::place_share::{GroupPlaces, PlaceShare};
 use crate::direct::policy::Policy;
 use crate::direct::upstream_set::AttemptEnd;
 
@@ -64,10 +65,11 @@
     failed_at: Millis,
     suspended_until: Millis,
     report: Option<Report>,
+    share: PlaceShare,
 }
 
 impl RankGroup {
-    fn new() -> Self {
+    fn new(position: f64) -> Self {
         Self {
             in_flight: 0,
             silent_since: None,
@@ -75,6 +77,7 @@
             failed_at: Millis::ZERO,
             suspended_until: Millis::ZERO,
             report: None,
+            share: PlaceShare::new(position),
         }
     }
 
@@ -119,24 +122,28 @@
 #[derive(Debug, Default)]
 pub(crate) struct RankGroups {
     policy: Policy,
+    /// This gateway's position among all, from 0 to 1.
+    position: f64,
     groups: Map<Arc<str>, RankGroup>,
     /// When the first report arrived.
     reports_began: Option<Millis>,
 }
 
 impl RankGroups {
-    pub(crate) fn new(policy: Policy) -> Self {
+    pub(crate) fn new(policy: Policy, position: f64) -> Self {
         Self {
             policy,
+            position,
             groups: Map::default(),
             reports_began: None,
         }
     }
 
     fn group_mut(&mut self, name: &Arc<str>) -> &mut RankGroup {
+        let position = self.position;
         self.groups
             .entry(Arc::clone(name))
-            .or_insert_with(RankGroup::new)
+            .or_insert_with(|| RankGroup::new(position))
     }
 
     /// Records the start of an attempt.
@@ -216,6 +223,18 @@
         group.report = Some(report);
     }
 
+    /// Records the places of a group when its load was sampled.
+    pub(super) fn record_places(&mut self, now: Millis, name: &Arc<str>, places: GroupPlaces) {
+        self.group_mut(name).share.record_sample(now, places);
+    }
+
+    /// Returns whether this gateway may send one more request to a group.
+    pub(super) fn has_place(&self, now: Millis, name: &str) -> bool {
+        let group = self.groups.get(name);
+        !self.policy.shares_places
+            || group.is_none_or(|group| group.share.has_place(now, group.in_flight))
+    }
+
     /// Returns the number of gateways that read the load of a group, as last reported; `None` until
     /// all of them, which may have started together, have had time to be counted.
     pub(crate) fn gateways(&self, now: Millis) -> Option<f64> {
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 
 use rand::Rng as _;
+use rand::seq::IteratorRandom as _;
 use sardinepin_common::{Map, Millis, Rng, rendezvous_order};
 use sardinepin_protocol::{ErrorKind, GroupLoad, UpstreamLimit};
 
 use crate::direct::limit_state::LimitState;
+use crate::direct::place_share::GroupPlaces;
 use crate::direct::policy::Policy;
 use crate::direct::rank_groups::RankGroups;
 use crate::direct::upstream_set::state::is_slow;
@@ -137,11 +139,11 @@
 }
 
 impl UpstreamSet {
-    /// Returns a set without upstreams.
+    /// Returns a set without upstreams, for the gateway with this position among all, from 0 to 1.
     #[must_use]
-    pub fn new(policy: Policy) -> Self {
+    pub fn new(policy: Policy, position: f64) -> Self {
         Self {
-            groups: RankGroups::new(policy),
+            groups: RankGroups::new(policy, position),
             rank_choices: policy.rank_choices.max(1),
             ..Self::default()
         }
@@ -254,7 +256,9 @@
         let open: Vec<&[UpstreamId]> = service
             .groups
             .iter()
-            .filter(|(name, _)| !self.groups.is_closed(now, name))
+            .filter(|(name, _)| {
+                !self.groups.is_closed(now, name) && self.groups.has_place(now, name)
+            })
             .map(|(_, members)| members.as_slice())
             .collect();
         let ranks: usize = open.iter().map(|members| members.len()).sum();
@@ -266,9 +270,14 @@
                 candidate(id)
             });
             let some = some.chain(permitted);
-            let all = || lowest(open.iter().copied().flatten().filter_map(candidate));
-            if let Some(best) = lowest(some).or_else(all) {
-                return Some(best);
+            let best = lowest(some);
+            if best.is_some() {
+                return best;
+            }
+            // Gateways that took the least loaded of all ranks would all take the same one until its next report.
+            let all = open.iter().copied().flatten().filter_map(candidate);
+            if let Some((_, id)) = all.choose(rng) {
+                return Some(id);
             }
         }
         let plain = service.plain.iter();
@@ -339,6 +348,7 @@
                     upstream.record_sample(now, sampled_at, rank, most_are_slow);
                 }
             }
+            self.record_places(now, sampled_at, load);
             for limit in &sample.limits {
                 self.record_reported_limit(sampled_at, limit);
             }
@@ -346,6 +356,36 @@
         self.groups.record_report(now, load);
     }
 
+    /// Records how many places the ranks of a group that take requests had when its load was sampled.
+    fn record_places(&mut self, now: Millis, sampled_at: Millis, load: &GroupLoad) {
+        let Some((_, sample)) = &load.sample else {
+            return;
+        };
+        let mut places = GroupPlaces {
+            gateways: f64::from(sample.gateways),
+            ..GroupPlaces::default()
+        };
+        let groups = self.services.values().map(|service| &service.groups);
+        let members = groups
+            .filter_map(|groups| groups.get(&load.group))
+            .flatten();
+        for upstream in members.filter_map(|id| self.upstreams.get(id)) {
+            places.own += upstream.in_flight_at(sampled_at);
+            let rank = upstream.spec.group.as_ref().map(|group| group.rank);
+            let rank = rank.and_then(|rank| sample.ranks.get(rank)?.as_ref());
+            if let Some(rank) = rank
+                && upstream.is_usable(now)
+                && !upstream.is_ejected(now)
+            {
+                places.places += f64::from(upstream.spec.slots);
+                places.load += f64::from(rank.running) + f64::from(rank.waiting);
+            }
+        }
+        if places.places > 0.0 {
+            self.groups.record_places(now, &load.group, places);
+        }
+    }
+
     /// Records what an agent knew of the limit of an upstream at `sampled_at`.
     fn record_reported_limit(&mut self, sampled_at: Millis, reported: &UpstreamLimit) {
         let limit = reported.limit;
