Callers that return: how first attempts differ is learnt while nobody can be coming back

Cause: first attempts of one route have timeouts between 85 and 100 hundredths of the longest on the new deployments. Whatever had less than 95 counted as a retry: in calm seconds 126 of 303 and 250 of 400 new callers (log of one zone). They waited behind others of their priority and were taken to be late already. Ruled out: a fixed lower share, which would not tell a retry after a short delay where all callers wait equally long. Change: a gateway counts the shares of callers that call longer after its last refusal than any of them waits; below the lowest of these a caller counts as returning. Measured: a test replays both kinds of callers.

--- a/crates/decisions/tests/direct.rs
+++ b/crates/decisions/tests/direct.rs
@@ -442,6 +442,30 @@
     assert!(!timeouts.record(at, &route, Millis(5_300)));
 }
 
+/// Callers of one route may differ in how long they wait. If all but the most patient counted as returning, new callers would yield to
+/// whoever came back.
+#[test]
+fn callers_with_different_timeouts_count_as_new_once_they_were_seen_in_calm_time() {
+    let route: Arc<str> = Arc::from("r");
+    let mut timeouts = CallerTimeouts::default();
+    let shares = [80, 69, 76, 72, 79, 70, 74, 68];
+    let timeout = |at: u64| Millis(shares[at as usize % shares.len()] * 100);
+    for at in 0..200 {
+        timeouts.record(Millis(100 * at), &route, timeout(at));
+    }
+    let calm = Millis(20_000);
+    for at in 0..8 {
+        assert!(!timeouts.record(calm, &route, timeout(at)));
+    }
+    timeouts.record_refusal(calm);
+    // Those that come back within the time of a refused caller must not be learnt as new ones.
+    for at in 0..200 {
+        let now = calm + Millis(10 * at);
+        assert!(timeouts.record(now, &route, Millis(5_500)));
+        assert!(!timeouts.record(now, &route, timeout(at)));
+    }
+}
+
 /// After a loss of power all gateways start together, and the first reports count only a few of them.
 #[test]
 fn the_shared_slack_is_used_only_once_all_gateways_have_had_time_to_be_counted() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -107,12 +107,19 @@
     /// Records the timeout of a caller; returns whether the caller seems to come back after a
     /// refusal.
     pub(crate) fn record_caller_timeout(&self, route: &Arc<str>, timeout: Millis) -> bool {
-        let now = self.clock.now();
-        let mut timeouts = self
-            .caller_timeouts
+        self.caller_timeouts()
+            .record(self.clock.now(), route, timeout)
+    }
+
+    /// Records that a caller was refused and may come back.
+    pub(crate) fn record_refused_caller(&self) {
+        self.caller_timeouts().record_refusal(self.clock.now());
+    }
+
+    fn caller_timeouts(&self) -> MutexGuard<'_, CallerTimeouts> {
+        self.caller_timeouts
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        timeouts.record(now, route, timeout)
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that the list of upstreams has been read.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -54,6 +54,7 @@
         error: RequestFailure,
     ) -> Response<Body> {
         request_metrics::count_outcome(call, RequestOutcome::GivenUp);
+        self.record_refused_caller();
         log::info!(
             event = "given_up", request = call.id_text(), service = &*call.service,
             route = &*call.route.name, reason = error.kind.response().label, sent = attempts.sent,
