A rank is disarmed only for a version that another rank has replaced

A coordinator held step 3, armed both ranks for it and released it; a hold of step 2 by the other coordinator came before step 3 began. Both coordinators then found the ranks armed for another step than the held one, and each disarmed one of them while both still had the version loaded. The version was armed again for step 2, and a disarm that got no reply arrived after the release: disarming raises no sequence number. Ruled out: no disarm at all where engines do not compare terms, as an armed rank refuses to load a newer version, so a group in which only some are armed could never go on. Arming never again after a disarm, as a rank that was disarmed does not report it. Change: if all ranks have loaded the newest version, a rank that is not armed loads the replacement first, without a disarm; the others are disarmed after that. If all are armed for one later step, the held step is released, and the switch follows. If they are armed for different steps, nothing is ordered; the model reaches no such state from which the group does not go on. In the model `disarms_replaced` takes the rule out. The coordinator's code is unchanged: it follows the rank that is named first.

--- a/crates/groups/src/switch/held_switch.rs
+++ b/crates/groups/src/switch/held_switch.rs
@@ -12,6 +12,10 @@
 //! order arrives late. The first rank to be changed is one that keeps the newest version from being
 //! complete ([`NextAction::Replace`]); no coordinator can then have confirmed that version.
 //!
+//! An order to disarm may be carried out long after it was sent, and disarming raises no sequence number. A rank is therefore
+//! disarmed only for a version that cannot be armed everywhere any more, because another rank has loaded a newer one. Ranks that are
+//! all armed for a step after the held one are not disarmed; the held step is released, and the switch follows.
+//!
 //! A coordinator whose instance freezes takes its own engine out of reach. The step that it held is released without it
 //! ([`NextAction::Bypass`]): a version names the rank that planned it, which loads it before all others, and which every coordinator
 //! arms for it only after all others have confirmed. So while another rank has loaded it and is not armed, the missing one is not armed
@@ -79,7 +83,8 @@
     /// A step is held, and no version can be armed everywhere: disarm every rank and have it load a
     /// newer version, the rank `first` before all others.
     Replace {
-        /// A rank that keeps the newest version from being complete.
+        /// A rank that keeps the newest version from being complete and is not armed for it. Once it has loaded a newer version, no
+        /// order to disarm the other ranks can undo a confirmation.
         first: usize,
         /// The held step.
         step: u64,
@@ -94,7 +99,7 @@
         /// The rank that holds the step.
         holder: usize,
     },
-    /// A step is held although no rank has loaded or armed another version: release it.
+    /// A step is held although no rank has loaded or armed another version, or although all are armed for a later step: release it.
     Release {
         /// The held step.
         step: u64,
@@ -162,10 +167,7 @@
                 holder,
             };
         }
-        return match obstacle(reports, step) {
-            Some(first) => NextAction::Replace { first, step },
-            None => NextAction::Release { step, holder },
-        };
+        return without_version_to_arm(reports, step, holder);
     }
     // Without a held step, an armed version comes into use when its step begins. If it were armed
     // again for a later step, the step in between could begin on two maps.
@@ -257,22 +259,33 @@
     held.min_by_key(|(_, step)| *step)
 }
 
-/// Returns a rank that keeps the newest version from being armed everywhere for `step`; `None` if no
-/// rank has loaded or armed a version that is not in use.
-fn obstacle(reports: &[RankReport], step: u64) -> Option<usize> {
+/// Returns the next action while a step is held for which no version can be armed everywhere.
+fn without_version_to_arm(reports: &[RankReport], step: u64, holder: usize) -> NextAction {
     let newest = reports
         .iter()
         .filter(|report| report.armed.is_some() || report.prepared > Some(report.active))
         .filter_map(|report| report.prepared)
-        .max()?;
-    let wanted = ArmedVersion {
-        version: newest,
-        step,
+        .max();
+    let Some(newest) = newest else {
+        return NextAction::Release { step, holder };
     };
     let unloaded =
         |report: &&RankReport| report.prepared != Some(newest) || report.active >= newest;
-    let armed_otherwise = |report: &&RankReport| report.armed.is_some_and(|armed| armed != wanted);
     let first = reports.iter().find(unloaded);
-    let first = first.or_else(|| reports.iter().find(armed_otherwise))?;
-    Some(first.rank)
+    // A rank that is armed for the newest version must not be the first to change: until another one has loaded a newer version, the
+    // order to disarm it could arrive after all ranks have been armed and the step released.
+    let first = first.or_else(|| reports.iter().find(|report| report.armed.is_none()));
+    if let Some(first) = first {
+        return NextAction::Replace {
+            first: first.rank,
+            step,
+        };
+    }
+    // Every rank is armed for the newest version and stays so until the step that it is armed for.
+    let armed = reports.first().and_then(|report| report.armed);
+    match reports.iter().all(|report| report.armed == armed) {
+        true => NextAction::Release { step, holder },
+        // No coordinator can have confirmed one step at all ranks while another was held, so this is a poll of changing ranks.
+        false => NextAction::Loading,
+    }
 }
--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -9,7 +9,7 @@
 
 use futures_util::{SinkExt, StreamExt};
 use sardinepin_common::{Clock, Millis};
-use sardinepin_groups::{ArmedVersion, LayerMap, RankReport};
+use sardinepin_groups::{ArmedVersion, LayerMap, RankReport, version_above};
 use sardinepin_protocol::{RankLoad, encode, framed};
 use sardinepin_runtime::PAUSE_MIN;
 use sardinepin_store::BoxFuture;
@@ -81,6 +81,10 @@
     terms: BTreeSet<u64>,
     /// How many times the list of members was read, which each coordinator does.
     member_reads: usize,
+    /// The ranks that were ordered to be disarmed, whether or not the order was carried out.
+    disarms: Vec<usize>,
+    /// How many of those orders named a version that no other rank had replaced by a newer one.
+    unsafe_disarms: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -128,6 +132,8 @@
             is_up: true,
             terms: BTreeSet::new(),
             member_reads: 0,
+            disarms: Vec::new(),
+            unsafe_disarms: 0,
         }
     }
 
@@ -209,6 +215,15 @@
         }
     }
 
+    /// Records an order to disarm a rank. It may be carried out late, so it must be safe at any later time.
+    fn record_disarm(&mut self, at: usize, version: u64) {
+        self.disarms.push(at);
+        let mut ranks = self.ranks.iter().enumerate();
+        let is_replaced =
+            ranks.any(|(rank, engine)| rank != at && engine.highest_version > version);
+        self.unsafe_disarms += usize::from(!is_replaced);
+    }
+
     fn report(&self, at: usize) -> EngineReport {
         let rank = &self.ranks[at];
         EngineReport {
@@ -274,6 +289,9 @@
         group.orders += 1;
         group.terms.insert(order.term);
         let at = rank_of(engine);
+        if let Action::Disarm { version } = order.action {
+            group.record_disarm(at, version);
+        }
         if group.cut_term == Some(order.term) || group.frozen == Some(at) {
             return Box::pin(async { Err(EngineError("cut".to_owned())) });
         }
@@ -407,6 +425,7 @@
         let group = shared.0.lock().unwrap();
         let map: LayerMap = group.ranks.iter().map(|rank| rank.map.clone()).collect();
         assert!(!group.maps_mixed, "a step began on two different maps");
+        assert_eq!(group.unsafe_disarms, 0);
         copies(&map, 0) == RANKS
     })
     .await;
@@ -515,6 +534,43 @@
     wait_for(|| shared.0.lock().unwrap().step > 10).await;
 }
 
+/// Returns a group in which every rank has loaded a version, `armed` ranks are armed for it in step 12, and step 3 is held.
+fn group_held_before_an_armed_step(armed: impl Fn(usize) -> bool) -> (u64, SharedGroup) {
+    let version = version_above(0, 1);
+    let mut group = FakeGroup::new(0);
+    for (at, rank) in group.ranks.iter_mut().enumerate() {
+        rank.highest_version = version;
+        rank.prepared = Some((version, rank.map.clone()));
+        rank.armed = Some(ArmedVersion { version, step: 12 }).filter(|_| armed(at));
+    }
+    group.ranks[0].held = Some(3);
+    (version, SharedGroup(Arc::new(Mutex::new(group))))
+}
+
+/// Guards against an order to disarm that is carried out once the rank has been armed again: a delayed hold of an earlier step must
+/// not take back a switch for which all ranks are armed.
+#[tokio::test]
+async fn a_step_held_before_the_one_that_all_ranks_are_armed_for_is_released_without_a_disarm() {
+    let (version, shared) = group_held_before_an_armed_step(|_| true);
+    start_agents(&shared).await;
+    wait_for(|| shared.0.lock().unwrap().step >= 12).await;
+    let group = shared.0.lock().unwrap();
+    assert!(group.ranks.iter().all(|rank| rank.active >= version));
+    assert_eq!((group.maps_mixed, group.disarms.len()), (false, 0));
+}
+
+/// Guards against the same where only one rank is armed: it is disarmed once another rank has loaded a newer version.
+#[tokio::test]
+async fn a_rank_is_disarmed_after_another_one_has_loaded_a_newer_version() {
+    let (version, shared) = group_held_before_an_armed_step(|at| at == 2);
+    start_agents(&shared).await;
+    wait_for(|| shared.0.lock().unwrap().step > 20).await;
+    let group = shared.0.lock().unwrap();
+    assert!(group.ranks.iter().all(|rank| rank.active > version));
+    assert_eq!((group.maps_mixed, group.unsafe_disarms), (false, 0));
+    assert_eq!(group.disarms, [2]);
+}
+
 /// Gateways learn the load of a whole group from the agent in their zone.
 #[tokio::test]
 async fn every_agent_passes_on_the_load_of_the_group() {
--- a/specs/src/held_switch.rs
+++ b/specs/src/held_switch.rs
@@ -60,6 +60,8 @@
     pub freezes: usize,
     /// Whether the rank that planned a version is armed for it only after all others have confirmed.
     pub planner_last: bool,
+    /// Whether a rank is disarmed only for a version that another rank has replaced by a newer one.
+    pub disarms_replaced: bool,
 }
 
 /// The phase of a coordinator.
@@ -476,6 +478,10 @@
                 next_action(&reports.collect::<Vec<_>>())
             }
         };
+        let action = match self.0.disarms_replaced {
+            true => action,
+            false => replace_armed_first(action, &reports),
+        };
         let shows_one_moment = last_reports.is_some_and(|last| {
             let last: Vec<RankReport> = last.into_iter().flatten().collect();
             last.len() == reports.len() && is_snapshot(&last, &reports)
@@ -583,6 +589,26 @@
     holding.copied().or(reports[0]).unwrap_or_default()
 }
 
+/// Returns an action that changes the first rank which is armed for another step than the held one before those that are not armed, if
+/// all have loaded the same version. It disarms that rank while the version can still be armed everywhere.
+fn replace_armed_first(action: NextAction, reports: &[RankReport]) -> NextAction {
+    let (NextAction::Replace { step, .. } | NextAction::Release { step, .. }) = action else {
+        return action;
+    };
+    let same_version = reports
+        .windows(2)
+        .all(|pair| pair[0].prepared == pair[1].prepared);
+    let armed_otherwise =
+        |report: &&RankReport| report.armed.is_some_and(|armed| armed.step != step);
+    match reports.iter().find(armed_otherwise) {
+        Some(first) if same_version => NextAction::Replace {
+            first: first.rank,
+            step,
+        },
+        _ => action,
+    }
+}
+
 /// Returns a report without a version that is armed for an earlier step than the one that could be held
 /// next.
 fn without_earlier_step(report: RankReport) -> RankReport {
--- a/specs/tests/held_switch.rs
+++ b/specs/tests/held_switch.rs
@@ -19,6 +19,7 @@
     confirm_armed: true,
     freezes: 0,
     planner_last: true,
+    disarms_replaced: true,
 };
 
 /// Asserts that no step begins on two maps and that no state is stuck.
@@ -141,10 +142,12 @@
     });
 }
 
+/// To take a switch back is to disarm ranks for a version that no other rank has replaced.
 #[test]
 fn a_switch_that_is_taken_back_without_fencing_lets_a_step_begin_on_two_maps() {
     assert_violated(Bounds {
         takes_back: true,
+        disarms_replaced: false,
         late_orders: 1,
         ..UNFENCED
     });
@@ -216,3 +219,14 @@
         ..FROZEN
     });
 }
+
+/// Guards against a disarm that is carried out after another coordinator has armed the rank again.
+#[test]
+fn a_disarm_of_a_version_that_can_be_armed_again_lets_a_step_begin_on_two_maps() {
+    assert_violated(Bounds {
+        disarms_replaced: false,
+        fencing: false,
+        late_orders: 1,
+        ..FROZEN
+    });
+}
