Unreadable list entries and restarts under the same identifier

Cause: An entry that could not be decoded counted as a departure, which the grace period keeps; one number out of range or one byte that is not UTF-8 made the whole list unreadable. A process that restarted under the same identifier kept the limit of the earlier one while requests were in flight there, and requests could be sent through its permits. A departure was kept for an identifier, not for a process, and an agent did not follow a process whose wall clock had been set back. Limits belong to listed processes only. cold-remaining-ms is read; while it falls the list does not change.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -5,6 +5,7 @@
 
 mod balancer;
 mod caller_timeouts;
+mod cold_start;
 mod crashes;
 mod limit_state;
 mod permits;
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -170,8 +170,9 @@
         self.upstreams.retain(|id, upstream| {
             upstream.in_flight > 0 || names.get(&upstream.spec.id) == Some(id)
         });
-        let upstreams = &self.upstreams;
-        self.limited.retain(|id| upstreams.contains_key(id));
+        // The limit of an earlier process with the identifier ends with it, even while requests are in flight there.
+        let listed: BTreeSet<UpstreamId> = names.values().copied().collect();
+        self.limited.retain(|id| listed.contains(id));
     }
 
     /// Returns all rank groups.
@@ -208,6 +209,16 @@
         id
     }
 
+    /// Records that the entry of an upstream names another end of its cold state.
+    pub(super) fn record_cold(&mut self, _: Millis, spec: &UpstreamSpec) {
+        let id = self.find_by_name(&spec.id);
+        if let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(&id))
+            && upstream.spec.started_at == spec.started_at
+        {
+            upstream.spec.cold_remaining = spec.cold_remaining;
+        }
+    }
+
     /// Returns the state of an upstream.
     #[must_use]
     pub fn get(&self, id: UpstreamId) -> Option<&UpstreamState> {
@@ -503,8 +514,9 @@
 
     /// Updates whether an upstream counts as limited: it has a limit, or its end has to be told to an agent.
     fn update_limited(&mut self, id: UpstreamId) {
-        let limit = self.upstreams.get(&id).map(|upstream| &upstream.limit);
-        if limit.is_some_and(LimitState::concerns_agents) {
+        let upstream = self.upstreams.get(&id);
+        let listed = upstream.filter(|one| self.names.get(&one.spec.id) == Some(&id));
+        if listed.is_some_and(|one| one.limit.concerns_agents()) {
             self.limited.insert(id);
         } else {
             self.limited.remove(&id);
--- a/crates/decisions/src/direct/upstream_spec.rs
+++ b/crates/decisions/src/direct/upstream_spec.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sardinepin_common::Millis;
+
 /// An entry of the list of upstreams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamSpec {
@@ -21,6 +23,8 @@
     pub slots: u32,
     /// Whether it is shutting down and takes no new requests.
     pub draining: bool,
+    /// How much longer it is cold, as far as its entry says.
+    pub cold_remaining: Option<Millis>,
     /// Its rank group, or `None` if it serves on its own.
     pub group: Option<GroupMembership>,
 }
--- a/crates/decisions/src/permit_allocator.rs
+++ b/crates/decisions/src/permit_allocator.rs
@@ -26,6 +26,10 @@
 /// How long no spare permits are granted after a gateway has waited for one in vain.
 const WAITING_TIME: Millis = Millis(500);
 
+/// How long a process with a later start counts as the current one after it was last named. `born` is a wall clock, so that the
+/// start of a later process may be the lower one.
+const PROCESS_RETENTION: Millis = Millis(1_000);
+
 /// One upstream.
 #[derive(Debug, Default)]
 struct LimitedUpstream {
@@ -36,6 +40,8 @@
     /// When a gateway last waited for a permit in vain.
     waited_at: Option<Millis>,
     asked_at: Millis,
+    /// When a gateway last named the process that started at `started_at`.
+    named_at: Millis,
 }
 
 impl LimitedUpstream {
@@ -129,12 +135,17 @@
             .upstreams
             .entry(Arc::clone(&request.upstream))
             .or_default();
-        if upstream.started_at < started_at {
+        let is_replaced = upstream.started_at < started_at
+            || upstream.started_at > started_at && now.since(upstream.named_at) > PROCESS_RETENTION;
+        if is_replaced {
             *upstream = LimitedUpstream {
                 started_at,
                 ..LimitedUpstream::default()
             };
         }
+        if upstream.started_at == started_at {
+            upstream.named_at = now;
+        }
         upstream
     }
 }
--- a/crates/decisions/tests/direct.rs
+++ b/crates/decisions/tests/direct.rs
@@ -25,6 +25,7 @@
         zone: Arc::from(zone),
         slots: 2,
         draining: false,
+        cold_remaining: None,
         group: group.map(|name| GroupMembership {
             name: Arc::from(name),
             rank: 0,
--- a/crates/decisions/tests/upstream_limit.rs
+++ b/crates/decisions/tests/upstream_limit.rs
@@ -205,6 +205,7 @@
         zone: Arc::from("a"),
         slots: 8,
         draining: false,
+        cold_remaining: None,
         group: group.map(|rank| GroupMembership {
             name: Arc::from("g"),
             rank,
@@ -439,3 +440,58 @@
         )),
     }
 }
+
+/// An earlier process with requests in flight kept its limit, and could get requests through permits that were left.
+#[test]
+fn nothing_of_the_limit_of_an_earlier_process_is_kept_while_it_has_requests_in_flight() {
+    let mut balancer = balancer(&[spec("one", Some(0))]);
+    let earlier = limit(&mut balancer, "one", 1_000);
+    balancer.record_request(NOW, &Arc::from("llm"));
+    let asks = balancer.permit_asks(NOW);
+    balancer.place(NOW, placement(NOW, 1));
+    let asks = match asks.is_empty() {
+        true => balancer.permit_asks(NOW),
+        false => asks,
+    };
+    let sent = balancer.record_permits(NOW, &asks[0], Some(grant(2, 0, Some(1_000))));
+    assert_eq!(
+        sent.len(),
+        1,
+        "one request is in flight, and one permit is left"
+    );
+    let restarted = UpstreamSpec {
+        started_at: 2,
+        ..spec("one", Some(0))
+    };
+    balancer.replace_upstreams(NOW, std::slice::from_ref(&restarted));
+    let later = balancer.upstreams().find_by_name("one").unwrap();
+    assert_ne!(later, earlier);
+    assert!(!balancer.has_limits());
+    for number in 2..6 {
+        let decision = balancer.place(NOW, placement(NOW, number));
+        assert_eq!(decision, Some(Decision::Send(later)));
+    }
+    balancer.record_limit(NOW, earlier, NOW, named(3_000));
+    assert!(!balancer.has_limits(), "an answer of the earlier process");
+}
+
+/// The wall clock of an instance may have been set back before its upstream restarted.
+#[test]
+fn an_agent_follows_a_process_whose_start_is_lower() {
+    let mut allocator = PermitAllocator::default();
+    let mut later = request(1, 1, 1_000);
+    later.limit.started_at = 9;
+    allocator.handle(NOW, &later);
+    let lower = request(1, 1, 3_000);
+    let grant = allocator.handle(NOW + Millis(500), &lower);
+    assert_eq!(
+        grant.limit.started_at, 9,
+        "a gateway that has not heard of the later process"
+    );
+    let grant = allocator.handle(NOW + Millis(1_600), &lower);
+    assert_eq!(
+        (grant.limit.started_at, grant.granted),
+        (1, 0),
+        "starts with nothing"
+    );
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -234,6 +234,11 @@
         state.deliver(now, decisions);
     }
 
+    /// Records that an upstream is cold for another time than its entry said before.
+    pub(crate) fn record_cold(&self, spec: &UpstreamSpec) {
+        self.with_balancer(|balancer, now| balancer.record_cold(now, spec));
+    }
+
     /// Records a report of the load of a rank group.
     pub(crate) fn record_group_load(&self, load: &GroupLoad) {
         let mut state = self.state();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -32,6 +32,8 @@
     pub revision: u64,
     /// Its content, or `None` if it was deleted or cannot be decoded.
     pub value: Option<T>,
+    /// Whether the object exists, but cannot be decoded; its revision is 0 if that cannot be read.
+    pub is_unreadable: bool,
 }
 
 /// Why a store call failed.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,5 +1,6 @@
 //! Keeps the configuration, the list of upstreams and the crashes in step with the store.
 
+mod cold_entry;
 mod crashes;
 mod position;
 mod upstreams;
@@ -106,11 +107,15 @@
                 continue;
             }
         }
-        if let Some(specs) = list.take_changed(gateway.clock.now()) {
+        let now = gateway.clock.now();
+        if let Some(specs) = list.take_changed(now) {
             log::info!(event = "upstreams", count = specs.len(), revision = position.revision(); "list of upstreams applied");
             gateway.dispatcher.replace_upstreams(&specs);
             gateway.set_upstreams_known();
         }
+        for spec in list.take_cold_changed(now) {
+            gateway.dispatcher.record_cold(&spec);
+        }
         tokio::time::sleep(settings.upstreams_pause.duration()).await;
     }
 }
--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sardinepin_common::{Map, Millis};
+use sardinepin_common::{Map, Millis, Set};
 
 use crate::store::{ObjectBatch, StoredObject};
+use crate::sync::cold_entry::ColdEntry;
 use sardinepin_decisions::direct::UpstreamSpec;
 
 /// One entry of the list.
 #[derive(Debug)]
 struct Entry {
+    /// What the entry says, except how much longer the upstream is cold.
     spec: UpstreamSpec,
+    cold: ColdEntry,
     revision: u64,
     /// When the entry is removed unless the store lists it again; `None` while it is listed.
     expires_at: Option<Millis>,
@@ -20,6 +23,15 @@
     outdated: bool,
 }
 
+impl Entry {
+    fn spec_at(&self, now: Millis) -> UpstreamSpec {
+        UpstreamSpec {
+            cold_remaining: self.cold.remaining(now),
+            ..self.spec.clone()
+        }
+    }
+}
+
 /// How long the identifiers of removed upstreams are remembered.
 const DEPARTED_RETENTION: Millis = Millis(120_000);
 
@@ -33,9 +45,11 @@
     grace: Millis,
     /// The end of the grace period, in which missing entries are kept.
     grace_until: Millis,
-    /// When each upstream was removed from the list.
-    departed: Map<Arc<str>, Millis>,
+    /// When each upstream was removed from the list, and when its process had started.
+    departed: Map<Arc<str>, (Millis, u64)>,
     changed: bool,
+    /// The upstreams that are cold for another time than before.
+    cold_changed: Set<Arc<str>>,
 }
 
 impl UpstreamList {
@@ -48,6 +62,7 @@
             grace_until: Millis::ZERO,
             departed: Map::default(),
             changed: false,
+            cold_changed: Set::default(),
         }
     }
 
@@ -89,7 +104,11 @@
         let departed: Vec<Arc<str>> = batch
             .items
             .iter()
-            .filter(|item| self.departed.contains_key(&item.name))
+            .filter(|item| {
+                let departed = self.departed.get(&item.name);
+                let listed = item.value.as_ref().map(|spec| spec.started_at);
+                departed.is_some_and(|(_, started_at)| Some(*started_at) == listed)
+            })
             .map(|item| Arc::clone(&item.name))
             .collect();
         self.replace_all(now, batch.items);
@@ -104,13 +123,15 @@
     pub fn apply_changes(&mut self, now: Millis, items: Vec<StoredObject<UpstreamSpec>>) {
         for item in items {
             match item.value {
-                Some(spec) => self.insert(item.name, item.revision, spec),
+                Some(spec) => self.insert(now, item.name, item.revision, spec),
+                None if item.is_unreadable => self.remove_unreadable(&item.name, item.revision),
                 None => self.remove(now, &item.name),
             }
         }
     }
 
-    fn insert(&mut self, name: Arc<str>, revision: u64, spec: UpstreamSpec) {
+    fn insert(&mut self, now: Millis, name: Arc<str>, revision: u64, mut spec: UpstreamSpec) {
+        let cold_remaining = spec.cold_remaining.take();
         if let Some(entry) = self.entries.get_mut(&name) {
             if revision < entry.revision {
                 return;
@@ -118,8 +139,15 @@
             if std::mem::take(&mut entry.outdated) {
                 self.changed = true;
             }
+            // An entry that is only read again says how long its upstream was cold when it was written.
+            let is_rewritten = revision > entry.revision;
             entry.revision = revision;
             entry.expires_at = None;
+            if !is_same_process(&entry.spec, &spec) {
+                entry.cold = ColdEntry::new(now, cold_remaining);
+            } else if is_rewritten && entry.cold.update(now, cold_remaining) {
+                self.cold_changed.insert(Arc::clone(&name));
+            }
             // An upstream that drains never goes back to work, so an entry that says so is older.
             let spec = UpstreamSpec {
                 draining: spec.draining
@@ -137,6 +165,7 @@
         self.changed = true;
         let entry = Entry {
             spec,
+            cold: ColdEntry::new(now, cold_remaining),
             revision,
             expires_at: None,
             outdated: false,
@@ -144,10 +173,25 @@
         self.entries.insert(name, entry);
     }
 
+    /// Removes the entry that one replaces which cannot be decoded.
+    ///
+    /// The upstream has not left: its entry is not kept for the grace period, and one that can be decoded counts at once.
+    fn remove_unreadable(&mut self, name: &Arc<str>, revision: u64) {
+        let is_older = |entry: &Entry| 0 < revision && revision < entry.revision;
+        if self.entries.get(name).is_none_or(is_older) {
+            return;
+        }
+        self.entries.remove(name);
+        self.changed = true;
+        metrics::counter!("sardinepin_unreadable_entries_total").increment(1);
+        log::warn!(event = "upstream_unreadable", upstream = &**name, revision = revision; "the entry of an upstream cannot be decoded; it is not used");
+    }
+
     fn remove(&mut self, now: Millis, name: &Arc<str>) {
         if now >= self.grace_until {
-            if self.entries.remove(name).is_some() {
-                self.departed.insert(Arc::clone(name), now);
+            if let Some(entry) = self.entries.remove(name) {
+                let departure = (now, entry.spec.started_at);
+                self.departed.insert(Arc::clone(name), departure);
                 self.changed = true;
                 log::info!(event = "upstream_gone", upstream = &**name; "upstream removed from the list");
             }
@@ -167,16 +211,24 @@
         self.entries.retain(|name, entry| {
             let kept = entry.expires_at.is_none_or(|at| now < at);
             if !kept {
-                departed.insert(Arc::clone(name), now);
+                departed.insert(Arc::clone(name), (now, entry.spec.started_at));
             }
             kept
         });
-        departed.retain(|_, at| now.since(*at) < DEPARTED_RETENTION);
+        departed.retain(|_, (at, _)| now.since(*at) < DEPARTED_RETENTION);
         self.changed |= self.entries.len() != before;
         if !std::mem::take(&mut self.changed) {
             return None;
         }
-        Some(self.specs())
+        self.cold_changed.clear();
+        Some(self.specs(now))
+    }
+
+    /// Returns the upstreams that have been cold for another time than before since the last call, or since the list was taken.
+    pub fn take_cold_changed(&mut self, now: Millis) -> Vec<UpstreamSpec> {
+        let names = std::mem::take(&mut self.cold_changed);
+        let entries = names.iter().filter_map(|name| self.entries.get(name));
+        entries.map(|entry| entry.spec_at(now)).collect()
     }
 
     /// Returns the entries. Of several with the same address, all but the newest are marked as
@@ -184,14 +236,14 @@
     ///
     /// A process that restarts at the address of a crashed one is listed beside it until the old
     /// entry expires.
-    fn specs(&self) -> Vec<UpstreamSpec> {
+    fn specs(&self, now: Millis) -> Vec<UpstreamSpec> {
         let mut newest: Map<SocketAddr, u64> = Map::default();
         for entry in self.entries.values() {
             let revision = newest.entry(entry.spec.address).or_default();
             *revision = entry.revision.max(*revision);
         }
         let specs = self.entries.values().map(|entry| {
-            let mut spec = entry.spec.clone();
+            let mut spec = entry.spec_at(now);
             let is_newest = newest.get(&spec.address) == Some(&entry.revision);
             spec.draining |= !is_newest || entry.outdated;
             spec
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -105,6 +105,7 @@
             zone: Arc::from("zone-a"),
             slots: 4,
             draining: false,
+            cold_remaining: None,
             group: None,
         };
         let log = Arc::new(Mutex::new(UpstreamLog {
@@ -356,6 +357,7 @@
                 name: Arc::clone(&spec.id),
                 revision: state.revision,
                 value: Some(spec.clone()),
+                is_unreadable: false,
             });
             Ok(ObjectBatch {
                 era: state.era,
@@ -388,6 +390,7 @@
                 name: crash.name(),
                 revision: state.revision,
                 value: Some(crash.clone()),
+                is_unreadable: false,
             });
             Ok(ObjectBatch {
                 era: state.era,
@@ -436,6 +439,7 @@
             name: Arc::from("main"),
             revision: state.revision,
             value: Some(manifest),
+            is_unreadable: false,
         });
         Ok(ObjectBatch {
             era: state.era,
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -23,8 +23,10 @@
             zone: Arc::from("a"),
             slots: 2,
             draining,
+            cold_remaining: None,
             group: None,
         }),
+        is_unreadable: false,
     }
 }
 
@@ -148,3 +150,123 @@
     assert_eq!(ids(&mut list, 10).unwrap(), ["a"]);
     assert_eq!(ids(&mut list, 10 + GRACE.0).unwrap(), Vec::<String>::new());
 }
+
+fn unreadable(id: &str, revision: u64) -> StoredObject<UpstreamSpec> {
+    StoredObject {
+        is_unreadable: true,
+        ..item(id, revision, None)
+    }
+}
+
+/// An entry that cannot be decoded was taken for a departure, which is kept for the grace period.
+#[test]
+fn an_unreadable_entry_replaces_an_earlier_one_at_once_and_leaves_the_others() {
+    let mut list = UpstreamList::new(GRACE);
+    let both = || vec![item("a", 1, Some(false)), item("b", 2, Some(false))];
+    list.replace_all(Millis(0), both());
+    ids(&mut list, 0);
+    list.handle_store_recovery(Millis(10));
+    list.apply_changes(Millis(10), vec![unreadable("a", 3)]);
+    assert_eq!(ids(&mut list, 10).unwrap(), ["b"]);
+    list.apply_changes(Millis(20), vec![unreadable("b", 0)]);
+    assert!(
+        ids(&mut list, 20).unwrap().is_empty(),
+        "a revision that cannot be read is no older one"
+    );
+    list.replace_all(
+        Millis(30),
+        vec![unreadable("a", 3), item("b", 5, Some(false))],
+    );
+    assert_eq!(ids(&mut list, 30).unwrap(), ["b"]);
+    list.apply_changes(Millis(40), vec![item("a", 6, Some(false))]);
+    assert_eq!(ids(&mut list, 40).unwrap(), ["a", "b"]);
+    list.apply_changes(Millis(50), vec![unreadable("a", 4)]);
+    assert_eq!(ids(&mut list, 50), None, "older than the entry in use");
+}
+
+/// It has not left, so that the entry of a store that came back from an older copy counts.
+#[test]
+fn an_unreadable_entry_is_no_departure() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a", 1, Some(false))]);
+    list.apply_changes(Millis(10), vec![unreadable("a", 3)]);
+    ids(&mut list, 10);
+    list.replace_after_restore(Millis(20), restored(vec![item("a", 1, Some(false))], 2));
+    assert_eq!(draining(&mut list, 20), [("a".to_owned(), false)]);
+}
+
+fn cold(revision: u64, started_at: u64, remaining: Option<u64>) -> StoredObject<UpstreamSpec> {
+    let mut item = item("a", revision, Some(false));
+    let spec = item.value.as_mut().unwrap();
+    spec.started_at = started_at;
+    spec.cold_remaining = remaining.map(Millis);
+    item
+}
+
+/// The entry is written again and again while the time falls, which counted as a change of the list.
+#[test]
+fn the_time_that_an_upstream_is_cold_falls_without_a_change_of_the_list() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![cold(1, 1, Some(8_000))]);
+    let specs = list.take_changed(Millis(500)).unwrap();
+    assert_eq!(specs[0].cold_remaining, Some(Millis(7_500)));
+    for second in 1..20_u64 {
+        let now = Millis(second * 1_000);
+        let remaining = 8_000_u64.saturating_sub(now.0 + 100);
+        list.apply_changes(now, vec![cold(1 + second, 1, Some(remaining))]);
+        assert_eq!(list.take_changed(now), None, "{now:?}");
+        assert!(list.take_cold_changed(now).is_empty(), "{now:?}");
+    }
+}
+
+/// Reading an entry again would have started its time again.
+#[test]
+fn an_entry_that_is_read_again_ends_the_cold_state_no_later() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![cold(1, 1, Some(8_000))]);
+    list.take_changed(Millis(0));
+    list.replace_all(Millis(6_000), vec![cold(1, 1, Some(8_000))]);
+    let specs = list.take_changed(Millis(6_000)).unwrap();
+    assert_eq!(specs[0].cold_remaining, Some(Millis(2_000)));
+}
+
+#[test]
+fn an_upstream_may_say_later_that_it_is_cold_or_no_longer_cold() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![cold(1, 1, Some(0))]);
+    list.take_changed(Millis(0));
+    let mut said = |at: u64, revision, remaining| {
+        list.apply_changes(Millis(at), vec![cold(revision, 1, Some(remaining))]);
+        assert_eq!(list.take_changed(Millis(at)), None);
+        let changed = list.take_cold_changed(Millis(at));
+        changed.first().and_then(|spec| spec.cold_remaining)
+    };
+    assert_eq!(said(1_000, 2, 5_000), Some(Millis(5_000)));
+    assert_eq!(said(2_000, 3, 5_000), Some(Millis(5_000)));
+    assert_eq!(said(3_000, 4, 0), Some(Millis(0)));
+    assert_eq!(said(4_000, 5, 0), None);
+}
+
+/// Draining, a departure and the cold state belong to one process, not to its identifier.
+#[test]
+fn nothing_of_an_earlier_process_with_the_identifier_is_kept() {
+    let mut list = UpstreamList::new(GRACE);
+    let mut first = cold(1, 1, Some(60_000));
+    first.value.as_mut().unwrap().draining = true;
+    list.replace_all(Millis(0), vec![first]);
+    list.take_changed(Millis(0));
+    list.apply_changes(Millis(10), vec![cold(2, 2, Some(0))]);
+    let specs = list.take_changed(Millis(10)).unwrap();
+    assert_eq!(
+        (specs[0].draining, specs[0].cold_remaining),
+        (false, Some(Millis(0)))
+    );
+    list.apply_changes(Millis(20), vec![item("a", 3, None)]);
+    list.take_changed(Millis(20));
+    list.replace_after_restore(Millis(30), restored(vec![cold(1, 3, None)], 2));
+    assert_eq!(
+        draining(&mut list, 30),
+        [("a".to_owned(), false)],
+        "another process than the one that left"
+    );
+}
--- a/trials/src/bounds/upstreams.rs
+++ b/trials/src/bounds/upstreams.rs
@@ -200,6 +200,7 @@
                 zone: zone_name(upstream.zone),
                 slots: SLOTS,
                 draining: false,
+                cold_remaining: None,
                 group: upstream.group.map(|group| GroupMembership {
                     name: group_name(group),
                     rank: upstream.rank,
--- a/trials/src/fleet/policies.rs
+++ b/trials/src/fleet/policies.rs
@@ -295,6 +295,7 @@
         zone: Arc::from(""),
         slots: RANK_SLOTS as u32,
         draining: false,
+        cold_remaining: None,
         group: Some(GroupMembership {
             name: group_name(index / RANKS),
             rank: index % RANKS,
