Gateways evacuate availability zones and keep requests in allowed regions

Cause: operators cannot take a zone out of use while its upstreams run, and cannot restrict requests to regions. Change: gateways whose settings have `evacuate-ms` read the kind `evacuations` once and watch it. A zone that is listed gets no first attempts, retries, resumed or moved streams, crash probes or permits. What is known survives failed calls, compaction and an older copy of the store, and a request is held just before it is sent while a store call is overdue, such as after a pause of the process. A zone that returns gets its slots back over two seconds. Routes and organisations may carry `allowed-regions`.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -15,6 +15,7 @@
 mod upstream_set;
 mod upstream_spec;
 mod withdrawal;
+mod zones;
 
 pub use balancer::{
     Balancer, BalancerSettings, Decision, PlacementRequest, QueueDecision, RequestNumber,
@@ -28,3 +29,4 @@
     UpstreamSet, UpstreamState,
 };
 pub use upstream_spec::{GroupMembership, UpstreamSpec};
+pub use zones::{AllowedRegions, ZoneChanges};
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -11,11 +11,12 @@
 
 use crate::direct::policy::Policy;
 use crate::direct::queue::{QueuedRequest, RequestQueue};
-use crate::direct::returns::{Returns, overload_delay, turn_delay};
+use crate::direct::returns::{Returns, exclusion_delay, overload_delay, turn_delay};
 use crate::direct::upstream_set::{
     AttemptEnd, LoadReport, Needs, NextTurn, UpstreamCounts, UpstreamId, UpstreamSet,
 };
 use crate::direct::upstream_spec::UpstreamSpec;
+use crate::direct::zones::{AllowedRegions, Zones};
 use crate::heard_limit::LimitNotice;
 use crate::node_count::NodeCount;
 use crate::retry_budget::{BudgetSettings, BudgetStatus, RetryBudget};
@@ -25,6 +26,8 @@
 pub struct BalancerSettings {
     /// The availability zone of the gateway; upstreams in it are preferred.
     pub zone: String,
+    /// The region of each availability zone, as far as it is known.
+    pub regions: Map<Arc<str>, Arc<str>>,
     /// A number that identifies the gateway among all.
     pub identity: u64,
     /// The seed of the random number generator that spreads retry delays.
@@ -41,6 +44,7 @@
     fn default() -> Self {
         Self {
             zone: String::new(),
+            regions: Map::default(),
             identity: 0,
             seed: 0,
             queue_max: 64,
@@ -69,6 +73,8 @@
     pub deadline: Millis,
     /// The upstreams already tried for it.
     pub tried: Vec<UpstreamId>,
+    /// The regions that it may go to.
+    pub regions: AllowedRegions,
     /// Whether its caller has been refused before, as far as can be told.
     pub returning: bool,
     /// Whether a retry was reserved for it in the budget of its service.
@@ -80,6 +86,7 @@
         Needs {
             service: &self.service,
             tried: &self.tried,
+            regions: &self.regions,
         }
     }
 }
@@ -131,14 +138,17 @@
     #[must_use]
     pub fn new(settings: BalancerSettings) -> Self {
         let mut rng = seeded_rng(settings.seed);
+        let position = rng.random();
+        let mut upstreams = UpstreamSet::new(settings.policy);
+        *upstreams.zones_mut() = Zones::new(settings.regions.clone(), position);
         Self {
-            upstreams: UpstreamSet::new(settings.policy),
+            upstreams,
             queues: Map::default(),
             budgets: Map::default(),
             returns: Map::default(),
             last_requests: Map::default(),
             gateways: NodeCount::default(),
-            position: rng.random(),
+            position,
             rng,
             settings,
         }
@@ -252,6 +262,11 @@
             return Some(Decision::Send(id));
         }
         let turn = self.next_turn(now, &request);
+        if turn.is_none()
+            && let Some(kind) = self.exclusion(now, &request)
+        {
+            return Some(self.refuse(now, &request, kind));
+        }
         let returns = self.returns.entry(Arc::clone(&request.service));
         returns.or_default().record_usable(now, turn.is_some());
         let Some(turn) = turn else {
@@ -274,8 +289,36 @@
 
     /// Returns when an upstream may take a request, as far as limits go; `None` if none is usable.
     fn next_turn(&self, now: Millis, request: &PlacementRequest) -> Option<NextTurn> {
-        self.upstreams
-            .next_turn(now, &request.service, &request.tried)
+        self.upstreams.next_turn(now, &request.needs())
+    }
+
+    /// Returns why a request without a usable upstream is refused, if an evacuation or its regions are the reason. Such an exclusion
+    /// is no outage, and its duration is not learnt as one.
+    fn exclusion(&self, now: Millis, request: &PlacementRequest) -> Option<ErrorKind> {
+        let kind = self.upstreams.unusable_reason(now, &request.needs());
+        (kind != ErrorKind::NoUpstream).then_some(kind)
+    }
+
+    /// Refuses the queued requests that have lost their last upstream to an evacuation or to their regions.
+    fn refuse_excluded(
+        &mut self,
+        now: Millis,
+        queue: &mut RequestQueue,
+        decisions: &mut Vec<QueueDecision>,
+    ) {
+        while let Some(excluded) = queue.pop_first(|queued| {
+            let request = &queued.request;
+            self.upstreams.zones().may_exclude(&request.regions)
+                && self.next_turn(now, request).is_none()
+                && self.exclusion(now, request).is_some()
+        }) {
+            let request = &excluded.request;
+            let kind = self
+                .exclusion(now, request)
+                .unwrap_or(ErrorKind::NoUpstream);
+            let decision = self.refuse(now, request, kind);
+            decisions.push(self.deliver(now, request, decision));
+        }
     }
 
     /// Returns how long a request may wait in the queue.
@@ -356,7 +399,7 @@
     /// Returns whether a silent attempt should move to another upstream: its group has stalled,
     /// another group has capacity, and the retry budget allows a retry.
     #[must_use]
-    pub fn should_move(&mut self, now: Millis, id: UpstreamId) -> bool {
+    pub fn should_move(&mut self, now: Millis, id: UpstreamId, regions: &AllowedRegions) -> bool {
         let Some(upstream) = self.upstreams.get(id) else {
             return false;
         };
@@ -365,7 +408,7 @@
         self.budget(now, &service).has_retry(now, &settings)
             && self
                 .upstreams
-                .should_move(now, id, self.settings.policy.backlog)
+                .should_move(now, id, self.settings.policy.backlog, regions)
     }
 
     /// Records that an upstream has said that it is leaving; returns whether that is new.
@@ -402,6 +445,7 @@
         let Some(mut queue) = self.queues.remove(service) else {
             return;
         };
+        self.refuse_excluded(now, &mut queue, decisions);
         while let Some(expired) = queue.pop_expired(now) {
             let turn = self.next_turn(now, &expired.request);
             let turn = turn.filter(|turn| turn.expected > now);
@@ -409,9 +453,12 @@
             let decision = self.refuse(now, &expired.request, kind);
             decisions.push(self.deliver(now, &expired.request, decision));
         }
-        while let Some(first) = queue.first() {
+        // Requests of other regions go on when the first one finds no capacity in its own.
+        let mut full_regions = Vec::new();
+        while let Some(first) = queue.first_outside(&full_regions) {
             let Some(id) = self.choose(now, &first.request) else {
-                break;
+                full_regions.push(first.request.regions.clone());
+                continue;
             };
             let Some(sent) = queue.remove(first.request.number) else {
                 break;
@@ -461,9 +508,7 @@
     }
 
     fn refuse(&mut self, now: Millis, request: &PlacementRequest, kind: ErrorKind) -> Decision {
-        let counts = self
-            .upstreams
-            .count_by_state(now, &request.service, &request.tried);
+        let counts = self.upstreams.count_by_state(now, &request.needs());
         let returns = self.returns.entry(Arc::clone(&request.service));
         let retry_after = match kind {
             ErrorKind::UpstreamLimited | ErrorKind::UpstreamResting => {
@@ -479,6 +524,9 @@
                 let returns = returns.or_default();
                 returns.outage_delay(now, request.deadline, &mut self.rng)
             }
+            ErrorKind::ZonesEvacuated | ErrorKind::RegionNotAllowed => {
+                exclusion_delay(now, request.deadline, &mut self.rng)
+            }
             _ => overload_delay(now, request.deadline, &mut self.rng),
         };
         Decision::Refuse {
--- a/crates/decisions/src/direct/permits.rs
+++ b/crates/decisions/src/direct/permits.rs
@@ -79,7 +79,8 @@
     /// Returns how many permits queued requests want beyond those that there are, and how many more would be used: one, if requests
     /// for the service have arrived lately and go to upstreams without a limit, or if no agent has replied.
     fn wanted_permits(&self, now: Millis, upstream: &UpstreamState) -> (u16, u16) {
-        if upstream.named_limit().is_none() || !upstream.is_usable(now) {
+        let is_evacuated = self.is_evacuated(&upstream.spec.zone);
+        if upstream.named_limit().is_none() || !upstream.is_usable(now) || is_evacuated {
             return (0, 0);
         }
         let service = &upstream.spec.service;
--- a/crates/decisions/src/direct/queue.rs
+++ b/crates/decisions/src/direct/queue.rs
@@ -8,6 +8,7 @@
 use sardinepin_common::Millis;
 
 use crate::direct::balancer::{PlacementRequest, RequestNumber};
+use crate::direct::zones::AllowedRegions;
 
 /// A queued request.
 #[derive(Debug)]
@@ -49,16 +50,19 @@
         self.requests.is_empty()
     }
 
-    /// Returns how many queued requests would be sent before a new one.
+    /// Returns how many queued requests for the same regions would be sent before a new one.
     #[must_use]
     pub fn count_ahead(&self, request: &PlacementRequest) -> usize {
-        self.requests.range(..key_of(request)).count()
+        let ahead = self.requests.range(..key_of(request));
+        let ahead = ahead.filter(|(_, queued)| queued.request.regions == request.regions);
+        ahead.count()
     }
 
-    /// Returns the request that is sent next.
+    /// Returns the request that is sent next, apart from those for the regions in `full`.
     #[must_use]
-    pub fn first(&self) -> Option<&QueuedRequest> {
-        self.requests.first_key_value().map(|(_, request)| request)
+    pub fn first_outside(&self, full: &[AllowedRegions]) -> Option<&QueuedRequest> {
+        let mut requests = self.requests.values();
+        requests.find(|queued| !full.contains(&queued.request.regions))
     }
 
     /// Removes a request, or returns `None` if it is not queued.
--- a/crates/decisions/src/direct/returns.rs
+++ b/crates/decisions/src/direct/returns.rs
@@ -83,6 +83,12 @@
     Millis(wanted.0 + rng.random_range(0..=wanted.0 / 10))
 }
 
+/// Returns the retry delay of a caller that is refused because of an evacuation or of its regions: an operator ends these, at a time
+/// that is not known.
+pub(super) fn exclusion_delay(now: Millis, deadline: Millis, rng: &mut Rng) -> Millis {
+    spread(longest_wait(now, deadline), rng)
+}
+
 fn longest_wait(now: Millis, deadline: Millis) -> Millis {
     Millis(deadline.since(now).0 / WAIT_DIVISOR).max(DELAY_MIN)
 }
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -16,6 +16,7 @@
 use crate::direct::upstream_set::state::is_slow;
 pub use crate::direct::upstream_set::state::{AttemptEnd, LoadReport, UpstreamState};
 use crate::direct::upstream_spec::UpstreamSpec;
+use crate::direct::zones::{AllowedRegions, Zones};
 use crate::heard_limit::LimitNotice;
 
 /// The identifier of an upstream process within one gateway; never reused.
@@ -32,6 +33,10 @@
     pub listed: usize,
     /// Upstreams that are draining.
     pub draining: usize,
+    /// Upstreams in evacuated zones.
+    pub evacuated: usize,
+    /// Upstreams in regions that the request may not go to.
+    pub outside_regions: usize,
     /// Upstreams in connection backoff, as they could not be reached.
     pub backing_off: usize,
     /// Upstreams whose group is suspended.
@@ -72,6 +77,8 @@
     pub service: &'a str,
     /// The upstreams already tried for it.
     pub tried: &'a [UpstreamId],
+    /// The regions that it may go to.
+    pub regions: &'a AllowedRegions,
 }
 
 /// When the limits and rests that upstreams have named allow the next request.
@@ -132,6 +139,7 @@
     limited: BTreeSet<UpstreamId>,
     /// Until when any upstream rests.
     rests_until: Millis,
+    zones: Zones,
     rank_choices: usize,
     next_id: u32,
 }
@@ -297,8 +305,10 @@
         needs: &Needs<'_>,
     ) -> Option<(f64, UpstreamId)> {
         let upstream = self.upstreams.get(&id)?;
-        let max = f64::from(upstream.spec.slots) + backlog;
+        let spec = &upstream.spec;
+        let max = self.zones.open_slots(now, id, &spec.zone, spec.slots) + backlog;
         let takes = upstream.is_usable(now)
+            && self.is_zone_open(upstream, needs.regions)
             && !upstream.is_ejected(now)
             && !needs.tried.contains(&id)
             && upstream.is_open(now)
@@ -306,7 +316,20 @@
         takes.then(|| (upstream.score(now, zone), id))
     }
 
+    pub(super) fn zones(&self) -> &Zones {
+        &self.zones
+    }
+
+    pub(super) fn zones_mut(&mut self) -> &mut Zones {
+        &mut self.zones
+    }
+
     fn is_usable(&self, now: Millis, upstream: &UpstreamState) -> bool {
+        !self.zones.is_evacuated(&upstream.spec.zone) && self.works(now, upstream)
+    }
+
+    /// Returns whether an upstream and its group work and take requests, whatever its zone.
+    pub(super) fn works(&self, now: Millis, upstream: &UpstreamState) -> bool {
         let group = upstream.spec.group.as_ref();
         upstream.is_usable(now)
             && group.is_none_or(|group| !self.groups.is_closed(now, &group.name))
@@ -371,7 +394,13 @@
     /// Returns whether an attempt should move to another upstream: its group has stalled, and an
     /// upstream of another group has capacity.
     #[must_use]
-    pub fn should_move(&self, now: Millis, id: UpstreamId, backlog: f64) -> bool {
+    pub fn should_move(
+        &self,
+        now: Millis,
+        id: UpstreamId,
+        backlog: f64,
+        regions: &AllowedRegions,
+    ) -> bool {
         let Some(upstream) = self.upstreams.get(&id) else {
             return false;
         };
@@ -386,22 +415,20 @@
                 });
                 let free_slots = f64::from(other.spec.slots) + backlog - other.estimated_load(now);
                 let is_open = other.is_open(now);
+                let is_open = is_open && self.is_zone_open(other, regions);
                 working_elsewhere && self.is_usable(now, other) && is_open && free_slots >= 1.0
             })
     }
 
-    /// Returns when the limits and rests of the usable upstreams of a service that were not tried yet allow a request: at once if one
-    /// of them has none. `None` if no upstream is usable.
+    /// Returns when the limits and rests of the usable upstreams of a service that were not tried yet, in the regions of a request, allow it: at once
+    /// if one of them has none. `None` if no upstream is usable.
     #[must_use]
-    pub(super) fn next_turn(
-        &self,
-        now: Millis,
-        service: &str,
-        tried: &[UpstreamId],
-    ) -> Option<NextTurn> {
-        let mut usable = self
-            .in_service(service)
-            .filter(|(id, upstream)| self.is_usable(now, upstream) && !tried.contains(id));
+    pub(super) fn next_turn(&self, now: Millis, needs: &Needs<'_>) -> Option<NextTurn> {
+        let mut usable = self.in_service(needs.service).filter(|(id, upstream)| {
+            self.is_usable(now, upstream)
+                && self.zones.allows(&upstream.spec.zone, needs.regions)
+                && !needs.tried.contains(id)
+        });
         if !self.has_turns(now) {
             return usable.next().map(|_| NextTurn::at_once(now));
         }
@@ -411,23 +438,22 @@
 
     /// Counts the upstreams of a service by state.
     #[must_use]
-    pub fn count_by_state(
-        &self,
-        now: Millis,
-        service: &str,
-        tried: &[UpstreamId],
-    ) -> UpstreamCounts {
+    pub fn count_by_state(&self, now: Millis, needs: &Needs<'_>) -> UpstreamCounts {
         let mut counts = UpstreamCounts::default();
-        for (id, upstream) in self.in_service(service) {
+        for (id, upstream) in self.in_service(needs.service) {
             counts.listed += 1;
             let health = self.health(now, id);
             let count = if upstream.is_leaving() {
                 &mut counts.draining
+            } else if self.zones.is_evacuated(&upstream.spec.zone) {
+                &mut counts.evacuated
+            } else if !self.zones.allows(&upstream.spec.zone, needs.regions) {
+                &mut counts.outside_regions
             } else if health.backing_off {
                 &mut counts.backing_off
             } else if health.group_suspended {
                 &mut counts.group_suspended
-            } else if tried.contains(&id) {
+            } else if needs.tried.contains(&id) {
                 &mut counts.tried
             } else if upstream.withdrawal.is_resting(now) {
                 &mut counts.resting
--- a/crates/decisions/src/direct/upstream_set/state.rs
+++ b/crates/decisions/src/direct/upstream_set/state.rs
@@ -248,7 +248,7 @@
     }
 
     /// Returns whether the upstream drains, as its entry or it itself says.
-    pub(super) fn is_leaving(&self) -> bool {
+    pub(in crate::direct) fn is_leaving(&self) -> bool {
         self.spec.draining || self.withdrawal.is_leaving()
     }
 
--- a/crates/decisions/tests/direct.rs
+++ b/crates/decisions/tests/direct.rs
@@ -9,8 +9,9 @@
 use sardinepin_common::Millis;
 use sardinepin_decisions::BudgetSettings;
 use sardinepin_decisions::direct::{
-    AttemptEnd, Balancer, BalancerSettings, CallerTimeouts, Decision, GroupMembership, LoadReport,
-    PlacementRequest, RequestNumber, UpstreamCounts, UpstreamId, UpstreamSpec,
+    AllowedRegions, AttemptEnd, Balancer, BalancerSettings, CallerTimeouts, Decision,
+    GroupMembership, LoadReport, PlacementRequest, RequestNumber, UpstreamCounts, UpstreamId,
+    UpstreamSpec,
 };
 use sardinepin_protocol::{ErrorKind, GroupLoad, GroupSample, RankLoad};
 
@@ -56,6 +57,7 @@
         latency_objective: Millis(400),
         deadline: NOW + Millis(8_000),
         tried: Vec::new(),
+        regions: AllowedRegions::default(),
         returning: false,
         is_retry: false,
     }
@@ -238,18 +240,18 @@
 fn requests_move_from_a_stalled_group_if_another_has_capacity() {
     let mut balancer = balancer(&[spec("one", "a", Some("g0")), spec("two", "b", Some("g1"))]);
     let silent = sent_to(balancer.place(NOW, placement_request(1, 1)));
-    assert!(!balancer.should_move(NOW + Millis(400), silent));
-    assert!(balancer.should_move(NOW + Millis(600), silent));
+    assert!(!balancer.should_move(NOW + Millis(400), silent, &AllowedRegions::default()));
+    assert!(balancer.should_move(NOW + Millis(600), silent, &AllowedRegions::default()));
     let other = sent_to(balancer.place(NOW + Millis(600), placement_request(2, 1)));
     assert_eq!(name_of(&balancer, other), "two");
     balancer.record_progress(NOW + Millis(600), silent);
-    assert!(!balancer.should_move(NOW + Millis(700), silent));
+    assert!(!balancer.should_move(NOW + Millis(700), silent, &AllowedRegions::default()));
     let full = LoadReport {
         running: 9,
         waiting: 9,
     };
     balancer.record_load(NOW + Millis(1_200), other, full);
-    assert!(!balancer.should_move(NOW + Millis(1_200), silent));
+    assert!(!balancer.should_move(NOW + Millis(1_200), silent, &AllowedRegions::default()));
 }
 
 #[test]
--- a/crates/decisions/tests/upstream_limit.rs
+++ b/crates/decisions/tests/upstream_limit.rs
@@ -9,8 +9,8 @@
 use rand::Rng as _;
 use sardinepin_common::{Millis, seeded_rng};
 use sardinepin_decisions::direct::{
-    AttemptEnd, Balancer, BalancerSettings, Decision, GroupMembership, PlacementRequest,
-    RequestNumber, UpstreamId, UpstreamSpec,
+    AllowedRegions, AttemptEnd, Balancer, BalancerSettings, Decision, GroupMembership,
+    PlacementRequest, RequestNumber, UpstreamId, UpstreamSpec,
 };
 use sardinepin_decisions::{HeardLimit, LimitNotice, PermitAllocator};
 use sardinepin_protocol::{
@@ -221,6 +221,7 @@
         latency_objective: Millis(500),
         deadline: now + Millis(8_000),
         tried: Vec::new(),
+        regions: AllowedRegions::default(),
         returning: false,
         is_retry: false,
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,6 +28,8 @@
     NotSent,
     /// The deadline passed before the request was sent.
     Expired,
+    /// The zone of the upstream was evacuated before the request was sent.
+    Evacuated,
     /// The upstream responded that it did not run the request.
     Rejected,
     /// The upstream responded that it did not run the request because its group lacks a rank.
@@ -46,8 +48,9 @@
 
 impl AttemptFailure {
     /// The failures after which a request may be retried.
-    pub const RETRIED: [Self; 7] = [
+    pub const RETRIED: [Self; 8] = [
         Self::NotSent,
+        Self::Evacuated,
         Self::Rejected,
         Self::GroupBroken,
         Self::Stalled,
@@ -64,7 +67,7 @@
 
     /// Returns whether nothing was sent to the upstream.
     pub(crate) fn not_sent(self) -> bool {
-        matches!(self, Self::NotSent | Self::Expired)
+        matches!(self, Self::NotSent | Self::Expired | Self::Evacuated)
     }
 
     /// Returns the label used in logs and metrics.
@@ -73,6 +76,7 @@
         match self {
             Self::NotSent => "not_sent",
             Self::Expired => "expired",
+            Self::Evacuated => "evacuated",
             Self::Rejected => "rejected",
             Self::GroupBroken => "group_broken",
             Self::Stalled => "stalled",
@@ -143,7 +147,10 @@
             // The group is at fault and is already recorded as stalled, or nobody is: the upstream's
             // failure rate stays.
             Err(
-                AttemptFailure::Stalled | AttemptFailure::Expired | AttemptFailure::Quarantined,
+                AttemptFailure::Stalled
+                | AttemptFailure::Expired
+                | AttemptFailure::Evacuated
+                | AttemptFailure::Quarantined,
             ) => {}
             Err(AttemptFailure::BrokenResponse | AttemptFailure::TimedOut) => {
                 permit.set_end(AttemptEnd::Failed)
@@ -179,6 +186,13 @@
             .await
             .map_err(|_| AttemptFailure::Expired)?
             .map_err(|_| AttemptFailure::NotSent)?;
+        let time_left = call.deadline.since(self.clock.now());
+        let sending = self.wait_to_send(&permit.spec.zone);
+        match tokio::time::timeout(time_left.duration(), sending).await {
+            Ok(true) => {}
+            Ok(false) => return Err(AttemptFailure::Evacuated),
+            Err(_) => return Err(AttemptFailure::Expired),
+        }
         let now = self.clock.now();
         let left = call.deadline.since(now);
         if left == Millis::ZERO {
@@ -246,7 +260,7 @@
             let stalled = can_move
                 && self
                     .dispatcher
-                    .with_balancer(|balancer, now| balancer.should_move(now, id));
+                    .with_balancer(|balancer, now| balancer.should_move(now, id, &call.regions));
             if stalled {
                 return Err(AttemptFailure::Stalled);
             }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,6 +16,7 @@
 use crate::manifest::{RequestKind, Route, Target};
 use crate::route_table::{Organisation, RouteTable};
 use sardinepin_decisions::Traits;
+use sardinepin_decisions::direct::AllowedRegions;
 use sardinepin_decisions::direct::RequestNumber;
 use sardinepin_decisions::direct::UpstreamSpec;
 
@@ -27,6 +28,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) priority: u8,
+    /// The regions that its route and its organisation both allow.
+    pub(crate) regions: AllowedRegions,
     pub(crate) organisation: Option<Arc<Organisation>>,
     /// When its head had been read.
     pub(crate) received_at: Millis,
@@ -120,6 +123,7 @@
             id: head.id,
             service: pick_service(&route.targets),
             priority: priority.unwrap_or(route.priority),
+            regions: allowed_regions(&route, head.organisation.as_deref()),
             organisation: head.organisation,
             received_at,
             deadline: received_at + head.timeout,
@@ -244,6 +248,14 @@
     entries.filter_map(|entry| entry.split(':').next().map(str::trim))
 }
 
+/// Returns the regions that a route and an organisation both allow.
+fn allowed_regions(route: &Route, organisation: Option<&Organisation>) -> AllowedRegions {
+    match organisation {
+        Some(organisation) => route.regions.both(&organisation.regions),
+        None => route.regions.clone(),
+    }
+}
+
 /// Picks a service at random, in proportion to the weights.
 fn pick_service(targets: &[Target]) -> Arc<str> {
     let total: u32 = targets.iter().map(|target| target.weight).sum();
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -53,7 +53,10 @@
     /// against the request.
     pub(crate) async fn confirm_crash(&self, call: &Call, permit: &UpstreamPermit) -> bool {
         let broken_at = self.clock.now();
-        if !self.refuses_connections(permit, broken_at).await {
+        // A probe is a connection to the upstream, which an evacuated zone does not get either.
+        if !self.wait_to_send(&permit.spec.zone).await
+            || !self.refuses_connections(permit, broken_at).await
+        {
             return false;
         }
         let now = self.clock.now();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use sardinepin_common::{Clock, Map, Millis};
+use sardinepin_common::{Clock, Map, Millis, Set};
 use sardinepin_protocol::GroupLoad;
 use tokio::sync::{Notify, oneshot};
 
@@ -16,7 +16,7 @@
 };
 use sardinepin_decisions::direct::{
     Balancer, BalancerSettings, Decision, PermitAsk, PermitReply, PlacementRequest, QueueDecision,
-    RequestNumber,
+    RequestNumber, ZoneChanges,
 };
 
 /// Hands out permits to send a request to an upstream.
@@ -234,6 +234,15 @@
         state.deliver(now, decisions);
     }
 
+    /// Replaces the set of evacuated zones; returns what changed.
+    pub(crate) fn replace_evacuated(&self, zones: Set<Arc<str>>) -> ZoneChanges {
+        let mut state = self.state();
+        let now = self.clock.now();
+        let (changes, decisions) = state.balancer.replace_evacuated(now, zones);
+        state.deliver(now, decisions);
+        changes
+    }
+
     /// Records a report of the load of a rank group.
     pub(crate) fn record_group_load(&self, load: &GroupLoad) {
         let mut state = self.state();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use crate::crash_detection::CrashEvent;
 use crate::dispatch::Dispatcher;
+use crate::evacuations::EvacuationRecency;
 use crate::header_names::HeaderNames;
 use crate::route_table::RouteTable;
 use crate::settings::GatewaySettings;
@@ -24,6 +25,7 @@
     pub(crate) zone: String,
     pub(crate) clock: Clock,
     pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) evacuations: EvacuationRecency,
     table: RwLock<Option<Arc<RouteTable>>>,
     upstreams_known: AtomicBool,
     crashes_known: AtomicBool,
@@ -50,6 +52,7 @@
             zone: settings.zone.clone(),
             clock,
             dispatcher: Dispatcher::new(clock, balancer),
+            evacuations: EvacuationRecency::new(settings.sync.evacuations),
             table: RwLock::default(),
             upstreams_known: AtomicBool::new(false),
             crashes_known: AtomicBool::new(false),
@@ -146,6 +149,7 @@
         !self.is_draining()
             && self.upstreams_known.load(Ordering::Acquire)
             && self.crashes_known()
+            && self.evacuations.are_known()
             && self.table().is_some()
     }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -60,7 +60,7 @@
             ran = attempts.maybe_ran, after_ms = self.clock.now().since(call.received_at).0,
             allowed_ms = call.deadline.since(call.received_at).0, retry_ms = error.retry_after.0,
             listed = error.counts.listed, leaving = error.counts.draining, resting = error.counts.backing_off,
-            shut = error.counts.group_suspended, limited = error.counts.limited, spared = error.counts.resting, usable = error.counts.usable;
+            shut = error.counts.group_suspended, evacuated = error.counts.evacuated, outside = error.counts.outside_regions, limited = error.counts.limited, spared = error.counts.resting, usable = error.counts.usable;
             "request ended with an error response"
         );
         response::error_response(
@@ -155,6 +155,7 @@
             priority: call.priority,
             latency_objective: call.route.latency_objective,
             deadline: call.deadline,
+            regions: call.regions.clone(),
             tried: attempts.tried.clone(),
             returning: call.returning,
             is_retry: attempts.reserved.take().map(ReservedRetry::place).is_some(),
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -113,6 +113,7 @@
         }
         let kind = match failure {
             AttemptFailure::Expired if !attempts.maybe_ran => ErrorKind::TooLate,
+            AttemptFailure::Evacuated if !attempts.maybe_ran => ErrorKind::ZonesEvacuated,
             _ if !attempts.maybe_ran && failure == AttemptFailure::NotSent => {
                 ErrorKind::Unreachable
             }
@@ -142,7 +143,7 @@
             return false;
         }
         // A request that never reached an upstream does not count against the retry budget.
-        let is_free = failure == AttemptFailure::NotSent;
+        let is_free = matches!(failure, AttemptFailure::NotSent | AttemptFailure::Evacuated);
         if !is_free {
             attempts.reserved = self.dispatcher.reserve_retry(&call.service);
         }
@@ -168,6 +169,10 @@
                 "no retry is left in the budget of the service"
             );
         }
+        if failure == AttemptFailure::Evacuated {
+            // It was not tried; the evacuation of its zone is what keeps the request away.
+            attempts.tried.pop();
+        }
         granted
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod constants;
 mod crash_detection;
 mod dispatch;
+mod evacuations;
 mod events;
 mod gateway;
 mod group_loads;
@@ -39,10 +40,10 @@
 pub use run::{RunningGateway, run, start, start_with_agents};
 pub use sardinepin_decisions::BudgetSettings;
 pub use sardinepin_decisions::direct::{
-    BalancerSettings, Crash, GroupMembership, Policy, UpstreamSpec,
+    AllowedRegions, BalancerSettings, Crash, GroupMembership, Policy, UpstreamSpec,
 };
-pub use settings::{GatewaySettings, StopSettings, SyncSettings};
+pub use settings::{EvacuationSettings, GatewaySettings, StopSettings, SyncSettings};
 pub use store::{
     GatewayStore, GatewayStoreError, ObjectBatch, ReadFuture, StoredObject, WriteFuture,
 };
-pub use sync::UpstreamList;
+pub use sync::{EvacuationList, UpstreamList, evacuation_wait};
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
+use sardinepin_decisions::direct::AllowedRegions;
 
 /// One version of the configuration.
 #[derive(Debug, Clone, Default)]
@@ -42,6 +43,8 @@
     pub max_attempts: u32,
     /// The priority of requests; 0 is the most urgent.
     pub priority: u8,
+    /// The regions whose upstreams may take requests.
+    pub regions: AllowedRegions,
     /// Whether callers need no API key.
     pub public: bool,
 }
@@ -122,6 +125,8 @@
     pub keys: Vec<String>,
     /// The priority of its requests, which overrides the route's.
     pub priority: Option<u8>,
+    /// The regions whose upstreams may take its requests.
+    pub regions: AllowedRegions,
 }
 
 /// Size and time limits for callers.
--- a/crates/gateway/src/route_table.rs
+++ b/crates/gateway/src/route_table.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sardinepin_common::Map;
+use sardinepin_decisions::direct::AllowedRegions;
 
 use crate::manifest::{CallerLimits, Manifest, Route, ServiceSpec};
 
@@ -13,6 +14,8 @@
     pub name: Arc<str>,
     /// The priority of its requests, which overrides the route's.
     pub priority: Option<u8>,
+    /// The regions whose upstreams may take its requests.
+    pub regions: AllowedRegions,
 }
 
 /// One version of the configuration, indexed for look-ups.
@@ -46,6 +49,7 @@
             let organisation = Arc::new(Organisation {
                 name: spec.name,
                 priority: spec.priority,
+                regions: spec.regions,
             });
             for key in spec.keys {
                 table.keys.insert(key, Arc::clone(&organisation));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -116,6 +116,14 @@
         Arc::clone(&store),
         settings.sync,
     ));
+    if let Some(evacuations) = settings.sync.evacuations {
+        tokio::spawn(sync::follow_evacuations(
+            Arc::clone(&gateway),
+            Arc::clone(&store),
+            settings.sync,
+            evacuations,
+        ));
+    }
     tokio::spawn(sync::follow_crashes(
         Arc::clone(&gateway),
         Arc::clone(&store),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -170,7 +170,9 @@
     body: Incoming,
     received_at: Millis,
 ) -> Result<Call, ErrorKind> {
-    let table = gateway.table().filter(|_| gateway.crashes_known());
+    let table = gateway
+        .table()
+        .filter(|_| gateway.crashes_known() && gateway.evacuations.are_known());
     let table = table.ok_or(ErrorKind::NotReady)?;
     let names = &gateway.names;
     let head = RequestHead::read(names, &table, &parts)?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,6 +44,8 @@
     pub retry_min: Millis,
     /// The upper bound of the delay between failed store calls, before jitter.
     pub retry_max: Millis,
+    /// How evacuations are watched; `None` if they are not.
+    pub evacuations: Option<EvacuationSettings>,
     /// How long after the store recovers an upstream missing from its list is still used.
     pub recovery_grace: Millis,
 }
@@ -57,11 +59,21 @@
             upstreams_wait: Millis(1_500),
             retry_min: Millis(50),
             retry_max: Millis(800),
+            evacuations: None,
             recovery_grace: Millis(2_200),
         }
     }
 }
 
+/// How a gateway watches the evacuations of availability zones.
+#[derive(Debug, Clone, Copy)]
+pub struct EvacuationSettings {
+    /// The time after which no request may reach a zone that the store has listed as evacuated.
+    pub bound: Millis,
+    /// The longest time that one watch waits for a change.
+    pub wait: Millis,
+}
+
 /// How a gateway shuts down.
 #[derive(Debug, Clone, Copy)]
 pub struct StopSettings {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -65,8 +65,8 @@
 /// The future of a write. Writes are idempotent, so one without a response may be repeated.
 pub type WriteFuture<'a> = BoxFuture<'a, Result<(), GatewayStoreError>>;
 
-/// The store operations that a gateway needs: the configuration, the upstream list and shared
-/// crashes.
+/// The store operations that a gateway needs: the configuration, the upstream list, evacuations and
+/// shared crashes.
 pub trait GatewayStore: fmt::Debug + Send + Sync {
     /// Reads the configuration; the batch holds one object, or none if there is no configuration.
     fn manifest(&self) -> ReadFuture<'_, Manifest>;
@@ -80,6 +80,12 @@
     /// Waits up to `wait` for changes of the list of upstreams after `revision`.
     fn watch_upstreams(&self, revision: u64, wait: Millis) -> ReadFuture<'_, UpstreamSpec>;
 
+    /// Reads the names of all evacuated availability zones. The read is current.
+    fn evacuations(&self) -> ReadFuture<'_, ()>;
+
+    /// Waits up to `wait` for evacuations that began or ended after `revision`.
+    fn watch_evacuations(&self, revision: u64, wait: Millis) -> ReadFuture<'_, ()>;
+
     /// Reads all crashes that gateways have shared.
     fn crashes(&self) -> ReadFuture<'_, Crash>;
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the configuration, the list of upstreams and the crashes in step with the store.
 
 mod crashes;
+mod evacuations;
 mod position;
 mod upstreams;
 
@@ -17,6 +18,8 @@
 use crate::sync::position::{BatchUse, Position};
 
 pub(crate) use crashes::{follow_crashes, share_crashes};
+pub(crate) use evacuations::follow_evacuations;
+pub use evacuations::{EvacuationList, evacuation_wait};
 pub use upstreams::UpstreamList;
 
 /// Watches the configuration until the process ends.
--- /dev/null
+++ b/crates/gateway/src/sync/evacuations.rs
@@ -0,0 +1,140 @@
+//! Watches which availability zones are evacuated.
+
+use std::sync::Arc;
+
+use sardinepin_common::{Map, Millis, Set};
+
+use super::Backoff;
+use crate::gateway::Gateway;
+use crate::settings::{EvacuationSettings, SyncSettings};
+use crate::store::{GatewayStore, ObjectBatch};
+use crate::sync::position::{BatchUse, Position};
+
+/// The evacuated zones that a gateway knows, built from batches of the store.
+#[derive(Debug, Default)]
+pub struct EvacuationList {
+    /// The zones, each with the revision of the last read that contained it.
+    zones: Map<Arc<str>, u64>,
+    /// Whether the last full read lacked a zone that is kept, since it was not newer than the read before.
+    keeps_unlisted: bool,
+}
+
+impl EvacuationList {
+    /// Replaces the list by a full read.
+    ///
+    /// A zone that the read lacks is kept unless the read is newer than the last one that had it: a store that came back from an older
+    /// copy may have lost the object.
+    pub fn replace_all(&mut self, batch: ObjectBatch<()>) {
+        let listed = batch.items.into_iter().filter(|item| item.value.is_some());
+        let listed: Set<Arc<str>> = listed.map(|item| item.name).collect();
+        self.zones
+            .retain(|zone, seen_at| listed.contains(zone) || batch.revision <= *seen_at);
+        self.keeps_unlisted = self.zones.keys().any(|zone| !listed.contains(zone));
+        for zone in listed {
+            self.zones.insert(zone, batch.revision);
+        }
+    }
+
+    /// Applies the changes of a watch.
+    pub fn apply_changes(&mut self, batch: ObjectBatch<()>) {
+        for item in batch.items {
+            match item.value {
+                Some(()) => self.zones.insert(item.name, item.revision),
+                None => self.zones.remove(&item.name),
+            };
+        }
+    }
+
+    /// Returns whether a further full read may end an evacuation that the last one lacked.
+    #[must_use]
+    pub fn keeps_unlisted(&self) -> bool {
+        self.keeps_unlisted
+    }
+
+    /// Returns the evacuated zones.
+    #[must_use]
+    pub fn zones(&self) -> Set<Arc<str>> {
+        self.zones.keys().map(Arc::clone).collect()
+    }
+}
+
+/// Watches the evacuations until the process ends.
+pub(crate) async fn follow_evacuations(
+    gateway: Arc<Gateway>,
+    store: Arc<dyn GatewayStore>,
+    sync: SyncSettings,
+    settings: EvacuationSettings,
+) {
+    let mut list = EvacuationList::default();
+    let mut position = Position::default();
+    let mut backoff = Backoff::new(sync);
+    let recency = &gateway.evacuations;
+    loop {
+        let began = gateway.clock.now();
+        let watched = position.revision();
+        let wait = recency.next_wait(began, &settings);
+        let batch = match watched {
+            None => store.evacuations().await,
+            Some(revision) => store.watch_evacuations(revision, wait).await,
+        };
+        let now = gateway.clock.now();
+        let batch = match batch {
+            Ok(batch) => batch,
+            Err(error) => {
+                position.reset();
+                if watched.is_none() {
+                    recency.record_unreachable(now, began);
+                }
+                backoff.handle_failure("evacuations", &error).await;
+                continue;
+            }
+        };
+        backoff.handle_success("evacuations");
+        let (era, revision) = (batch.era, batch.revision);
+        match position.advance(&batch) {
+            BatchUse::Discard => continue,
+            BatchUse::Replace | BatchUse::ReplaceAfterRestore => {
+                let kept_before = list.keeps_unlisted();
+                list.replace_all(batch);
+                if list.keeps_unlisted() && !kept_before {
+                    log::warn!(event = "evacuations_kept", era = era, revision = revision; "the store came back from an older copy that lacks evacuations; they stay in force until it is newer than before");
+                }
+                apply(&gateway, &list, revision);
+                recency.record_list(began);
+            }
+            BatchUse::Apply => {
+                list.apply_changes(batch);
+                apply(&gateway, &list, revision);
+                recency.record_watch(now, began, wait);
+                if list.keeps_unlisted() {
+                    position.reset();
+                }
+            }
+        }
+    }
+}
+
+fn apply(gateway: &Gateway, list: &EvacuationList, revision: u64) {
+    let changes = gateway.dispatcher.replace_evacuated(list.zones());
+    for zone in &changes.evacuated {
+        log::info!(event = "zone_evacuated", zone = &**zone, revision = revision; "zone is evacuated; no requests are sent to it");
+    }
+    for zone in &changes.restored {
+        log::info!(event = "zone_restored", zone = &**zone, revision = revision; "evacuation has ended; the zone gets requests again");
+    }
+    metrics::gauge!("sardinepin_evacuated_zones").set(list.zones.len() as f64);
+}
+
+/// Returns the longest wait of a watch under the bound within which an evacuation has to be in force.
+#[must_use]
+pub fn evacuation_wait(bound: Millis) -> Millis {
+    bound.since(NOTICE_TIME).clamp(WAIT_MIN, WAIT_MAX)
+}
+
+/// The time that is left after a watch should have returned: for giving it up (900 ms), a list call over another connection that may
+/// be dead too (900 ms), and its processing.
+const NOTICE_TIME: Millis = Millis(2_000);
+
+/// The shortest and the longest wait; the store refuses longer ones.
+const WAIT_MIN: Millis = Millis(250);
+const WAIT_MAX: Millis = Millis(30_000);
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod crashing_parts;
 mod endless;
+mod evacuations;
 mod late;
 mod limits;
 mod outcomes;
--- a/crates/gateway/tests/path/records.rs
+++ b/crates/gateway/tests/path/records.rs
@@ -14,9 +14,9 @@
 use tokio::net::TcpStream;
 
 use super::util::{
-    FakeStore, ScriptedUpstream, Step, UnusedPort, chunk, is_ready, last_chunk, manifest,
-    not_run_response, request, send_raw, settings, signed_response, start_gateway, stream_head,
-    wait_for,
+    EVACUATION_BOUND, FakeStore, ScriptedUpstream, Step, UnusedPort, chunk, is_ready, last_chunk,
+    manifest, not_run_response, request, send_raw, settings, signed_response,
+    start_evacuable_gateway, start_gateway, stream_head, wait_for,
 };
 
 /// The `event` and `request` fields of each log line.
@@ -163,6 +163,28 @@
     running
 }
 
+/// Evacuates the zone of an upstream while a request for it is held.
+async fn produce_evacuated_retry() {
+    let held = ScriptedUpstream::start("held", vec![event_script(true)]).await;
+    let mut good = ScriptedUpstream::start("good", vec![event_script(true)]).await;
+    good.spec.zone = "zone-b".into();
+    let (running, store) = start_evacuable_gateway(&[&held, &good]).await;
+    store.stop_evacuations(true);
+    tokio::time::sleep(EVACUATION_BOUND.duration()).await;
+    let callers = running.caller_address();
+    let call = request("/stream/a", "evacuated-retry", "");
+    let response = tokio::spawn(async move { send_raw(callers, &call).await });
+    wait_for(async || is_logged("placed", "evacuated-retry")).await;
+    store.set_evacuated("zone-a", true);
+    store.stop_evacuations(false);
+    response.await.unwrap();
+    assert!(is_counted(
+        "sardinepin_retries_total",
+        "reason=\"evacuated\""
+    ));
+    assert_eq!((held.count(), good.count()), (0, 1));
+}
+
 /// Sends requests until one is retried after `failure`; the second upstream responds well.
 async fn produce_retry(failure: AttemptFailure) {
     let group_broken =
@@ -174,6 +196,7 @@
         AttemptFailure::Stalled | AttemptFailure::TimedOut => vec![Step::Hang],
         AttemptFailure::BrokenResponse => vec![Step::Close],
         AttemptFailure::Crashed => vec![Step::Crash],
+        AttemptFailure::Evacuated => return produce_evacuated_retry().await,
         AttemptFailure::Expired | AttemptFailure::Quarantined => unreachable!("never retried"),
     };
     let mut bad = ScriptedUpstream::start("bad", vec![script]).await;
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -6,9 +6,10 @@
 
 use sardinepin_common::Millis;
 use sardinepin_gateway::{
-    Crash, GatewaySettings, GatewayStore, GatewayStoreError, HeaderNames, Manifest, ObjectBatch,
-    OrganisationSpec, ReadFuture, RequestKind, Route, RunningGateway, StopSettings, StoredObject,
-    SyncSettings, Target, UpstreamSpec, WriteFuture, start,
+    AllowedRegions, Crash, EvacuationSettings, GatewaySettings, GatewayStore, GatewayStoreError,
+    HeaderNames, Manifest, ObjectBatch, OrganisationSpec, ReadFuture, RequestKind, Route,
+    RunningGateway, StopSettings, StoredObject, SyncSettings, Target, UpstreamSpec, WriteFuture,
+    start,
 };
 use sardinepin_standins::http::{Endless, write_endless};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -267,6 +268,16 @@
     manifest_watches: usize,
     /// How many watches of crashes have begun.
     crash_watches: usize,
+    /// The evacuated zones, and the changes that the store keeps: revision, zone and whether it is evacuated.
+    evacuated: Vec<String>,
+    evacuation_changes: Vec<(u64, String, bool)>,
+    /// The revision up to which the changes of evacuations are dropped.
+    compacted_at: u64,
+    /// How many times the evacuations were read, and watched.
+    evacuation_reads: usize,
+    evacuation_watches: usize,
+    /// Whether calls for evacuations do not return.
+    evacuations_stopped: bool,
     unavailable: bool,
     /// Whether the next watch of upstreams returns nothing, at a revision after the last change.
     hide_change: bool,
@@ -303,6 +314,84 @@
         state.crashes.clear();
     }
 
+    /// Begins or ends the evacuation of a zone.
+    pub(crate) fn set_evacuated(&self, zone: &str, evacuated: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let change = (state.revision, zone.to_owned(), evacuated);
+        state.evacuation_changes.push(change);
+        state.evacuated.retain(|known| known != zone);
+        if evacuated {
+            state.evacuated.push(zone.to_owned());
+        }
+    }
+
+    /// Drops the history of evacuations.
+    pub(crate) fn compact_evacuations(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.compacted_at = state.revision;
+        state.evacuation_changes.clear();
+    }
+
+    /// Makes the store come back from an older copy without evacuations, `behind` revisions ago.
+    pub(crate) fn restore_without_evacuations(&self, behind: u64) {
+        let mut state = self.state.lock().unwrap();
+        state.era += 1;
+        state.revision -= behind;
+        state.evacuated.clear();
+        state.evacuation_changes.clear();
+    }
+
+    /// Makes the store accept a write of another kind.
+    pub(crate) fn write_something(&self) {
+        self.state.lock().unwrap().revision += 1;
+    }
+
+    /// Sets whether calls for evacuations do not return.
+    pub(crate) fn stop_evacuations(&self, stopped: bool) {
+        self.state.lock().unwrap().evacuations_stopped = stopped;
+    }
+
+    /// Returns how many times the evacuations were read, and watched.
+    pub(crate) fn evacuation_calls(&self) -> (usize, usize) {
+        let state = self.state.lock().unwrap();
+        (state.evacuation_reads, state.evacuation_watches)
+    }
+
+    /// Returns the changes of evacuations after `revision`; `None` if there are none and the watch is not over.
+    fn evacuation_changes(
+        &self,
+        revision: u64,
+        is_over: bool,
+    ) -> Result<Option<ObjectBatch<()>>, GatewayStoreError> {
+        let state = self.state.lock().unwrap();
+        if revision < state.compacted_at {
+            return Err(GatewayStoreError::HistoryExpired);
+        }
+        let changes = state.evacuation_changes.iter();
+        let changes = changes.filter(|(at, ..)| *at > revision);
+        let items: Vec<StoredObject<()>> = changes
+            .map(|(at, zone, evacuated)| StoredObject {
+                name: Arc::from(zone.as_str()),
+                revision: *at,
+                value: evacuated.then_some(()),
+            })
+            .collect();
+        let returns = is_over || !items.is_empty();
+        Ok(returns.then_some(ObjectBatch {
+            era: state.era,
+            revision: state.revision,
+            items,
+        }))
+    }
+
+    async fn until_evacuations_return(&self) {
+        while self.state.lock().unwrap().evacuations_stopped {
+            tokio::time::sleep(POLL_INTERVAL.duration()).await;
+        }
+    }
+
     pub(crate) fn set_unavailable(&self, unavailable: bool) {
         self.state.lock().unwrap().unavailable = unavailable;
     }
@@ -380,6 +469,41 @@
         })
     }
 
+    fn evacuations(&self) -> ReadFuture<'_, ()> {
+        self.state.lock().unwrap().evacuation_reads += 1;
+        Box::pin(async {
+            self.until_evacuations_return().await;
+            self.check()?;
+            let state = self.state.lock().unwrap();
+            let items = state.evacuated.iter().map(|zone| StoredObject {
+                name: Arc::from(zone.as_str()),
+                revision: state.revision,
+                value: Some(()),
+            });
+            Ok(ObjectBatch {
+                era: state.era,
+                revision: state.revision,
+                items: items.collect(),
+            })
+        })
+    }
+
+    fn watch_evacuations(&self, revision: u64, wait: Millis) -> ReadFuture<'_, ()> {
+        self.state.lock().unwrap().evacuation_watches += 1;
+        Box::pin(async move {
+            let ends = tokio::time::Instant::now() + wait.duration();
+            loop {
+                self.until_evacuations_return().await;
+                self.check()?;
+                let is_over = tokio::time::Instant::now() >= ends;
+                if let Some(batch) = self.evacuation_changes(revision, is_over)? {
+                    return Ok(batch);
+                }
+                tokio::time::sleep(POLL_INTERVAL.duration()).await;
+            }
+        })
+    }
+
     fn crashes(&self) -> ReadFuture<'_, Crash> {
         Box::pin(async {
             self.check()?;
@@ -477,6 +601,7 @@
         max_attempts: attempts,
         priority: 1,
         public: false,
+        regions: AllowedRegions::default(),
     };
     Manifest {
         version,
@@ -500,6 +625,7 @@
             name: Arc::from("school"),
             keys: vec!["k".to_owned()],
             priority: None,
+            regions: AllowedRegions::default(),
         }],
         ..Manifest::default()
     }
@@ -515,6 +641,37 @@
     (running, store)
 }
 
+/// The bound within which the gateways of these tests stop to use an evacuated zone.
+pub(crate) const EVACUATION_BOUND: Millis = Millis(1_000);
+
+/// Returns settings of a gateway that watches evacuations and knows the regions of two zones.
+pub(crate) fn evacuable_settings() -> GatewaySettings {
+    let mut settings = settings();
+    settings.sync.evacuations = Some(EvacuationSettings {
+        bound: EVACUATION_BOUND,
+        wait: Millis(200),
+    });
+    let regions = [("zone-a", "north"), ("zone-b", "south")];
+    settings.balancer.regions = regions
+        .into_iter()
+        .map(|(zone, region)| (Arc::from(zone), Arc::from(region)))
+        .collect();
+    settings
+}
+
+/// Starts such a gateway in front of `upstreams` and waits until it is ready.
+pub(crate) async fn start_evacuable_gateway(
+    upstreams: &[&ScriptedUpstream],
+) -> (RunningGateway, FakeStore) {
+    let store = FakeStore::default();
+    store.set_manifest(manifest(1));
+    store.set_upstreams(upstreams.iter().map(|one| one.spec.clone()).collect());
+    let store_of_gateway = Arc::new(store.clone());
+    let running = start(evacuable_settings(), store_of_gateway).await.unwrap();
+    wait_for(async || is_ready(&running).await).await;
+    (running, store)
+}
+
 pub(crate) fn settings() -> GatewaySettings {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     GatewaySettings {
--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -158,6 +158,10 @@
     UpstreamLimited => 503, NotRun, Later, "upstream_limited", "The upstreams take no more requests now";
     /// The upstreams that could take the request have turned others away, and asked for none for some time.
     UpstreamResting => 503, NotRun, Later, "upstream_resting", "The upstreams have asked to be spared for some time";
+    /// The upstreams that could take the request are in availability zones that operators have evacuated.
+    ZonesEvacuated => 503, NotRun, Later, "zones_evacuated", "The zones of the upstreams are evacuated";
+    /// No upstream that could take the request is in a region that its route and its organisation allow.
+    RegionNotAllowed => 503, NotRun, Later, "region_not_allowed", "No upstream is in an allowed region";
 }
 
 impl fmt::Display for ErrorKind {
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -4,8 +4,8 @@
 
 use sardinepin_common::{Map, Millis};
 use sardinepin_decisions::direct::{
-    AttemptEnd, Balancer, BalancerSettings, Decision, PermitAsk, PermitReply, PlacementRequest,
-    QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
+    AllowedRegions, AttemptEnd, Balancer, BalancerSettings, Decision, PermitAsk, PermitReply,
+    PlacementRequest, QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
 };
 use sardinepin_decisions::{BudgetSettings, LimitNotice};
 use sardinepin_protocol::GroupLoad;
@@ -173,6 +173,7 @@
             latency_objective: LATENCY_OBJECTIVE,
             deadline: open.deadline,
             tried: open.tried.clone(),
+            regions: AllowedRegions::default(),
             returning: false,
             is_retry,
         };
@@ -376,7 +377,10 @@
             let Some(id) = open.tried.last().copied().filter(|_| may_move) else {
                 continue;
             };
-            if self.balancer.should_move(now, id) {
+            if self
+                .balancer
+                .should_move(now, id, &AllowedRegions::default())
+            {
                 self.handle_end(now, attempt, Outcome::Stalled, Notice::NONE, actions);
             }
         }
--- a/trials/src/fleet/policies.rs
+++ b/trials/src/fleet/policies.rs
@@ -6,7 +6,7 @@
 use rand::seq::SliceRandom;
 use sardinepin_common::{Millis, Rng, seeded_rng};
 use sardinepin_decisions::direct::{
-    AttemptEnd, Balancer, BalancerSettings, Decision, GroupMembership, LoadReport,
+    AllowedRegions, AttemptEnd, Balancer, BalancerSettings, Decision, GroupMembership, LoadReport,
     PlacementRequest, QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
 };
 
@@ -214,6 +214,7 @@
                 latency_objective: FIRST_EVENT_OBJECTIVE,
                 deadline,
                 tried: Vec::new(),
+                regions: AllowedRegions::default(),
                 returning: false,
                 is_retry: false,
             },
