--- a/crates/decisions/tests/place_share.rs
+++ b/crates/decisions/tests/place_share.rs
@@ -6,8 +6,8 @@
 
 use sardinepin_common::Millis;
 use sardinepin_decisions::direct::{
-    AttemptEnd, Balancer, BalancerSettings, Decision, GroupMembership, PlacementRequest, Policy,
-    RequestNumber, UpstreamId, UpstreamSpec,
+    AllowedRegions, AttemptEnd, Balancer, BalancerSettings, Decision, GroupMembership,
+    PlacementRequest, Policy, RequestNumber, UpstreamId, UpstreamSpec,
 };
 use sardinepin_protocol::{GroupLoad, GroupSample, RankLoad};
 
@@ -89,6 +89,7 @@
                 tried: Vec::new(),
                 returning: false,
                 is_retry: false,
+                regions: AllowedRegions::default(),
             };
             let decision = self.gateways[gateway].place(now, request);
             if let Some(Decision::Send(id)) = decision {
@@ -119,6 +120,7 @@
         zone: Arc::from("a"),
         slots: u32::from(SLOTS),
         draining: false,
+        cold_remaining: None,
         group: Some(GroupMembership {
             name: Arc::from("g"),
             rank,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -2,6 +2,7 @@
 
 mod cold_entry;
 mod crashes;
+mod evacuations;
 mod position;
 mod upstreams;
 
@@ -18,6 +19,8 @@
 use crate::sync::position::{BatchUse, Position};
 
 pub(crate) use crashes::{follow_crashes, share_crashes};
+pub(crate) use evacuations::follow_evacuations;
+pub use evacuations::{EvacuationList, evacuation_wait};
 pub use upstreams::UpstreamList;
 
 /// Watches the configuration until the process ends.
