The map switch in modules with one job each

Change: moved without a change of behaviour. Coordinator of the ranks: `switch` (what is ordered) beside `orders` (how it is carried). Protocol: `report` and `version` under `held_switch`.

--- a/crates/groups/src/switch/held_switch.rs
+++ b/crates/groups/src/switch/held_switch.rs
@@ -21,41 +21,11 @@
 //! arms for it only after all others have confirmed. So while another rank has loaded it and is not armed, the missing one is not armed
 //! for any version.
 
-use serde::{Deserialize, Serialize};
+mod report;
+mod version;
 
-/// A version that comes into use when a step begins.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct ArmedVersion {
-    /// The version of the map.
-    pub version: u64,
-    /// The first step on the new map.
-    pub step: u64,
-}
-
-/// An engine's report of its state in a switch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
-pub struct RankReport {
-    /// The index of the rank in the group, from 0.
-    pub rank: usize,
-    /// The number of ranks in the group.
-    pub size: usize,
-    /// How many times the group has formed.
-    pub epoch: u64,
-    /// Whether the group is working.
-    pub open: bool,
-    /// The last step that has begun.
-    pub step: u64,
-    /// How many orders the engine has started to carry out since it started.
-    pub sequence: u64,
-    /// The version of the map in use.
-    pub active: u64,
-    /// The version whose experts are loaded, if there is one.
-    pub prepared: Option<u64>,
-    /// The armed version and its step, if one is armed.
-    pub armed: Option<ArmedVersion>,
-    /// The step that is held, if one is.
-    pub held: Option<u64>,
-}
+pub use report::{ArmedVersion, RankReport, is_snapshot};
+pub use version::{planner_of, replacement_above, version_above};
 
 /// The next action of a group's coordinator.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -119,24 +89,6 @@
     }
 }
 
-/// Returns whether two polls in a row show the same state, which then held at the moment between
-/// them: whatever an order changes shows in a report.
-#[must_use]
-pub fn is_snapshot(before: &[RankReport], after: &[RankReport]) -> bool {
-    let state = |report: &RankReport| {
-        (
-            report.rank,
-            report.epoch,
-            report.sequence,
-            report.active,
-            report.prepared,
-            report.armed,
-            report.held,
-        )
-    };
-    before.iter().map(state).eq(after.iter().map(state))
-}
-
 /// Returns the next action, from one report of each rank.
 #[must_use]
 pub fn next_action(reports: &[RankReport]) -> NextAction {
@@ -180,35 +132,6 @@
     }
 }
 
-/// The low bits of a version, which hold the rank that planned it.
-const RANK_BITS: u32 = 8;
-
-/// The bit of a version that replaces a switch which cannot be completed.
-const REPLACEMENT: u64 = 1 << RANK_BITS;
-
-/// The bits below the counter of a version.
-const VERSION_SHIFT: u32 = RANK_BITS + 1;
-
-/// Returns a version above `highest`, planned by a rank.
-#[must_use]
-pub fn version_above(highest: u64, rank: usize) -> u64 {
-    ((highest >> VERSION_SHIFT) + 1) << VERSION_SHIFT | rank as u64
-}
-
-/// Returns a version above `highest` that a rank has the others load instead of one that cannot be completed.
-#[must_use]
-pub fn replacement_above(highest: u64, rank: usize) -> u64 {
-    version_above(highest, rank) | REPLACEMENT
-}
-
-/// Returns the rank that planned a version: the first to load it, and the last to be armed for it. `None` for a replacement, which
-/// some ranks may have loaded while its planner is still armed for an older version.
-#[must_use]
-pub fn planner_of(version: u64) -> Option<usize> {
-    let is_planned = version & REPLACEMENT == 0;
-    is_planned.then_some((version & (REPLACEMENT - 1)) as usize)
-}
-
 /// Returns how to release a held step without the one rank that does not report, if that is safe: it has planned the version that all
 /// others have loaded, and not all of them are armed.
 fn bypass(reports: &[RankReport]) -> Option<NextAction> {
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod poll;
 mod step_margin;
+mod switch;
 #[cfg(test)]
 mod tests;
 
