Trial soak: gateways, entries, agents and stand-ins under load and drawn faults

Cause: the trial outcomes has one fault a round at entries only; nothing ran gateways with faults from outside. Checks from callers and upstreams: answers, at most once, not run, configuration, exits, readiness. The load client can call gateways, and reads some streams slowly. Parts of outcomes are shared.

--- a/standins/src/arguments.rs
+++ b/standins/src/arguments.rs
@@ -149,6 +149,10 @@
             "platform",
             "The platform's object API and instance list",
         ))
+        .subcommand(server_command(
+            "objects",
+            "The object store of the users' platform, which gateways read and watch",
+        ))
         .subcommand(engine_command())
         .subcommand(load_command())
         .subcommand(demo_command())
@@ -216,6 +220,7 @@
         leave_ms: number_or(matches, "leave-ms", default.leave_ms),
         timeout_ms: number_or(matches, "timeout-ms", default.timeout_ms),
         records: matches.get_flag("records"),
+        ..default
     })
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -23,11 +23,11 @@
 pub use binaries::binary_path;
 pub use child::ChildProcess;
 pub use deployment::Deployment;
+pub use directory::TempDirectory;
 pub use node::Node;
 
 use crate::engine::RankPeers;
 use crate::http::HttpClient;
-use directory::TempDirectory;
 
 /// The name of the load balancer binary.
 const PRODUCT_BINARY: &str = "sardinepin";
--- a/standins/src/fleet/child.rs
+++ b/standins/src/fleet/child.rs
@@ -53,6 +53,42 @@
     /// Fails with the output of the process if it exits or reports no address within the time
     /// limit.
     pub async fn start(binary: &Path, arguments: &[String]) -> Result<Self> {
+        let (address_sender, mut address_receiver) = mpsc::unbounded_channel();
+        let unbound = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut child = Self::spawn(binary, arguments, unbound, Some(address_sender))?;
+        let wait = tokio::time::timeout(LISTEN_TIMEOUT.duration(), address_receiver.recv());
+        let Ok(Some(addresses)) = wait.await else {
+            // Gives the task that reads the other pipe time to receive the rest of the output.
+            let _ = child.process.kill().await;
+            tokio::time::sleep(START_RETRY_DELAY.duration()).await;
+            let name = binary.display();
+            bail!(
+                "{name} {arguments:?} did not report an address:\n{}",
+                join_lines(&child.lines)
+            );
+        };
+        child.address =
+            main_address(&addresses).context("the process reported no valid address")?;
+        child.addresses = addresses;
+        Ok(child)
+    }
+
+    /// Starts a process that reports no address, such as a role whose settings the users' platform
+    /// writes; `address` is the one in its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn start_at(binary: &Path, arguments: &[String], address: SocketAddr) -> Result<Self> {
+        Self::spawn(binary, arguments, address, None)
+    }
+
+    fn spawn(
+        binary: &Path,
+        arguments: &[String],
+        address: SocketAddr,
+        address_sender: Option<UnboundedSender<Value>>,
+    ) -> Result<Self> {
         let mut process = Command::new(binary)
             .args(arguments)
             .stdin(Stdio::null())
@@ -63,31 +99,18 @@
             .with_context(|| format!("cannot start {}", binary.display()))?;
         let pid = process.id().context("the process has exited already")?;
         let lines = Lines::default();
-        let (address_sender, mut address_receiver) = mpsc::unbounded_channel();
         tokio::spawn(read_output(process.stderr.take(), Arc::clone(&lines), None));
         tokio::spawn(read_output(
             process.stdout.take(),
             Arc::clone(&lines),
-            Some(address_sender),
+            address_sender,
         ));
-        let wait = tokio::time::timeout(LISTEN_TIMEOUT.duration(), address_receiver.recv());
-        let Ok(Some(addresses)) = wait.await else {
-            // Gives the task that reads the other pipe time to receive the rest of the output.
-            let _ = process.kill().await;
-            tokio::time::sleep(START_RETRY_DELAY.duration()).await;
-            let name = binary.display();
-            bail!(
-                "{name} {arguments:?} did not report an address:\n{}",
-                join_lines(&lines)
-            );
-        };
-        let address = main_address(&addresses).context("the process reported no valid address")?;
         Ok(Self {
             binary: binary.to_path_buf(),
             arguments: arguments.to_vec(),
             process,
             pid: Pid::from_raw(i32::try_from(pid)?),
-            addresses,
+            addresses: Value::Null,
             address,
             lines,
         })
@@ -183,6 +206,10 @@
     /// Fails if the process does not start.
     pub async fn restart(&mut self) -> Result<()> {
         self.kill().await?;
+        if self.addresses.is_null() {
+            *self = Self::start_at(&self.binary, &self.arguments, self.address)?;
+            return Ok(());
+        }
         let mut arguments = self.arguments.clone();
         if !arguments.iter().any(|argument| argument == "--listen") {
             arguments.extend(["--listen".to_owned(), self.address.to_string()]);
--- a/standins/src/fleet/directory.rs
+++ b/standins/src/fleet/directory.rs
@@ -6,7 +6,7 @@
 
 /// A temporary directory; dropping it removes the directory.
 #[derive(Debug)]
-pub(super) struct TempDirectory {
+pub struct TempDirectory {
     path: PathBuf,
 }
 
@@ -14,7 +14,7 @@
 
 impl TempDirectory {
     /// Creates an empty directory.
-    pub(super) fn create() -> io::Result<Self> {
+    pub fn create() -> io::Result<Self> {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let name = format!("sardinepin-fleet-{}-{number}", std::process::id());
         let path = std::env::temp_dir().join(name);
@@ -25,7 +25,7 @@
     }
 
     /// Returns the path of a file in the directory.
-    pub(super) fn file(&self, name: &str) -> PathBuf {
+    pub fn file(&self, name: &str) -> PathBuf {
         self.path.join(name)
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod http;
 pub mod load;
+pub mod objects;
 pub mod plain;
 pub mod platform;
 pub mod relay;
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -15,6 +15,7 @@
 use sardinepin_common::{Clock, Millis, seeded_rng};
 use sardinepin_protocol::Outcome;
 
+pub use answers::PLATFORM_HOST;
 pub use calls::CallKind;
 pub use report::{Latency, Report, SendRecord};
 pub use settings::{CallMix, Settings};
--- a/standins/src/load/answers.rs
+++ b/standins/src/load/answers.rs
@@ -20,6 +20,15 @@
 /// The header field with the outcome of a request.
 const OUTCOME_HEADER: &str = "x-sardinepin-outcome";
 
+/// The host name by which calls reach gateways of the users' platform.
+pub const PLATFORM_HOST: &str = "host.example";
+
+/// The header field with the identifier of a request on the users' platform.
+const ATTEMPT_HEADER: &str = "x-attempt-id";
+
+/// How long a slow reader waits before each part of a stream.
+const SLOW_READ_DELAY: Millis = Millis(40);
+
 /// The data of the event that ends a complete stream.
 const STREAM_END: &str = "[DONE]";
 
@@ -124,6 +133,14 @@
         ("content-type", "application/json"),
         ("x-request-id", request.as_str()),
     ];
+    let authorization = format!("Token {}", call.organisation);
+    if settings.platform {
+        headers = vec![
+            ("host", PLATFORM_HOST),
+            ("authorization", authorization.as_str()),
+            (ATTEMPT_HEADER, request.as_str()),
+        ];
+    }
     headers.extend(call.key.as_deref().map(|key| ("idempotency-key", key)));
     let start_micros = run.clock.now_micros();
     let body = call.body.clone();
@@ -135,6 +152,7 @@
         Ok(response) if is_stream(&response) => {
             read_stream(run, call, response, start_micros).await
         }
+        Ok(response) if settings.platform => read_platform_response(call, &request, response).await,
         Ok(response) => read_response(call, response).await,
         Err(error) if is_connect_error(&error) => {
             SendResult::with_outcome(Outcome::NotRun, "connect")
@@ -177,6 +195,32 @@
     }
 }
 
+/// Reads the response of a gateway, whose status tells whether the call ran.
+async fn read_platform_response(
+    call: &Call,
+    request: &str,
+    response: Response<Incoming>,
+) -> SendResult {
+    let (head, body) = response.into_parts();
+    let Ok(body) = body.collect().await else {
+        return SendResult::with_outcome(Outcome::Unknown, "connection");
+    };
+    let answer = FullResponse {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    };
+    let is_own = answer.header(ATTEMPT_HEADER) == request;
+    let result = match answer.status.as_u16() {
+        200 => check_answer(call, &answer),
+        400..500 | 503 => from_problem(Outcome::NotRun, &answer.body),
+        _ => from_problem(Outcome::Unknown, &answer.body),
+    };
+    let owner = (!is_own).then_some(AnswerError::Owner);
+    let error = result.error.or(owner);
+    result.with_error(error)
+}
+
 /// Checks a complete answer of the upstream.
 fn check_answer(call: &Call, answer: &FullResponse) -> SendResult {
     let error = match call.kind {
@@ -218,7 +262,8 @@
 /// Returns the result for a problem body, with its reason.
 fn from_problem(outcome: Outcome, body: &[u8]) -> SendResult {
     let problem: Value = serde_json::from_slice(body).unwrap_or_default();
-    let kind = problem["type"].as_str().unwrap_or("no reason");
+    let kind = problem["type"].as_str().or(problem["reason"].as_str());
+    let kind = kind.unwrap_or("no reason");
     SendResult::with_outcome(outcome, kind.rsplit(':').next().unwrap_or(kind))
 }
 
@@ -236,6 +281,9 @@
         let Ok(frame) = frame else {
             return stream.finish(call, "connection");
         };
+        if call.reads_slowly {
+            tokio::time::sleep(SLOW_READ_DELAY.duration()).await;
+        }
         if let Some(data) = frame.data_ref() {
             parser.push(data);
         }
--- a/standins/src/load/calls.rs
+++ b/standins/src/load/calls.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use rand::Rng as _;
-use sardinepin_common::Rng;
+use sardinepin_common::{Clock, Rng};
 use sardinepin_protocol::Digest;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -52,6 +52,8 @@
     pub(super) tokens: u64,
     /// Whether the caller leaves early.
     pub(super) leaves: bool,
+    /// Whether the caller reads a stream slowly.
+    pub(super) reads_slowly: bool,
     name: String,
     entry: usize,
 }
@@ -91,6 +93,8 @@
             tokens,
             entry: rng.random_range(0..settings.entries.len()),
             leaves: draw_leaves(settings, kind, rng),
+            reads_slowly: settings.slow_milli > 0
+                && rng.random_range(0..1_000) < settings.slow_milli,
             name,
         }
     }
@@ -113,6 +117,7 @@
             key: self.key.clone(),
             outcome: result.outcome,
             reason: result.reason.clone(),
+            ended_at: Clock::wall_time(),
             left_at: result.left_at,
         }
     }
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -44,6 +44,8 @@
     pub outcome: Outcome,
     /// Why the call was not answered; empty if it was.
     pub reason: String,
+    /// When the outcome was known, in wall-clock time.
+    pub ended_at: Millis,
     /// When the caller left without an answer, in wall-clock time.
     pub left_at: Option<Millis>,
 }
--- a/standins/src/load/settings.rs
+++ b/standins/src/load/settings.rs
@@ -69,6 +69,11 @@
     pub leave_milli: u32,
     /// How long such a caller waits for its answer before it closes its connection, in milliseconds.
     pub leave_ms: u64,
+    /// The share of calls whose callers read a stream slowly, in thousandths.
+    pub slow_milli: u32,
+    /// Whether calls are sent to gateways of the users' platform, with its header fields and with
+    /// the statuses by which it tells what did not run.
+    pub platform: bool,
     /// The time limit for one answer, in milliseconds.
     pub timeout_ms: u64,
     /// Whether the report includes a record of each send.
@@ -94,6 +99,8 @@
             copies_milli: 0,
             leave_milli: 0,
             leave_ms: 1_000,
+            slow_milli: 0,
+            platform: false,
             timeout_ms: 120_000,
             records: false,
         }
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -13,6 +13,7 @@
 use sardinepin_standins::engine::Engine;
 use sardinepin_standins::http::{Handler, serve};
 use sardinepin_standins::load;
+use sardinepin_standins::objects::Objects;
 use sardinepin_standins::plain::PlainService;
 use sardinepin_standins::platform::Platform;
 use serde_json::json;
@@ -55,6 +56,7 @@
             let service = PlainService::start_with(journal, plain_faults(matches))?;
             Ok((service, None))
         }
+        "objects" => Ok((Objects::start(), None)),
         "platform" => Ok((Platform::start(), None)),
         "engine" => {
             let engine = Engine::start(engine_settings(matches)?).await?;
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -14,6 +14,7 @@
 use sardinepin_protocol::Digest;
 use sardinepin_store::BoxFuture;
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use tokio::sync::watch;
 
 pub use counts::Counts;
@@ -214,6 +215,7 @@
         Box::pin(async move {
             match (request.method().as_str(), request.uri().path()) {
                 ("GET", "/counts") => json_response(StatusCode::OK, &self.counts()),
+                ("GET", "/report") => json_response(StatusCode::OK, &idle_report()),
                 ("POST", "/faults") => self.set_faults(request.body()),
                 ("POST", "/release") => self.release(),
                 // The call runs in a task of its own: a real service does not notice a disconnected
@@ -226,6 +228,13 @@
     }
 }
 
+/// Returns what a model worker of the users' platform reports that is alone in its rank group.
+fn idle_report() -> Value {
+    json!({"group": {"name": "g", "epoch": 1, "rank": 0, "state": "open"}, "size": 1,
+        "busy": false, "seq": 0, "step": 1, "map": 0, "prepared": null, "armed": null,
+        "held": null, "running": 0, "waiting": 0, "pace": 1.0})
+}
+
 async fn respond(faults: &Faults, call: &Call) -> HandlerResult {
     if !faults.affect(&call.body) {
         return json_response(StatusCode::OK, &call.echo);
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -12,6 +12,7 @@
 mod overload;
 mod path;
 mod placement;
+mod soak;
 mod switch;
 
 use anyhow::Context;
@@ -90,6 +91,10 @@
             command: placement::command(),
             run: placement::run,
         },
+        Trial {
+            command: soak::command(),
+            run: soak::run,
+        },
         Trial {
             command: switch::command(),
             run: switch::run,
--- a/trials/src/outcomes.rs
+++ b/trials/src/outcomes.rs
@@ -1,10 +1,10 @@
 //! Checks the outcomes that callers are told while processes crash, freeze and stop, links break
 //! and the platform fails.
 
-mod deployment;
-mod faults;
-mod rounds;
-mod violations;
+pub(crate) mod deployment;
+pub(crate) mod faults;
+pub(crate) mod rounds;
+pub(crate) mod violations;
 
 use clap::{ArgMatches, Command};
 
--- a/trials/src/outcomes/deployment.rs
+++ b/trials/src/outcomes/deployment.rs
@@ -7,16 +7,16 @@
 use serde_json::json;
 
 /// The model that all streams name in their requests.
-pub(super) const MODEL: &str = "m";
+pub(crate) const MODEL: &str = "m";
 
 /// The path of calls with an idempotency key, which must not run twice.
-pub(super) const KEYED_PATH: &str = "/book";
+pub(crate) const KEYED_PATH: &str = "/book";
 
 /// The path of calls that may run more than once.
-pub(super) const PLAIN_PATH: &str = "/status";
+pub(crate) const PLAIN_PATH: &str = "/status";
 
 /// The number of upstreams of the plain service; they precede the engines in the deployment.
-pub(super) const PLAIN_UPSTREAMS: usize = 3;
+pub(crate) const PLAIN_UPSTREAMS: usize = 3;
 
 /// The number of engines.
 const ENGINES: usize = 2;
@@ -26,14 +26,14 @@
 
 /// A fleet whose entries reach each agent through a relay.
 #[derive(Debug)]
-pub(super) struct RelayedFleet {
-    pub(super) fleet: Fleet,
+pub(crate) struct RelayedFleet {
+    pub(crate) fleet: Fleet,
     /// The relays, in the order of the agents.
-    pub(super) relays: Vec<Relay>,
+    pub(crate) relays: Vec<Relay>,
 }
 
 /// Starts all processes and relays, and points the configured upstream addresses at the relays.
-pub(super) async fn start() -> Result<RelayedFleet> {
+pub(crate) async fn start() -> Result<RelayedFleet> {
     let plain = Service {
         name: "app".to_owned(),
         paths: vec!["/".to_owned()],
--- a/trials/src/outcomes/faults.rs
+++ b/trials/src/outcomes/faults.rs
@@ -27,7 +27,7 @@
 
 /// The role of a process that a fault hits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Process {
+pub(crate) enum Process {
     Entry,
     Agent,
     Upstream,
@@ -35,16 +35,16 @@
 
 /// What a fault has done, as far as the trial counts it.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct FaultResult {
+pub(crate) struct FaultResult {
     /// Nodes that interrupted a call in a graceful stop or exited with an error.
-    pub(super) interrupted_nodes: u64,
+    pub(crate) interrupted_nodes: u64,
     /// Engines that a message has crashed.
-    pub(super) crashed_engines: u64,
+    pub(crate) crashed_engines: u64,
 }
 
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Fault {
+pub(crate) enum Fault {
     /// No fault.
     None,
     /// A process is killed by SIGKILL and restarted.
@@ -75,7 +75,7 @@
 }
 
 /// All kinds of faults.
-pub(super) const ALL_FAULTS: [Fault; 18] = [
+pub(crate) const ALL_FAULTS: [Fault; 18] = [
     Fault::None,
     Fault::Kill(Process::Entry),
     Fault::Kill(Process::Agent),
@@ -98,7 +98,7 @@
 
 impl Fault {
     /// Returns the name of the fault in the JSON line.
-    pub(super) fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::None => "none",
             Self::Kill(Process::Entry) => "kill_entry",
@@ -122,7 +122,7 @@
     }
 
     /// Injects the fault and clears it.
-    pub(super) async fn inject(
+    pub(crate) async fn inject(
         self,
         deployment: &mut RelayedFleet,
         rng: &mut Rng,
--- a/trials/src/outcomes/rounds.rs
+++ b/trials/src/outcomes/rounds.rs
@@ -7,6 +7,8 @@
 use rand::seq::SliceRandom;
 use sardinepin_common::{Clock, Millis, seeded_rng};
 use sardinepin_protocol::Outcome;
+use sardinepin_standins::fleet::ChildProcess;
+use sardinepin_standins::http::HttpClient;
 use sardinepin_standins::load::{self, CallKind, CallMix, Report, SendRecord};
 use sardinepin_standins::{plain, platform};
 use serde_json::{Value, json};
@@ -183,7 +185,7 @@
     }
 }
 
-fn load_settings(deployment: &RelayedFleet, seed: u64, requests: u64) -> load::Settings {
+pub(crate) fn load_settings(deployment: &RelayedFleet, seed: u64, requests: u64) -> load::Settings {
     load::Settings {
         entries: deployment.fleet.entry_addresses(),
         requests,
@@ -211,7 +213,7 @@
 
 /// Sets the answer delay of the plain services. A restart clears it, so it is set again after each
 /// fault.
-async fn delay_plain_services(deployment: &RelayedFleet) -> Result<()> {
+pub(crate) async fn delay_plain_services(deployment: &RelayedFleet) -> Result<()> {
     for service in &deployment.fleet.upstreams[..PLAIN_UPSTREAMS] {
         let faults = json!({"delay_ms": PLAIN_DELAY_MS});
         deployment.fleet.set_faults(service, &faults).await?;
@@ -231,9 +233,17 @@
 /// Returns how often each call has run, from the counts of the plain services.
 async fn run_counts(deployment: &RelayedFleet) -> Result<RunCounts> {
     let fleet = &deployment.fleet;
+    sum_counts(&fleet.client, &fleet.upstreams[..PLAIN_UPSTREAMS]).await
+}
+
+/// Sums the counts of plain services.
+pub(crate) async fn sum_counts(
+    client: &HttpClient,
+    services: &[ChildProcess],
+) -> Result<RunCounts> {
     let mut runs = RunCounts::default();
-    for service in &fleet.upstreams[..PLAIN_UPSTREAMS] {
-        let counts: plain::Counts = fleet.client.get_json(service.address(), "/counts").await?;
+    for service in services {
+        let counts: plain::Counts = client.get_json(service.address(), "/counts").await?;
         for (key, count) in counts.runs {
             *runs.keys.entry(key).or_default() += count;
         }
--- a/trials/src/outcomes/violations.rs
+++ b/trials/src/outcomes/violations.rs
@@ -11,30 +11,30 @@
 
 /// How often each call ran, summed over all plain services.
 #[derive(Debug, Default)]
-pub(super) struct RunCounts {
+pub(crate) struct RunCounts {
     /// By idempotency key.
-    pub(super) keys: Map<String, u64>,
+    pub(crate) keys: Map<String, u64>,
     /// By request identifier.
-    pub(super) requests: Map<String, u64>,
+    pub(crate) requests: Map<String, u64>,
     /// When each call arrived last, by request identifier, in wall-clock time.
-    pub(super) arrivals: Map<String, Millis>,
+    pub(crate) arrivals: Map<String, Millis>,
 }
 
 /// Calls whose outcomes contradict what ran.
 #[derive(Debug, Default)]
-pub(super) struct Violations {
+pub(crate) struct Violations {
     /// Idempotency keys that ran more than once.
-    pub(super) ran_twice: Vec<String>,
+    pub(crate) ran_twice: Vec<String>,
     /// Keys and requests that ran although every answer said `not_run`.
-    pub(super) false_not_run: Vec<String>,
+    pub(crate) false_not_run: Vec<String>,
     /// Keys and requests that were answered but ran at no service.
-    pub(super) never_ran: Vec<String>,
+    pub(crate) never_ran: Vec<String>,
     /// Requests that arrived after their callers had left.
-    pub(super) late: Vec<String>,
+    pub(crate) late: Vec<String>,
 }
 
 /// Compares the records of the load client with the counts of the services.
-pub(super) fn find_violations(records: &[SendRecord], runs: &RunCounts) -> Violations {
+pub(crate) fn find_violations(records: &[SendRecord], runs: &RunCounts) -> Violations {
     let mut violations = Violations::default();
     for (key, copies) in outcomes_by_key(records) {
         let count = runs.keys.get(key).copied().unwrap_or_default();
