--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -12,6 +12,7 @@
 mod overload;
 mod path;
 mod placement;
+mod returns;
 mod soak;
 mod switch;
 
@@ -91,6 +92,10 @@
             command: placement::command(),
             run: placement::run,
         },
+        Trial {
+            command: returns::command(),
+            run: returns::run,
+        },
         Trial {
             command: soak::command(),
             run: soak::run,
--- a/trials/src/soak.rs
+++ b/trials/src/soak.rs
@@ -5,8 +5,8 @@
 mod config_probe;
 mod entry_half;
 mod gateway_faults;
-mod gateway_half;
-mod gateways;
+pub(crate) mod gateway_half;
+pub(crate) mod gateways;
 mod log;
 #[cfg(test)]
 mod tests;
@@ -74,7 +74,7 @@
             log.violation(half, "harness", &format!("{error:#}"));
         }
     }
-    let (lines, violations) = log.finish();
+    let (lines, violations, reasons) = log.finish();
     let summary = json!({
         "trial": "soak", "seed": options.seed, "seconds": options.seconds,
         "faults": lines.iter().filter(|line| line["kind"] == "fault").count(),
@@ -82,7 +82,7 @@
         "not_run": sum(&lines, "not_run"), "unknown": sum(&lines, "unknown"),
         "config_versions": lines.iter().filter(|line| line["kind"] == "config").map(|line| line["seen"].as_u64()).max(),
         "ready_ms_max": lines.iter().filter_map(|line| line["ready_ms"].as_u64()).max(),
-        "violations": violations,
+        "unanswered_by_reason": reasons, "violations": violations,
         "took_s": clock.now().as_f64() / 1_000.0,
     });
     Ok((lines, summary))
--- a/trials/src/soak/gateway_half.rs
+++ b/trials/src/soak/gateway_half.rs
@@ -36,7 +36,7 @@
 const LATE_RUNS_TIME: Millis = Millis(1_500);
 
 /// Returns the settings of callers of the gateways.
-pub(super) fn load_settings(fleet: &GatewayFleet, seed: u64) -> load::Settings {
+pub(crate) fn load_settings(fleet: &GatewayFleet, seed: u64) -> load::Settings {
     load::Settings {
         entries: fleet.addresses(),
         seed,
--- a/trials/src/soak/gateways.rs
+++ b/trials/src/soak/gateways.rs
@@ -19,13 +19,13 @@
 const PLAIN_WORKERS: usize = 3;
 
 /// The organisation of all callers, which is also its key.
-pub(super) const ORGANISATION: &str = "school";
+pub(crate) const ORGANISATION: &str = "school";
 
 /// The path of calls that must not run twice.
-pub(super) const ONCE_PATH: &str = "/once/a";
+pub(crate) const ONCE_PATH: &str = "/once/a";
 
 /// The path of calls to the rank group, which may run more than once.
-pub(super) const MODEL_PATH: &str = "/model/a";
+pub(crate) const MODEL_PATH: &str = "/model/a";
 
 /// The delay of each answer, so that faults occur during open calls.
 const DELAY_MS: u64 = 30;
@@ -38,28 +38,28 @@
 
 /// A gateway process.
 #[derive(Debug)]
-pub(super) struct Gateway {
-    pub(super) child: ChildProcess,
+pub(crate) struct Gateway {
+    pub(crate) child: ChildProcess,
     ready: SocketAddr,
 }
 
 /// The running processes; dropping them kills them.
 #[derive(Debug)]
-pub(super) struct GatewayFleet {
-    pub(super) store: ChildProcess,
-    pub(super) workers: Vec<ChildProcess>,
+pub(crate) struct GatewayFleet {
+    pub(crate) store: ChildProcess,
+    pub(crate) workers: Vec<ChildProcess>,
     /// The relays through which gateways reach the workers, in the same order.
-    pub(super) relays: Vec<Relay>,
-    pub(super) agent: ChildProcess,
-    pub(super) gateways: Vec<Gateway>,
-    pub(super) client: HttpClient,
+    pub(crate) relays: Vec<Relay>,
+    pub(crate) agent: ChildProcess,
+    pub(crate) gateways: Vec<Gateway>,
+    pub(crate) client: HttpClient,
     starts: u64,
     _directory: TempDirectory,
 }
 
 impl GatewayFleet {
     /// Starts all processes and waits until the gateways are ready.
-    pub(super) async fn start() -> Result<Self> {
+    pub(crate) async fn start() -> Result<Self> {
         let directory = TempDirectory::create()?;
         let (product, standins) = (
             binary_path("sardinepin")?,
@@ -124,7 +124,7 @@
     }
 
     /// Returns the addresses of the gateways for callers.
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.gateways
             .iter()
             .map(|gateway| gateway.child.address())
@@ -132,7 +132,7 @@
     }
 
     /// Writes the configuration of a version, which has a path of its own for each version so far.
-    pub(super) async fn put_version(&self, version: u64) -> Result<()> {
+    pub(crate) async fn put_version(&self, version: u64) -> Result<()> {
         let route = |name: String, prefix: String, kind: &str, service: &str| {
             json!({"name": name, "host": PLATFORM_HOST, "path-prefix": prefix, "kind": kind, "timeout-ms": 8_000,
                 "target-latency-ms": 4_000, "service": service, "max-attempts": 3})
@@ -157,7 +157,7 @@
     }
 
     /// Lists a worker as a new process, and sets the delay of its answers.
-    pub(super) async fn list_worker(&mut self, worker: usize) -> Result<()> {
+    pub(crate) async fn list_worker(&mut self, worker: usize) -> Result<()> {
         self.starts += 1;
         let is_rank = worker == PLAIN_WORKERS;
         let group = json!({"name": "g", "rank": 0, "state": "open"});
@@ -172,7 +172,7 @@
     }
 
     /// Sets faults of a worker in addition to its delay.
-    pub(super) async fn set_worker_faults(&self, worker: usize, mut faults: Value) -> Result<()> {
+    pub(crate) async fn set_worker_faults(&self, worker: usize, mut faults: Value) -> Result<()> {
         faults["delay_ms"] = DELAY_MS.into();
         self.client
             .post_json(self.workers[worker].address(), "/faults", &faults)
@@ -180,7 +180,7 @@
     }
 
     /// Sends a control call to the store.
-    pub(super) async fn control(&self, path: &str, method: Method, body: &Value) -> Result<()> {
+    pub(crate) async fn control(&self, path: &str, method: Method, body: &Value) -> Result<()> {
         let call = self
             .client
             .send_json(method, self.store.address(), path, body)
@@ -192,7 +192,7 @@
     }
 
     /// Waits until all gateways are ready.
-    pub(super) async fn wait_ready(&self) -> Result<()> {
+    pub(crate) async fn wait_ready(&self) -> Result<()> {
         let clock = Clock::start();
         for gateway in &self.gateways {
             loop {
--- a/trials/src/soak/log.rs
+++ b/trials/src/soak/log.rs
@@ -23,6 +23,8 @@
 struct State {
     lines: Vec<Value>,
     violations: usize,
+    /// Calls without an answer, by `half/reason`.
+    reasons: BTreeMap<String, u64>,
 }
 
 impl Default for SoakLog {
@@ -81,6 +83,10 @@
         let mut seconds: BTreeMap<u64, [u64; 3]> = BTreeMap::new();
         for record in &report.records {
             let second = record.ended_at.since(self.started_at).0 / 1_000;
+            if record.outcome != Outcome::Answered {
+                let reason = format!("{half}/{}", record.reason);
+                *self.state().reasons.entry(reason).or_default() += 1;
+            }
             let counts = seconds.entry(second).or_default();
             counts[match record.outcome {
                 Outcome::Answered => 0,
@@ -99,14 +105,15 @@
         }
     }
 
-    /// Returns all lines in the order of time, and the number of failed checks.
-    pub(super) fn finish(self) -> (Vec<Value>, usize) {
+    /// Returns all lines in the order of time, the number of failed checks, and how many calls were not
+    /// answered for each reason.
+    pub(super) fn finish(self) -> (Vec<Value>, usize, BTreeMap<String, u64>) {
         let state = self
             .state
             .into_inner()
             .unwrap_or_else(PoisonError::into_inner);
         let mut lines = state.lines;
         lines.sort_by_key(|line| line["at_ms"].as_u64());
-        (lines, state.violations)
+        (lines, state.violations, state.reasons)
     }
 }
