--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Version};
-use sardinepin_common::Millis;
+use sardinepin_common::{Clock, Millis};
 use sardinepin_protocol::Digest;
 use sardinepin_store::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -30,6 +30,9 @@
 /// The exit code of a process that a call crashes.
 const CRASH_EXIT_CODE: i32 = 70;
 
+/// The duration of a step that the report of a model worker implies.
+const STEP_TIME: Millis = Millis(10);
+
 /// The header field of the users' platform with the identifier of an attempt; an answer repeats it.
 const ATTEMPT_HEADER: &str = "x-attempt-id";
 
@@ -229,9 +232,12 @@
 }
 
 /// Returns what a model worker of the users' platform reports that is alone in its rank group.
+///
+/// Its step rises with time: a group that makes no steps while requests run counts as stalled.
 fn idle_report() -> Value {
+    let step = Clock::wall_time().0 / STEP_TIME.0;
     json!({"group": {"name": "g", "epoch": 1, "rank": 0, "state": "open"}, "size": 1,
-        "busy": false, "seq": 0, "step": 1, "map": 0, "prepared": null, "armed": null,
+        "busy": false, "seq": 0, "step": step, "map": 0, "prepared": null, "armed": null,
         "held": null, "running": 0, "waiting": 0, "pace": 1.0})
 }
 
