--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -12,6 +12,8 @@
 mod overload;
 mod path;
 mod placement;
+mod returns;
+mod soak;
 mod switch;
 
 use anyhow::Context;
@@ -90,6 +92,14 @@
             command: placement::command(),
             run: placement::run,
         },
+        Trial {
+            command: returns::command(),
+            run: returns::run,
+        },
+        Trial {
+            command: soak::command(),
+            run: soak::run,
+        },
         Trial {
             command: switch::command(),
             run: switch::run,
