--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -21,6 +21,7 @@
     Balancer, BalancerSettings, Decision, PlacementRequest, QueueDecision, RequestNumber,
 };
 pub use caller_timeouts::CallerTimeouts;
+pub use cold_start::ColdService;
 pub use crashes::{Crash, CrashRecords, CrashedAttempt};
 pub use permits::{PermitAsk, PermitReply};
 pub use policy::Policy;
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -9,6 +9,8 @@
 use sardinepin_common::{Map, Millis, Rng, seeded_rng};
 use sardinepin_protocol::{ErrorKind, GroupLoad};
 
+use crate::cold_bound::ColdRule;
+use crate::direct::cold_start::Demand;
 use crate::direct::policy::Policy;
 use crate::direct::queue::{QueuedRequest, RequestQueue};
 use crate::direct::returns::{Returns, overload_delay, turn_delay};
@@ -33,6 +35,8 @@
     pub queue_max: usize,
     /// The retry budget of each service.
     pub retry_budget: BudgetSettings,
+    /// The rule for the requests to cold upstreams.
+    pub cold_rule: ColdRule,
     /// The policies and their parameters.
     pub policy: Policy,
 }
@@ -45,6 +49,7 @@
             seed: 0,
             queue_max: 64,
             retry_budget: BudgetSettings::default(),
+            cold_rule: ColdRule::default(),
             policy: Policy::default(),
         }
     }
@@ -119,6 +124,8 @@
     returns: Map<Arc<str>, Returns>,
     /// When the last request for each service arrived.
     last_requests: Map<Arc<str>, Millis>,
+    /// How many requests for each service arrive.
+    demands: Map<Arc<str>, Demand>,
     /// How many gateways there are.
     gateways: NodeCount,
     /// This gateway's position among them, from 0 to 1.
@@ -137,6 +144,7 @@
             budgets: Map::default(),
             returns: Map::default(),
             last_requests: Map::default(),
+            demands: Map::default(),
             gateways: NodeCount::default(),
             position: rng.random(),
             rng,
@@ -154,6 +162,19 @@
         &mut self.upstreams
     }
 
+    pub(super) fn rng_mut(&mut self) -> &mut Rng {
+        &mut self.rng
+    }
+
+    pub(super) fn cold_rule(&self) -> ColdRule {
+        self.settings.cold_rule
+    }
+
+    /// Returns the requests for a service, if there have been any.
+    pub(super) fn demand_mut(&mut self, service: &str) -> Option<&mut Demand> {
+        self.demands.get_mut(service)
+    }
+
     pub(super) fn identity(&self) -> u64 {
         self.settings.identity
     }
@@ -179,13 +200,15 @@
 
     /// Replaces the list of upstreams; returns the decisions on queued requests that this allows.
     pub fn replace_upstreams(&mut self, now: Millis, specs: &[UpstreamSpec]) -> Vec<QueueDecision> {
-        self.upstreams.replace_all(specs);
+        self.upstreams.replace_all(now, specs);
         self.process_queues(now)
     }
 
     /// Counts a request in the retry budget of its service.
     pub fn record_request(&mut self, now: Millis, service: &Arc<str>) {
         self.last_requests.insert(Arc::clone(service), now);
+        let demand = self.demands.entry(Arc::clone(service)).or_default();
+        demand.record(now);
         let settings = self.settings.retry_budget;
         self.budget(now, service).record_request(now, &settings);
     }
--- a/crates/decisions/src/direct/limit_state.rs
+++ b/crates/decisions/src/direct/limit_state.rs
@@ -9,11 +9,12 @@
 use sardinepin_common::Millis;
 use sardinepin_protocol::{PermitGrant, RequestRate};
 
+use crate::cold_bound::ColdBound;
 use crate::heard_limit::{HeardLimit, LimitNotice};
 use crate::token_bucket::{BucketSize, TokenBucket};
 
 /// How long a permit is valid.
-const PERMIT_TTL: Millis = Millis(300);
+pub(super) const PERMIT_TTL: Millis = Millis(300);
 
 /// How long a turn without an agent is valid.
 const TURN_TTL: Millis = Millis(1_000);
@@ -21,6 +22,9 @@
 /// The part of the limit that all gateways without an agent use together.
 const TURN_SHARE: f64 = 0.25;
 
+/// The part of the cold bound that all gateways without an agent use together, beside those with one.
+const COLD_TURN_SHARE: f64 = 0.1;
+
 /// The delay until an agent that did not reply is asked again.
 const ASK_RETRY_DELAY: Millis = Millis(250);
 
@@ -46,6 +50,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LimitState {
     heard: HeardLimit,
+    /// The bound in force while the upstream is cold.
+    pub(super) cold: ColdBound,
     /// When the permits expire, the earliest first.
     permits: VecDeque<Millis>,
     /// The requests on their way when the limit was heard, until an agent counts them.
@@ -78,12 +84,37 @@
 
     /// Returns whether a request may be sent: there is no limit, or a permit.
     pub(super) fn is_open(&self, now: Millis) -> bool {
-        self.rate().is_none() || self.count_permits(now) > 0
+        !self.is_bounded(now) || self.count_permits(now) > 0
+    }
+
+    /// Returns whether requests need permits: a limit or the cold bound is in force.
+    pub(super) fn is_bounded(&self, now: Millis) -> bool {
+        self.rate().is_some() || now < self.cold.until()
+    }
+
+    /// Returns whether an agent is being asked.
+    pub(super) fn is_asking(&self) -> bool {
+        self.is_asking
+    }
+
+    /// Returns whether an agent may be asked for a request that waits.
+    pub(super) fn may_ask(&self, now: Millis) -> bool {
+        !self.is_asking && now >= self.ask_at
+    }
+
+    /// Drops what belongs to the cold bound once that has ended.
+    pub(super) fn expire_cold(&mut self, now: Millis) {
+        if now >= self.cold.until() && self.cold.until() > Millis::ZERO {
+            self.cold.clear();
+            if self.rate().is_none() {
+                self.handle_change();
+            }
+        }
     }
 
     /// Returns whether an agent has to know of the limit: there is one, or its end has not been told.
     pub(super) fn concerns_agents(&self) -> bool {
-        self.rate().is_some() || self.is_untold
+        self.rate().is_some() || self.is_untold || self.cold.until() > Millis::ZERO
     }
 
     /// Returns the time before which certainly no request is allowed.
@@ -185,7 +216,7 @@
         self.is_asking = false;
         self.spare_at = now + ASK_RETRY_DELAY;
         self.ask_at = now + ASK_RETRY_DELAY;
-        if self.rate().is_some() {
+        if self.is_bounded(now) {
             self.turns
                 .get_or_insert(TokenBucket::with_tokens(now, turns.position));
             self.take_turn(now, turns);
@@ -199,14 +230,17 @@
 
     /// Takes the turn of this gateway if it has come, while no agent replies.
     pub(super) fn take_turn(&mut self, now: Millis, turns: Turns) {
-        let Some(per_second) = self.heard.per_second() else {
+        let limit = self.heard.per_second().map(|rate| rate * TURN_SHARE);
+        let cold = self.cold.per_second(now).map(|rate| rate * COLD_TURN_SHARE);
+        let rates = limit.into_iter().chain(cold);
+        let Some(per_second) = rates.min_by(f64::total_cmp) else {
             return;
         };
         let Some(bucket) = &mut self.turns else {
             return;
         };
         let size = BucketSize {
-            per_second: per_second * TURN_SHARE / turns.gateways.max(1.0),
+            per_second: per_second / turns.gateways.max(1.0),
             capacity: 1.0,
         };
         bucket.refill(now, size);
--- a/crates/decisions/src/direct/permits.rs
+++ b/crates/decisions/src/direct/permits.rs
@@ -13,7 +13,7 @@
 const DEMAND_TIME: Millis = Millis(1_000);
 
 /// The most permits that are wanted at once.
-const WANTED_MAX: usize = 16;
+pub(super) const WANTED_MAX: usize = 16;
 
 /// A request for permits to an agent.
 #[derive(Debug, Clone)]
@@ -42,20 +42,35 @@
         let limited: Vec<UpstreamId> = self.upstreams().limited().map(|(id, _)| id).collect();
         let mut asks = Vec::new();
         for id in limited {
-            self.upstreams_mut()
-                .change_limit(id, |limit| limit.take_turn(now, turns));
+            self.upstreams_mut().change_limit(id, |limit| {
+                limit.expire_cold(now);
+                limit.take_turn(now, turns);
+            });
             asks.extend(self.permit_ask(now, id));
         }
+        asks.extend(self.cold_asks(now));
         asks
     }
 
     fn permit_ask(&mut self, now: Millis, id: UpstreamId) -> Option<PermitAsk> {
         let upstream = self.upstreams().get(id)?;
-        let (wanted, spare) = self.wanted_permits(now, upstream);
+        let permits = self.wanted_permits(now, upstream);
+        self.ask(now, id, permits)
+    }
+
+    /// Returns the request for so many wanted and spare permits, if an agent may be asked now.
+    pub(super) fn ask(
+        &mut self,
+        now: Millis,
+        id: UpstreamId,
+        (wanted, spare): (u16, u16),
+    ) -> Option<PermitAsk> {
+        let upstream = self.upstreams().get(id)?;
         let limit = LimitReport {
             started_at: upstream.spec.started_at,
             rate: upstream.named_limit(),
             age: upstream.limit.age(now),
+            cold: upstream.limit.cold.own_report(now),
         };
         let name = upstream.spec.id.clone();
         let begin = self
@@ -108,6 +123,9 @@
                     if grant.limit.started_at == started_at {
                         limit.record_report(now.since(grant.limit.age), grant.limit.rate);
                     }
+                    if let Some(cold) = grant.limit.cold {
+                        limit.cold.record_report(now, cold);
+                    }
                     limit.record_grant(now, grant);
                 }
                 None => limit.record_silence(now, turns),
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -10,6 +10,7 @@
 use sardinepin_common::{Map, Millis, Rng, rendezvous_order};
 use sardinepin_protocol::{ErrorKind, GroupLoad, UpstreamLimit};
 
+use crate::direct::cold_start::ColdServices;
 use crate::direct::limit_state::LimitState;
 use crate::direct::policy::Policy;
 use crate::direct::rank_groups::RankGroups;
@@ -132,6 +133,10 @@
     limited: BTreeSet<UpstreamId>,
     /// Until when any upstream rests.
     rests_until: Millis,
+    /// The services that bound the requests to cold upstreams.
+    cold_services: ColdServices,
+    /// Whether there has been a list.
+    is_listed: bool,
     rank_choices: usize,
     next_id: u32,
 }
@@ -148,11 +153,11 @@
     }
 
     /// Replaces the list; an upstream whose process restarted gets a new identifier.
-    pub fn replace_all(&mut self, specs: &[UpstreamSpec]) {
+    pub fn replace_all(&mut self, now: Millis, specs: &[UpstreamSpec]) {
         let mut names = Map::default();
         let mut services: Map<Arc<str>, ServiceMembers> = Map::default();
         for spec in specs {
-            let id = self.insert_or_update(spec);
+            let id = self.insert_or_update(now, spec);
             names.insert(Arc::clone(&spec.id), id);
             let service = services.entry(Arc::clone(&spec.service)).or_default();
             service.all.push(id);
@@ -173,6 +178,10 @@
         // The limit of an earlier process with the identifier ends with it, even while requests are in flight there.
         let listed: BTreeSet<UpstreamId> = names.values().copied().collect();
         self.limited.retain(|id| listed.contains(id));
+        for id in listed {
+            self.update_limited(id);
+        }
+        self.is_listed = true;
     }
 
     /// Returns all rank groups.
@@ -192,7 +201,7 @@
     }
 
     /// Returns the identifier of the upstream of `spec`, which is added unless it is known.
-    fn insert_or_update(&mut self, spec: &UpstreamSpec) -> UpstreamId {
+    fn insert_or_update(&mut self, now: Millis, spec: &UpstreamSpec) -> UpstreamId {
         let known = self.names.get(&spec.id).copied();
         if let Some(id) = known
             && let Some(upstream) = self.upstreams.get_mut(&id)
@@ -201,22 +210,51 @@
             && upstream.spec.service == spec.service
         {
             upstream.spec = spec.clone();
+            upstream.record_cold(now, spec.cold_remaining);
             return id;
         }
         let id = UpstreamId(self.next_id);
         self.next_id += 1;
-        self.upstreams.insert(id, UpstreamState::new(spec.clone()));
+        let mut upstream = UpstreamState::new(spec.clone());
+        if let Some(terms) = self.cold_services.get(&spec.service) {
+            upstream.limit.cold.set_rate(terms.rate);
+            // One that does not say is cold if it appears while this gateway runs.
+            let unsaid = self.is_listed.then_some(terms.duration);
+            upstream.record_cold(now, spec.cold_remaining.or(unsaid));
+        } else {
+            upstream.record_cold(now, spec.cold_remaining);
+        }
+        self.upstreams.insert(id, upstream);
         id
     }
 
+    /// Sets the services that bound the requests to cold upstreams.
+    pub(super) fn set_cold_services(&mut self, services: ColdServices) {
+        self.cold_services = services;
+        let ids: Vec<UpstreamId> = self.names.values().copied().collect();
+        for id in ids {
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                let terms = self.cold_services.get(&upstream.spec.service);
+                upstream
+                    .limit
+                    .cold
+                    .set_rate(terms.and_then(|terms| terms.rate));
+            }
+            self.update_limited(id);
+        }
+    }
+
     /// Records that the entry of an upstream names another end of its cold state.
-    pub(super) fn record_cold(&mut self, _: Millis, spec: &UpstreamSpec) {
-        let id = self.find_by_name(&spec.id);
-        if let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(&id))
+    pub(super) fn record_cold(&mut self, now: Millis, spec: &UpstreamSpec) {
+        let Some(id) = self.find_by_name(&spec.id) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(&id)
             && upstream.spec.started_at == spec.started_at
         {
-            upstream.spec.cold_remaining = spec.cold_remaining;
+            upstream.record_cold(now, spec.cold_remaining);
         }
+        self.update_limited(id);
     }
 
     /// Returns the state of an upstream.
@@ -368,6 +406,13 @@
             let heard_at = sampled_at.since(limit.age);
             self.change_limit(id, |state| state.record_report(heard_at, limit.rate));
         }
+        // A process that started later may have the address already, while the store cannot be read here.
+        let upstream = self.upstreams.get(&id);
+        if let Some(cold) = limit.cold
+            && upstream.is_some_and(|upstream| upstream.spec.started_at <= limit.started_at)
+        {
+            self.change_limit(id, |state| state.cold.record_report(sampled_at, cold));
+        }
     }
 
     /// Records that an upstream has sent data, which shows that its whole group works.
@@ -481,6 +526,12 @@
             return;
         };
         upstream.record_end(now, end);
+        if end == AttemptEnd::Unreachable
+            && let Some(terms) = self.cold_services.get(&upstream.spec.service)
+        {
+            // Another process may come back at its address before the list says so.
+            upstream.limit.cold.record_assumption(now, terms.duration);
+        }
         if let Some(group) = &upstream.spec.group {
             self.groups.record_end(now, &group.name, end);
         }
@@ -488,6 +539,7 @@
         if unlisted && upstream.in_flight == 0 {
             self.upstreams.remove(&id);
         }
+        self.update_limited(id);
     }
 
     /// Records the load that an upstream reports in a response.
@@ -526,7 +578,7 @@
     /// Returns whether a service has a usable upstream without a limit.
     pub(super) fn has_unlimited(&self, now: Millis, service: &str) -> bool {
         self.in_service(service)
-            .any(|(_, one)| one.limit.rate().is_none() && self.is_usable(now, one))
+            .any(|(_, one)| !one.limit.is_bounded(now) && self.is_usable(now, one))
     }
 
     /// Returns whether any upstream has named a limit.
--- a/crates/decisions/src/direct/upstream_set/state.rs
+++ b/crates/decisions/src/direct/upstream_set/state.rs
@@ -141,6 +141,19 @@
         }
     }
 
+    /// Records how much longer the upstream is cold; `None` if nobody says.
+    pub(super) fn record_cold(&mut self, now: Millis, remaining: Option<Millis>) {
+        if let Some(remaining) = remaining {
+            self.limit.cold.record_remaining(now, remaining);
+        }
+    }
+
+    /// Returns whether the bound for cold upstreams is in force.
+    #[must_use]
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.limit.cold.until()
+    }
+
     /// Returns the estimated number of requests at the upstream.
     #[must_use]
     pub fn estimated_load(&self, now: Millis) -> f64 {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 mod baseline;
 mod claims;
 mod classes;
+mod cold_bound;
 mod concurrency_limit;
 mod culprits;
 mod estimate;
@@ -43,6 +44,7 @@
     CachedResponse, ClaimSettings, ClaimStep, ClaimTable, KeyEvent, KeyMachine, KeyState,
     StoredClaim,
 };
+pub use cold_bound::{ColdBound, ColdRule};
 pub use culprits::{
     Admission, CrashEvidence, Culprit, CulpritFinder, CulpritSettings, DoubtfulParts, Traits,
 };
--- a/crates/decisions/src/permit_allocator.rs
+++ b/crates/decisions/src/permit_allocator.rs
@@ -69,6 +69,7 @@
             started_at: self.started_at,
             rate: heard.rate(),
             age: now.since(heard.heard_at().unwrap_or(now)),
+            cold: self.bucket.cold.report(now),
         }
     }
 }
@@ -89,6 +90,9 @@
             .bucket
             .heard
             .record_report(heard_at, request.limit.rate);
+        if let Some(cold) = request.limit.cold {
+            upstream.bucket.cold.record_report(now, cold);
+        }
         upstream.bucket.charge(now, request.on_way);
         let wanted = request.wanted.min(GRANT_MAX);
         let (mut granted, mut next) = upstream.grant(now, wanted);
@@ -152,7 +156,7 @@
 
 /// Returns when the next permit for a gateway can be expected, if all that asked lately get one in turn.
 fn turn_of(upstream: &mut LimitedUpstream, now: Millis, next: Millis) -> Millis {
-    let Some(per_second) = upstream.bucket.heard.per_second() else {
+    let Some(per_second) = upstream.bucket.per_second(now) else {
         return Millis::ZERO;
     };
     let ahead = (upstream.wanted(now) - 1.0).max(0.0);
--- a/crates/decisions/tests/upstream_limit.rs
+++ b/crates/decisions/tests/upstream_limit.rs
@@ -85,6 +85,7 @@
             started_at: 1,
             rate: Some(RequestRate(rate)),
             age: Millis::ZERO,
+            cold: None,
         },
         wanted,
         spare: 0,
@@ -246,6 +247,7 @@
             started_at: 1,
             rate: rate.map(RequestRate),
             age: Millis::ZERO,
+            cold: None,
         },
         next: Millis(next),
         turn: Millis(next),
@@ -355,6 +357,7 @@
                 started_at: 1,
                 rate: Some(RequestRate(2_000)),
                 age: Millis(10),
+                cold: None,
             },
         }],
         ..GroupSample::default()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::connection::ConnectionPool;
 use crate::constants::DISPATCH_INTERVAL;
 use crate::crash_detection::CrashProbes;
+use crate::manifest::ServiceSpec;
 use sardinepin_decisions::direct::UpstreamSpec;
 use sardinepin_decisions::direct::{
     AttemptEnd, LoadReport, UpstreamCounts, UpstreamHealth, UpstreamId,
@@ -232,11 +233,32 @@
         let now = self.clock.now();
         let decisions = state.balancer.replace_upstreams(now, specs);
         state.deliver(now, decisions);
+        self.notify_if_limited(&state);
     }
 
     /// Records that an upstream is cold for another time than its entry said before.
     pub(crate) fn record_cold(&self, spec: &UpstreamSpec) {
-        self.with_balancer(|balancer, now| balancer.record_cold(now, spec));
+        let mut state = self.state();
+        state.balancer.record_cold(self.clock.now(), spec);
+        self.notify_if_limited(&state);
+    }
+
+    /// Sets the services that bound the requests to cold upstreams.
+    pub(crate) fn set_cold_services(&self, services: &[ServiceSpec]) {
+        let services = services.iter().filter_map(|service| {
+            let cold = service.cold.filter(|cold| cold.per_second > 0.0)?;
+            Some((Arc::clone(&service.name), cold))
+        });
+        let mut state = self.state();
+        state.balancer.set_cold_services(services);
+        self.notify_if_limited(&state);
+    }
+
+    /// Wakes the task that requests permits, if any upstream is limited or cold.
+    fn notify_if_limited(&self, state: &State) {
+        if state.balancer.has_limits() {
+            self.permits_wanted.notify_one();
+        }
     }
 
     /// Records a report of the load of a rank group.
@@ -245,6 +267,7 @@
         let now = self.clock.now();
         let decisions = state.balancer.record_group_load(now, load);
         state.deliver(now, decisions);
+        self.notify_if_limited(&state);
     }
 
     /// Records an agent's reply to a request for permits.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,10 +37,10 @@
 pub use request_metrics::RequestOutcome;
 pub use route_table::{Organisation, RouteTable};
 pub use run::{RunningGateway, run, start, start_with_agents};
-pub use sardinepin_decisions::BudgetSettings;
 pub use sardinepin_decisions::direct::{
-    BalancerSettings, Crash, GroupMembership, Policy, UpstreamSpec,
+    BalancerSettings, ColdService, Crash, GroupMembership, Policy, UpstreamSpec,
 };
+pub use sardinepin_decisions::{BudgetSettings, ColdRule};
 pub use settings::{GatewaySettings, StopSettings, SyncSettings};
 pub use store::{
     GatewayStore, GatewayStoreError, ObjectBatch, ReadFuture, StoredObject, WriteFuture,
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
+use sardinepin_decisions::direct::ColdService;
 
 /// One version of the configuration.
 #[derive(Debug, Clone, Default)]
@@ -90,6 +91,8 @@
     pub name: Arc<str>,
     /// The model engine, if its upstreams are model engines in rank groups.
     pub engine: Option<EngineSpec>,
+    /// The cold state of its upstreams, if it names one.
+    pub cold: Option<ColdService>,
 }
 
 /// The service times and expert layout of a model engine, as its operator describes them.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -63,7 +63,9 @@
             continue;
         };
         let version = manifest.version;
+        let services = manifest.services.clone();
         if gateway.apply_table(RouteTable::new(manifest)) {
+            gateway.dispatcher.set_cold_services(&services);
             log::info!(event = "configuration", version = version, revision = item.revision; "configuration applied");
         }
     }
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -16,8 +16,15 @@
 /// Requests permits for upstreams that have named limits, until the process ends.
 pub(crate) async fn request_permits(gateway: Arc<Gateway>, agents: Option<Arc<dyn RankAgents>>) {
     let dispatcher = &gateway.dispatcher;
+    let mut known_cold = 0;
     loop {
-        let has_limits = dispatcher.with_balancer(|balancer, _| balancer.has_limits());
+        let (has_limits, cold) = dispatcher
+            .with_balancer(|balancer, now| (balancer.has_limits(), balancer.count_cold(now)));
+        if cold != known_cold {
+            known_cold = cold;
+            metrics::gauge!("sardinepin_cold_upstreams").set(cold as f64);
+            log::info!(event = "cold_upstreams", count = cold; "the number of cold upstreams has changed");
+        }
         tokio::select! {
             () = dispatcher.permits_wanted.notified() => {}
             () = tokio::time::sleep(CHECK_INTERVAL.duration()), if has_limits => {}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -25,5 +25,5 @@
     UpstreamRequest,
 };
 pub use load::{Load, UpstreamState};
-pub use permits::{LimitReport, PermitGrant, PermitRequest, UpstreamLimit};
+pub use permits::{ColdReport, LimitReport, PermitGrant, PermitRequest, UpstreamLimit};
 pub use request_rate::RequestRate;
--- a/crates/protocol/src/permits.rs
+++ b/crates/protocol/src/permits.rs
@@ -16,6 +16,17 @@
     pub rate: Option<RequestRate>,
     /// How long ago an answer said so.
     pub age: Millis,
+    /// The bound in force while the upstream is cold; `None` if it is not.
+    pub cold: Option<ColdReport>,
+}
+
+/// What a node knows of a cold upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdReport {
+    /// The rate at which all gateways together may send.
+    pub rate: RequestRate,
+    /// How much longer the upstream is cold.
+    pub remaining: Millis,
 }
 
 /// What an agent knows of the limit of an upstream, for all gateways.
--- a/trials/src/bounds.rs
+++ b/trials/src/bounds.rs
@@ -6,6 +6,7 @@
 mod agents;
 mod budget_check;
 mod callers;
+mod cold_check;
 mod day;
 mod disturbance;
 mod event;
@@ -28,6 +29,7 @@
 
 use crate::arguments::{integer_arg, integer_value};
 use crate::bounds::budget_check::BudgetRule;
+use crate::bounds::cold_check::ColdSettings;
 use crate::bounds::day::{Day, DaySettings, LimitSettings};
 use crate::bounds::mutant::Mutant;
 use crate::bounds::world::World;
@@ -49,6 +51,21 @@
             "2",
             "The requests for a limited upstream, as a multiple of its limit",
         ))
+        .arg(integer_arg(
+            "cold",
+            "0",
+            "The requests a second that a cold rank takes; 0 if none is cold",
+        ))
+        .arg(integer_arg(
+            "cold-load",
+            "220",
+            "The requests of all callers a second where ranks are cold",
+        ))
+        .arg(integer_arg(
+            "cold-percent",
+            "33",
+            "The part of the ranks that starts again and is cold, in percent",
+        ))
         .arg(integer_arg(
             "seconds",
             "20",
@@ -57,7 +74,7 @@
         .arg(
             Arg::new("calm")
                 .long("calm")
-                .help("Leaves out all disturbances of a day with a limit")
+                .help("Leaves out all disturbances of a day with a limit or with cold ranks")
                 .action(ArgAction::SetTrue),
         )
         .arg(
@@ -90,6 +107,13 @@
         load: integer_value(arguments, "load") as f64,
         calm: arguments.get_flag("calm"),
     });
+    let per_second = integer_value(arguments, "cold");
+    let cold = (per_second > 0).then(|| ColdSettings {
+        per_second: per_second as f64,
+        load: integer_value(arguments, "cold-load") as f64,
+        share: integer_value(arguments, "cold-percent") as f64 / 100.0,
+        calm: arguments.get_flag("calm"),
+    });
     let mut broken = 0;
     for seed in first..first + integer_value(arguments, "seeds") {
         let settings = DaySettings {
@@ -99,6 +123,7 @@
             length: Millis(integer_value(arguments, "seconds") * 1_000),
             limit,
             withdraws: arguments.get_flag("withdrawals"),
+            cold,
         };
         broken += u64::from(!print_day(&settings));
     }
@@ -120,8 +145,14 @@
         .limit
         .as_ref()
         .map(|plan| limit_check::used_share(&record, plan));
+    let cold = day.cold.as_ref();
+    let cold_worst = cold.map(|plan| plan.worst_window(&record));
+    let fare = cold.map(|plan| plan.fare(&record));
     let late = withdrawal_check::count_broken(&record);
-    let is_kept = budget.is_kept() && limit.is_none_or(|worst| worst.is_kept()) && late == 0;
+    let is_kept = budget.is_kept()
+        && limit.is_none_or(|worst| worst.is_kept())
+        && late == 0
+        && cold_worst.is_none_or(|worst| worst.is_kept());
     let line = json!({
         "senders": settings.senders,
         "seed": settings.seed,
@@ -138,6 +169,16 @@
         "limit_counted": limit.map(|worst| worst.counted),
         "limit_allowed": limit.map(|worst| worst.allowed),
         "limit_used": used,
+        "cold": settings.cold.map(|cold| cold.per_second),
+        "cold_ms": cold.map(|plan| plan.until.since(plan.from).0),
+        "cold_ranks": cold.map(|plan| plan.ranks.len()),
+        "cold_counted": cold_worst.map(|worst| worst.counted),
+        "cold_allowed": cold_worst.map(|worst| worst.allowed),
+        "cold_requests": fare.map(|fare| fare.requests),
+        "cold_unsent": fare.map(|fare| fare.unsent),
+        "cold_wait_p50_ms": fare.map(|fare| fare.wait_p50.0),
+        "cold_wait_p99_ms": fare.map(|fare| fare.wait_p99.0),
+        "cold_share": fare.map(|fare| fare.at_cold),
         "permit_requests": record.permit_requests,
         "withdrawn": record.withdrawn.len(),
         "late": late,
--- a/trials/src/bounds/day.rs
+++ b/trials/src/bounds/day.rs
@@ -4,6 +4,7 @@
 use sardinepin_common::{Millis, Rng, seeded_rng};
 use sardinepin_protocol::RequestRate;
 
+use crate::bounds::cold_check::{ColdPlan, ColdSettings};
 use crate::bounds::disturbance::{Disturbance, Kind};
 use crate::bounds::mutant::Mutant;
 
@@ -19,6 +20,8 @@
     pub(super) limit: Option<LimitSettings>,
     /// Whether upstreams leave and rest.
     pub(super) withdraws: bool,
+    /// The cold state of ranks that start again, if any does.
+    pub(super) cold: Option<ColdSettings>,
 }
 
 /// The limit that upstreams name on a day.
@@ -57,6 +60,7 @@
             length: Millis(20_000),
             limit: None,
             withdraws: false,
+            cold: None,
         }
     }
 }
@@ -97,6 +101,8 @@
     pub(super) limit: Option<LimitPlan>,
     /// Which upstreams leave or rest.
     pub(super) withdrawals: Vec<WithdrawalPlan>,
+    /// Which ranks start again and are cold.
+    pub(super) cold: Option<ColdPlan>,
 }
 
 /// The requests for the service of a single upstream in a second, where it names no limit.
@@ -146,10 +152,19 @@
             disturbances,
             limit: None,
             withdrawals: Vec::new(),
+            cold: None,
         };
         if settings.withdraws {
             day.draw_withdrawals(settings.length, &mut rng);
         }
+        if let Some(cold) = settings.cold {
+            let ranks = day.groups * day.ranks;
+            day.cold = Some(ColdPlan::draw(&cold, ranks, LEAD_TIME, &mut rng));
+            day.rates[0] = cold.load;
+            if cold.calm {
+                day.disturbances.clear();
+            }
+        }
         if let Some(limit) = settings.limit {
             day.set_limit(limit, settings.length, &mut rng);
         }
--- a/trials/src/bounds/event.rs
+++ b/trials/src/bounds/event.rs
@@ -43,6 +43,8 @@
     Begin(usize),
     /// A sender starts again.
     Start(usize),
+    /// A sender reads the list of upstreams again.
+    ReadList(usize),
 }
 
 /// An attempt on its way.
--- a/trials/src/bounds/mutant.rs
+++ b/trials/src/bounds/mutant.rs
@@ -20,11 +20,13 @@
     LeavingUnread,
     /// What upstreams say of resting is not read.
     RestUnread,
+    /// What the list says of cold upstreams is not read.
+    ColdUnread,
 }
 
 impl Mutant {
     /// All mutants, and none.
-    pub(super) const ALL: [Self; 8] = [
+    pub(super) const ALL: [Self; 9] = [
         Self::None,
         Self::NeverCharged,
         Self::HalfCharged,
@@ -33,6 +35,7 @@
         Self::OwnAllocators,
         Self::LeavingUnread,
         Self::RestUnread,
+        Self::ColdUnread,
     ];
 
     /// Returns the name on the command line.
@@ -46,6 +49,7 @@
             Self::OwnAllocators => "own_allocators",
             Self::LeavingUnread => "leaving_unread",
             Self::RestUnread => "rest_unread",
+            Self::ColdUnread => "cold_unread",
         }
     }
 
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -4,8 +4,8 @@
 
 use sardinepin_common::{Map, Millis};
 use sardinepin_decisions::direct::{
-    AttemptEnd, Balancer, BalancerSettings, Decision, PermitAsk, PermitReply, PlacementRequest,
-    QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
+    AttemptEnd, Balancer, BalancerSettings, ColdService, Decision, PermitAsk, PermitReply,
+    PlacementRequest, QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
 };
 use sardinepin_decisions::{BudgetSettings, LimitNotice};
 use sardinepin_protocol::GroupLoad;
@@ -14,7 +14,7 @@
 use crate::bounds::mutant::Mutant;
 use crate::bounds::notice::Notice;
 use crate::bounds::record::RequestId;
-use crate::bounds::upstreams::{RunEnd, SERVICES, ServiceIndex, zone_name};
+use crate::bounds::upstreams::{RunEnd, SERVICES, ServiceIndex, Upstreams, zone_name};
 
 /// The minimum time left before the deadline for a retry.
 const RETRY_MIN_LEFT: Millis = Millis(50);
@@ -98,6 +98,8 @@
     pub(super) seed: u64,
     pub(super) attempts_max: u32,
     pub(super) mutant: Mutant,
+    /// The cold state of the upstreams of the first service, if it names one.
+    pub(super) cold: Option<ColdService>,
 }
 
 impl Sender {
@@ -117,6 +119,10 @@
             },
             ..BalancerSettings::default()
         });
+        if settings.mutant != Mutant::ColdUnread {
+            let cold = settings.cold.map(|cold| (Arc::from(SERVICES[0]), cold));
+            balancer.set_cold_services(cold);
+        }
         balancer.replace_upstreams(now, specs);
         Self {
             balancer,
@@ -130,6 +136,17 @@
         }
     }
 
+    /// Takes up the list of upstreams.
+    pub(super) fn read_list(
+        &mut self,
+        now: Millis,
+        specs: &[UpstreamSpec],
+        actions: &mut Vec<Action>,
+    ) {
+        let decisions = self.balancer.replace_upstreams(now, specs);
+        self.carry_out_all(now, decisions, actions);
+    }
+
     /// Handles a request of a caller.
     pub(super) fn handle_request(
         &mut self,
@@ -199,10 +216,12 @@
                 open.tried.push(id);
                 open.sent += 1;
                 self.attempts.insert(open.attempt, number);
+                let upstream = self.balancer.upstreams().get(id);
+                let position = upstream.map_or(0, |one| Upstreams::position_of(one.spec.address));
                 actions.push(Action::Send {
                     request: open.request,
                     attempt: open.attempt,
-                    upstream: id.0 as usize,
+                    upstream: position,
                 });
             }
             Decision::Refuse { retry_after, .. } => {
@@ -294,18 +313,12 @@
     }
 
     /// Records that an upstream has begun to answer, and what the answer says about its limit.
-    pub(super) fn record_progress(
-        &mut self,
-        now: Millis,
-        attempt: u64,
-        upstream: usize,
-        notice: Notice,
-    ) {
-        let id = UpstreamId(upstream as u32);
-        self.balancer.record_progress(now, id);
+    pub(super) fn record_progress(&mut self, now: Millis, attempt: u64, notice: Notice) {
         let number = self.attempts.get(&attempt);
         if let Some(open) = number.and_then(|number| self.open.get(number)) {
             let sent_at = open.sent_at;
+            let id = open.tried.last().copied().unwrap_or(UpstreamId(0));
+            self.balancer.record_progress(now, id);
             self.record_notice(now, id, sent_at, notice);
         }
     }
--- a/trials/src/bounds/world.rs
+++ b/trials/src/bounds/world.rs
@@ -39,6 +39,9 @@
 /// How long a sender waits for a connection.
 const CONNECT_TIMEOUT: Millis = Millis(200);
 
+/// The time until a connection is refused where nothing listens.
+const REFUSED_TIME: Millis = Millis(2);
+
 /// How long bytes may stay unacknowledged until their connection is lost.
 const USER_TIMEOUT: Millis = Millis(1_500);
 
@@ -125,11 +128,27 @@
             };
             world.schedule(LEAD_TIME, call);
         }
+        if let Some(cold) = &day.cold {
+            for index in 0..settings.senders {
+                if let Some(delay) = cold.list_delay(&mut world.rng) {
+                    world.schedule(cold.from + delay, Event::ReadList(index));
+                }
+            }
+        }
         world.schedule(TICK, Event::Tick);
         world.schedule(STALL_CHECK_INTERVAL, Event::StallCheck);
         world
     }
 
+    /// Returns what the list of upstreams says.
+    fn specs_at(&self, now: Millis) -> Vec<UpstreamSpec> {
+        let mut specs = self.specs.clone();
+        if let Some(cold) = &self.day.cold {
+            cold.update(now, &mut specs);
+        }
+        specs
+    }
+
     fn schedule(&mut self, at: Millis, event: Event) {
         self.event_count += 1;
         self.events.insert((at, self.event_count), event);
@@ -169,7 +188,7 @@
             Event::Progress(attempt, notice) => {
                 self.record_told(now, &attempt, notice);
                 self.with_current(now, attempt, event, |sender, _| {
-                    sender.record_progress(now, attempt.attempt, attempt.upstream, notice);
+                    sender.record_progress(now, attempt.attempt, notice);
                 });
             }
             Event::End(attempt, end) => self.handle_end(now, attempt, end),
@@ -193,6 +212,12 @@
             }
             Event::Begin(index) => self.begin(now, self.day.disturbances[index]),
             Event::Start(index) => self.start(now, index),
+            Event::ReadList(index) => {
+                let specs = self.specs_at(now);
+                self.with_sender(now, index, event, |sender, actions| {
+                    sender.read_list(now, &specs, actions);
+                });
+            }
         }
     }
 
@@ -319,6 +344,10 @@
     fn send(&mut self, now: Millis, attempt: Attempt) {
         let from = zone_of(attempt.sender);
         let to = self.upstreams.zone(attempt.upstream);
+        let cold = self.day.cold.as_ref();
+        if cold.is_some_and(|cold| cold.is_down(now, attempt.upstream)) {
+            return self.lose(now + REFUSED_TIME, attempt, Outcome::NotSent);
+        }
         let pooled = self.rng.random_bool(POOLED_SHARE);
         if !pooled && !self.network.connects(now, from, to) {
             return self.lose(now + CONNECT_TIMEOUT, attempt, Outcome::NotSent);
--- a/trials/src/bounds/world/disturb.rs
+++ b/trials/src/bounds/world/disturb.rs
@@ -4,6 +4,7 @@
 use sardinepin_common::Millis;
 
 use super::{World, zone_of};
+use crate::bounds::cold_check::ColdPlan;
 use crate::bounds::disturbance::{Disturbance, Kind};
 use crate::bounds::event::Event;
 use crate::bounds::network::ZONES;
@@ -88,8 +89,9 @@
             seed: self.rng.random(),
             attempts_max: self.day.attempts_max,
             mutant: self.settings.mutant,
+            cold: self.day.cold.as_ref().map(ColdPlan::service),
         };
-        self.nodes[index].sender = Some(Sender::start(now, settings, &self.specs));
+        self.nodes[index].sender = Some(Sender::start(now, settings, &self.specs_at(now)));
         if self.nodes[index].incarnation == 0 {
             for group in 0..self.day.groups {
                 let at = now + Millis(self.rng.random_range(1..100));
