--- a/trials/src/bounds/tests.rs
+++ b/trials/src/bounds/tests.rs
@@ -5,6 +5,7 @@
 use sardinepin_protocol::RequestRate;
 
 use crate::bounds::budget_check::{BudgetRule, Window};
+use crate::bounds::cold_check::ColdSettings;
 use crate::bounds::day::{Day, DaySettings, LimitPlan, LimitSettings};
 use crate::bounds::limit_check;
 use crate::bounds::mutant::Mutant;
@@ -343,3 +344,48 @@
     assert!(rule.worst_window(&repeats(10)).is_kept());
     assert!(!rule.worst_window(&repeats(101)).is_kept());
 }
+
+/// Returns the worst window of a cold rank on a day.
+fn cold_day(seed: u64, senders: usize, cold: ColdSettings, mutant: Mutant) -> Window {
+    let settings = DaySettings {
+        seed,
+        senders,
+        mutant,
+        length: Millis(14_000),
+        cold: Some(cold),
+        ..DaySettings::default()
+    };
+    let day = Day::draw(&settings);
+    let record = World::new(&settings, &day).run();
+    let plan = day.cold.expect("ranks are cold");
+    plan.worst_window(&record)
+}
+
+/// Ranks that start again got what all senders had waiting, and crashed.
+#[test]
+fn cold_ranks_get_no_more_than_their_bound() {
+    for (senders, load) in [(6, 220.0), (37, 220.0)] {
+        for calm in [true, false] {
+            let cold = ColdSettings {
+                per_second: 26.0,
+                load,
+                share: 0.33,
+                calm,
+            };
+            let worst = cold_day(2, senders, cold, Mutant::None);
+            assert!(worst.is_kept() && worst.counted > 0, "{senders}: {worst:?}");
+        }
+    }
+}
+
+#[test]
+fn a_cold_state_that_is_not_read_is_noticed() {
+    let cold = ColdSettings {
+        per_second: 5.0,
+        load: 600.0,
+        share: 0.33,
+        calm: true,
+    };
+    assert!(cold_day(1, 37, cold, Mutant::None).is_kept());
+    assert!(!cold_day(1, 37, cold, Mutant::ColdUnread).is_kept());
+}
