Entries evacuate availability zones by the configuration

Cause: an operator of entries could not take a zone out of use; draining each upstream is final for a process and stops its rank group. A suspect that waited for an upstream reserved for it was sent there also after the configuration took that upstream out of use. Change: objects `evacuations/ZONE`, the verbs `ctl zone evacuate`, `restore` and `list`, the paths below /v1/evacuations, and `ctl status`. The scheduler sends nothing to an evacuated upstream, keeps the weight of its group, refuses at once when no other zone is left, and restarts the limit of the upstream when the zone returns. Reservations of upstreams that take no work are released.

--- a/crates/config/src/kinds.rs
+++ b/crates/config/src/kinds.rs
@@ -110,7 +110,8 @@
 /// Returns the key of a configuration object, such as `upstreams/opptak-1`.
 ///
 /// The kinds are `rules` (a single object named `list`), `services`, `upstreams`, `organisations`
-/// (each object is a JSON array with one shard of the organisations) and `groups`.
+/// (each object is a JSON array with one shard of the organisations), `groups` and `evacuations`
+/// (each object is named after an availability zone that gets no requests while it exists).
 #[must_use]
 pub fn object_key(kind: &str, name: &str) -> String {
     format!("{kind}/{name}")
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -215,6 +215,17 @@
         self.index.groups.values()
     }
 
+    /// Returns the evacuated availability zones in name order.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &str> {
+        self.index.evacuations.iter().map(String::as_str)
+    }
+
+    /// Returns whether an availability zone is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.index.evacuations.contains(zone)
+    }
+
     fn put_if_newer(&mut self, entry: &ConfigEntry) {
         let newer = self
             .entries
--- a/crates/config/src/snapshot/index.rs
+++ b/crates/config/src/snapshot/index.rs
@@ -1,6 +1,6 @@
 //! The parsed objects of a snapshot; only objects that change are parsed again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use sardinepin_common::Map;
@@ -17,6 +17,8 @@
     pub(super) upstreams: BTreeMap<String, Arc<Upstream>>,
     pub(super) organisations: Arc<Map<String, Arc<Organisation>>>,
     pub(super) groups: BTreeMap<String, Arc<Group>>,
+    /// The evacuated availability zones.
+    pub(super) evacuations: BTreeSet<String>,
     /// The shards from which `organisations` is built.
     shards: BTreeMap<String, Arc<Vec<Arc<Organisation>>>>,
 }
@@ -40,6 +42,10 @@
                 return put_named(&mut self.upstreams, key, value, |object| &object.name);
             }
             "groups" => return put_named(&mut self.groups, key, value, |object| &object.name),
+            // The name says all: an evacuation is in force whatever its content.
+            "evacuations" => {
+                self.evacuations.insert(name.to_owned());
+            }
             "organisations" => match parse(key, value) {
                 Some(shard) => {
                     self.shards.insert(name.to_owned(), Arc::new(shard));
@@ -62,6 +68,7 @@
             "services" => drop(self.services.remove(name)),
             "upstreams" => drop(self.upstreams.remove(name)),
             "groups" => drop(self.groups.remove(name)),
+            "evacuations" => drop(self.evacuations.remove(name)),
             "organisations" => {
                 self.shards.remove(name);
                 self.rebuild_organisations();
--- a/crates/config/tests/snapshot.rs
+++ b/crates/config/tests/snapshot.rs
@@ -112,3 +112,27 @@
     snapshot.merge(Revision(1), &[misnamed]);
     assert_eq!(snapshot.upstreams().count(), 0);
 }
+
+/// An evacuation must be in force whatever another writer put into it.
+#[test]
+fn an_evacuation_is_in_force_while_its_object_exists() {
+    let mut snapshot = Snapshot::default();
+    let values = [
+        ("zone-a", "{}"),
+        ("zone-b", r#"{"later":1}"#),
+        ("zone-c", ""),
+    ];
+    let entries = values.map(|(zone, value)| entry(&format!("evacuations/{zone}"), 3, Some(value)));
+    snapshot.merge(Revision(3), &entries);
+    let zones: Vec<&str> = snapshot.evacuated_zones().collect();
+    assert_eq!(zones, ["zone-a", "zone-b", "zone-c"]);
+    snapshot.merge(Revision(4), &[entry("evacuations/zone-a", 4, None)]);
+    assert!(!snapshot.is_evacuated("zone-a") && snapshot.is_evacuated("zone-b"));
+    assert_eq!(snapshot.replace(Revision(2), &[]), MergeResult::Stale);
+    assert!(
+        snapshot.is_evacuated("zone-b"),
+        "an older listing ends nothing"
+    );
+    snapshot.replace(Revision(5), &[]);
+    assert_eq!(snapshot.evacuated_zones().count(), 0);
+}
--- a/crates/decisions/src/baseline.rs
+++ b/crates/decisions/src/baseline.rs
@@ -325,6 +325,9 @@
 
 impl Upstream {
     fn accepts_work(&self) -> bool {
-        self.linked && !self.leaving && self.info.state == UpstreamState::Active
+        self.linked
+            && !self.leaving
+            && self.info.state == UpstreamState::Active
+            && !self.info.evacuated
     }
 }
--- a/crates/decisions/src/events.rs
+++ b/crates/decisions/src/events.rs
@@ -31,6 +31,8 @@
     pub group: Option<Arc<str>>,
     /// The state that operators have requested.
     pub state: UpstreamState,
+    /// Whether operators have evacuated its zone.
+    pub evacuated: bool,
 }
 
 /// A service as described by the configuration in force.
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -51,6 +51,10 @@
             match self.indices.get(&info.id) {
                 Some(index) => {
                     let upstream = &mut self.upstreams[*index as usize];
+                    if upstream.info.evacuated && !info.evacuated {
+                        // The zone returns gradually: all entries see it empty at the same moment.
+                        upstream.limiter.restart(&settings.concurrency);
+                    }
                     upstream.info = info;
                     upstream.configured = true;
                 }
@@ -125,5 +129,5 @@
 
 /// Returns whether an upstream stops its whole rank group.
 fn stopped(upstream: &Upstream) -> bool {
-    !upstream.accepts_work() || upstream.health.state() != HealthState::Healthy
+    !upstream.is_serving() || upstream.health.state() != HealthState::Healthy
 }
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt_end;
 mod dispatch;
+mod evacuation;
 mod maintenance;
 
 use rand::Rng as _;
@@ -106,15 +107,7 @@
         };
         let upstream = &mut self.fleet.upstreams[index];
         change(upstream);
-        let running = upstream.reserved_for.is_some_and(|request| {
-            upstream
-                .attempts
-                .iter()
-                .any(|attempt| attempt.request == request)
-        });
-        if !upstream.accepts_work() && !running {
-            upstream.reserved_for = None;
-        }
+        upstream.release_unusable_reservation();
         self.fleet.lower_group_if_stopped(index);
         if let Some(pool) = self
             .pools
@@ -137,6 +130,8 @@
         for index in 0..self.fleet.upstreams.len() {
             self.fleet.lower_group_if_stopped(index);
         }
+        self.release_unusable_reservations();
+        self.give_up_evacuated(now, effects);
         self.dispatch_all(now, effects);
     }
 
--- a/crates/decisions/src/scheduler/admission.rs
+++ b/crates/decisions/src/scheduler/admission.rs
@@ -67,7 +67,7 @@
             return self.check_limits(now, pool, arrival.deadline);
         }
         Err(Refusal {
-            kind: ErrorKind::NoUpstream,
+            kind: pool.map_or(ErrorKind::NoUpstream, |pool| self.unavailable_kind(pool)),
             retry_after: self.add_jitter(RETRY_AFTER),
         })
     }
--- a/crates/decisions/src/scheduler/maintenance.rs
+++ b/crates/decisions/src/scheduler/maintenance.rs
@@ -1,11 +1,9 @@
 //! Periodic work: limits, ejection, stall detection, deadlines and removal of idle state.
 
 use sardinepin_common::Millis;
-use sardinepin_protocol::ErrorKind;
 
-use super::{RETRY_AFTER, Scheduler};
+use super::Scheduler;
 use crate::events::{Effect, RequestNumber};
-use crate::pending::Stage;
 
 /// The interval between removals of idle state.
 const SWEEP_INTERVAL: Millis = Millis(1_000);
@@ -169,18 +167,8 @@
         if !overdue {
             return;
         }
-        let mut waiting: Vec<RequestNumber> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| pending.pool == pool && pending.stage != Stage::InFlight)
-            .map(|(request, _)| *request)
-            .collect();
-        waiting.sort_unstable();
-        for request in waiting {
-            self.remove_from_queue(request);
-            let retry_after = self.add_jitter(RETRY_AFTER);
-            self.give_up(now, request, ErrorKind::NoUpstream, retry_after, effects);
-        }
+        let kind = self.unavailable_kind(pool);
+        self.give_up_waiting(now, pool, kind, effects);
     }
 
     fn sweep(&mut self, now: Millis) {
--- a/crates/decisions/src/upstream.rs
+++ b/crates/decisions/src/upstream.rs
@@ -110,7 +110,17 @@
 
     /// Returns whether the upstream takes new work, regardless of its health.
     pub(crate) fn accepts_work(&self) -> bool {
-        self.linked && self.configured && !self.leaving && self.info.state == UpstreamState::Active
+        self.is_serving() && !self.info.evacuated
+    }
+
+    /// Returns whether the upstream would take new work if its zone were not evacuated.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.linked && self.is_wanted() && !self.leaving
+    }
+
+    /// Returns whether the configuration in force wants the upstream in use.
+    pub(crate) fn is_wanted(&self) -> bool {
+        self.configured && self.info.state == UpstreamState::Active
     }
 
     /// Returns whether the upstream takes new work and is neither ejected nor busy with a probe.
@@ -211,6 +221,17 @@
         }
     }
 
+    /// Releases the upstream from a suspect that it is reserved for, if it takes no more work and the suspect does not run here.
+    pub(crate) fn release_unusable_reservation(&mut self) {
+        let running = self.reserved_for.is_some_and(|request| {
+            let mut attempts = self.attempts.iter();
+            attempts.any(|attempt| attempt.request == request)
+        });
+        if !self.accepts_work() && !running {
+            self.reserved_for = None;
+        }
+    }
+
     /// Adds an attempt that has been sent.
     pub(crate) fn add_attempt(&mut self, attempt: Attempt) {
         self.attempts.push(attempt);
--- a/crates/decisions/tests/balancer/driver.rs
+++ b/crates/decisions/tests/balancer/driver.rs
@@ -172,6 +172,7 @@
         zone: ZONE.into(),
         group: None,
         state: UpstreamState::Active,
+        evacuated: false,
     }
 }
 
--- a/crates/decisions/tests/balancer/main.rs
+++ b/crates/decisions/tests/balancer/main.rs
@@ -2,6 +2,7 @@
 
 mod baselines;
 mod driver;
+mod evacuation;
 mod invariants;
 mod limits;
 mod overload;
--- a/crates/sardinepin/src/admin.rs
+++ b/crates/sardinepin/src/admin.rs
@@ -19,8 +19,9 @@
 pub use problem::{Problem, ProblemBody};
 pub use server::{AdminServer, serve};
 pub use views::{
-    AcceptedView, AppliedView, GroupView, LoadView, NodeView, QuarantineView, RuleEvaluationView,
-    RuleTestRequest, RuleTestResponse, RulesView, StatusView, UpstreamView, WaitRequest,
+    AcceptedView, AppliedView, EvacuationView, GroupView, LoadView, NodeView, QuarantineView,
+    RuleEvaluationView, RuleTestRequest, RuleTestResponse, RulesView, StatusView, UpstreamView,
+    WaitRequest,
 };
 
 #[cfg(test)]
--- a/crates/sardinepin/src/admin/backend.rs
+++ b/crates/sardinepin/src/admin/backend.rs
@@ -9,8 +9,8 @@
 
 use super::problem::Problem;
 use super::views::{
-    AppliedView, GroupView, LoadView, NodeView, QuarantineView, RuleTestRequest, RuleTestResponse,
-    RulesView, StatusView, UpstreamView,
+    AppliedView, EvacuationView, GroupView, LoadView, NodeView, QuarantineView, RuleTestRequest,
+    RuleTestResponse, RulesView, StatusView, UpstreamView,
 };
 use crate::check::Deployment;
 
@@ -97,6 +97,19 @@
         held: bool,
     ) -> BackendFuture<'a, Revision>;
 
+    /// Returns the evacuated availability zones.
+    fn evacuations(&self) -> BackendFuture<'_, Vec<EvacuationView>>;
+
+    /// Evacuates a zone or ends its evacuation, and returns the revision from which that is in force.
+    ///
+    /// Repeating the call changes nothing.
+    fn set_evacuated<'a>(
+        &'a self,
+        operator: &'a str,
+        zone: &'a str,
+        evacuated: bool,
+    ) -> BackendFuture<'a, Revision>;
+
     /// Writes the objects of a deployment that differ from the stored ones; upstreams that exist
     /// keep their state.
     fn apply<'a>(
--- a/crates/sardinepin/src/admin/control_backend.rs
+++ b/crates/sardinepin/src/admin/control_backend.rs
@@ -11,8 +11,8 @@
 use super::problem::Problem;
 use super::rule_test::test_rules;
 use super::views::{
-    AppliedView, GroupView, NodeView, QuarantineView, RuleTestRequest, RuleTestResponse, RulesView,
-    StatusView, UpstreamView,
+    AppliedView, EvacuationView, GroupView, NodeView, QuarantineView, RuleTestRequest,
+    RuleTestResponse, RulesView, StatusView, UpstreamView,
 };
 use crate::check::Deployment;
 use crate::control::{AcceptedChange, ChangeError, Control};
@@ -167,6 +167,7 @@
                 revision: self.snapshot().revision(),
                 not_ready_reason: self.runtime.not_ready_reason(),
                 nodes: self.control.members().iter().map(NodeView::from).collect(),
+                evacuations: evacuation_views(&self.snapshot()),
                 upstreams: self.upstream_views().await,
             })
         })
@@ -260,6 +261,24 @@
         })
     }
 
+    fn evacuations(&self) -> BackendFuture<'_, Vec<EvacuationView>> {
+        Box::pin(async move { Ok(evacuation_views(&self.snapshot())) })
+    }
+
+    fn set_evacuated<'a>(
+        &'a self,
+        operator: &'a str,
+        zone: &'a str,
+        evacuated: bool,
+    ) -> BackendFuture<'a, Revision> {
+        Box::pin(async move {
+            let result = self.control.set_evacuated(operator, zone, evacuated).await;
+            result
+                .map(|accepted| accepted.revision)
+                .map_err(problem_from)
+        })
+    }
+
     fn apply<'a>(
         &'a self,
         operator: &'a str,
@@ -323,6 +342,15 @@
     }
 }
 
+fn evacuation_views(snapshot: &Snapshot) -> Vec<EvacuationView> {
+    let zones = snapshot.evacuated_zones();
+    let views = zones.map(|zone| EvacuationView {
+        zone: zone.to_owned(),
+        revision: object_revision(snapshot, &object_key("evacuations", zone)),
+    });
+    views.collect()
+}
+
 fn group_view(snapshot: &Snapshot, group: &Group) -> GroupView {
     GroupView {
         name: group.name.clone(),
--- a/crates/sardinepin/src/admin/handlers.rs
+++ b/crates/sardinepin/src/admin/handlers.rs
@@ -68,6 +68,12 @@
         ApiCall::Hold(name, held) => Ok(revision_response(
             backend.set_held(input.operator, name, *held).await?,
         )),
+        ApiCall::Evacuations => Ok(responses::json(&backend.evacuations().await?, None)),
+        ApiCall::Evacuate(zone, evacuated) => Ok(revision_response(
+            backend
+                .set_evacuated(input.operator, zone, *evacuated)
+                .await?,
+        )),
         ApiCall::Apply => {
             let applied = backend
                 .apply(input.operator, &parse_body(input.body)?)
--- a/crates/sardinepin/src/admin/routes.rs
+++ b/crates/sardinepin/src/admin/routes.rs
@@ -33,6 +33,8 @@
     Lift(String),
     Groups,
     Hold(String, bool),
+    Evacuations,
+    Evacuate(String, bool),
     Apply,
 }
 
@@ -46,12 +48,14 @@
             | Self::Behind
             | Self::Upstreams
             | Self::Quarantine
-            | Self::Groups => AccessRole::ReadOnly,
+            | Self::Groups
+            | Self::Evacuations => AccessRole::ReadOnly,
             Self::PutRules
             | Self::PutUpstream(_)
             | Self::SetState(..)
             | Self::Lift(_)
             | Self::Hold(..)
+            | Self::Evacuate(..)
             | Self::Apply => AccessRole::Operator,
         }
     }
@@ -93,6 +97,9 @@
         ("GET", ["groups"]) => Some(ApiCall::Groups),
         ("POST", ["groups", name, "hold"]) => Some(ApiCall::Hold((*name).to_owned(), true)),
         ("POST", ["groups", name, "release"]) => Some(ApiCall::Hold((*name).to_owned(), false)),
+        ("GET", ["evacuations"]) => Some(ApiCall::Evacuations),
+        ("PUT", ["evacuations", zone]) => Some(ApiCall::Evacuate((*zone).to_owned(), true)),
+        ("DELETE", ["evacuations", zone]) => Some(ApiCall::Evacuate((*zone).to_owned(), false)),
         ("PUT", ["deployment"]) => Some(ApiCall::Apply),
         _ => None,
     }
--- a/crates/sardinepin/src/admin/tests.rs
+++ b/crates/sardinepin/src/admin/tests.rs
@@ -34,6 +34,12 @@
     assert_eq!(get("/v1/rules"), Some(Route::Call(ApiCall::GetRules)));
     assert_eq!(get("/v1/rules/"), None);
     assert_eq!(get("/v1"), None);
+    let evacuate = ApiCall::Evacuate("a".to_owned(), true);
+    assert_eq!(evacuate.required_role(), AccessRole::Operator);
+    assert_eq!(
+        route(&Method::PUT, "/v1/evacuations/a"),
+        Some(Route::Call(evacuate))
+    );
     assert_eq!(get("/v1/upstreams/a/drain"), None);
     assert_eq!(
         route(&Method::POST, "/v1/upstreams/a/drain"),
--- a/crates/sardinepin/src/admin/views.rs
+++ b/crates/sardinepin/src/admin/views.rs
@@ -170,6 +170,9 @@
     pub not_ready_reason: Option<String>,
     /// All nodes that it knows of, including itself.
     pub nodes: Vec<NodeView>,
+    /// The evacuated availability zones.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationView>,
     /// All upstreams of its configuration.
     pub upstreams: Vec<UpstreamView>,
 }
@@ -199,6 +202,15 @@
     pub revision: Revision,
 }
 
+/// An evacuated availability zone: no requests are sent to its upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationView {
+    /// The zone.
+    pub zone: String,
+    /// The revision from which it is evacuated.
+    pub revision: Revision,
+}
+
 /// The result of applying one object of a deployment file.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AppliedView {
--- a/crates/sardinepin/src/control/operations.rs
+++ b/crates/sardinepin/src/control/operations.rs
@@ -5,6 +5,7 @@
 
 mod change_error;
 mod differences;
+mod evacuations;
 mod upstreams;
 
 use sardinepin_common::Revision;
--- a/crates/sardinepin/src/ctl/arguments.rs
+++ b/crates/sardinepin/src/ctl/arguments.rs
@@ -36,6 +36,7 @@
         )
         .subcommand(quarantine())
         .subcommand(groups())
+        .subcommand(zone())
         .subcommand(
             Command::new("apply")
                 .about("Write the objects of a deployment file that differ from the stored ones")
@@ -202,6 +203,19 @@
         ))
 }
 
+fn zone() -> Command {
+    Command::new("zone")
+        .about("Availability zones")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("list").about("Show the evacuated zones"))
+        .subcommand(change_by_name(
+            "evacuate",
+            "Send no new requests to the upstreams of a zone",
+        ))
+        .subcommand(change_by_name("restore", "End the evacuation of a zone"))
+}
+
 fn change_by_name(command: &'static str, about: &'static str) -> Command {
     Command::new(command)
         .about(about)
--- a/crates/sardinepin/src/ctl/operation.rs
+++ b/crates/sardinepin/src/ctl/operation.rs
@@ -37,6 +37,12 @@
     Groups,
     /// Pause or resume the rebalancing of a group: its name, and the last segment of the path.
     Hold(String, &'static str),
+    /// Show the evacuated zones.
+    Evacuations,
+    /// Evacuate a zone.
+    Evacuate(String),
+    /// End the evacuation of a zone.
+    Restore(String),
     /// Write the objects of a deployment file.
     Apply(Box<Deployment>),
 }
@@ -96,6 +102,9 @@
             ("groups", "list") => Ok(Self::Groups),
             ("groups", "hold") => Ok(Self::Hold(string_argument(inner, "name"), "hold")),
             ("groups", "release") => Ok(Self::Hold(string_argument(inner, "name"), "release")),
+            ("zone", "list") => Ok(Self::Evacuations),
+            ("zone", "evacuate") => Ok(Self::Evacuate(string_argument(inner, "name"))),
+            ("zone", "restore") => Ok(Self::Restore(string_argument(inner, "name"))),
             _ => Err(CtlError::Usage(format!(
                 "there is no command {command} {action}"
             ))),
@@ -135,6 +144,15 @@
             Self::Hold(name, action) => {
                 post(format!("/v1/groups/{}/{action}", path_segment(name)?))
             }
+            Self::Evacuations => Ok(get("/v1/evacuations")),
+            Self::Evacuate(zone) => Ok(ApiRequest {
+                method: Method::PUT,
+                ..get(&format!("/v1/evacuations/{}", path_segment(zone)?))
+            }),
+            Self::Restore(zone) => Ok(ApiRequest {
+                method: Method::DELETE,
+                ..get(&format!("/v1/evacuations/{}", path_segment(zone)?))
+            }),
             Self::Apply(deployment) => put("/v1/deployment".to_owned(), deployment),
         }
     }
--- a/crates/sardinepin/src/ctl/output.rs
+++ b/crates/sardinepin/src/ctl/output.rs
@@ -10,8 +10,8 @@
 use super::error::CtlError;
 use super::operation::Operation;
 use crate::admin::{
-    AcceptedView, AppliedView, GroupView, LoadView, NodeView, QuarantineView, RuleTestResponse,
-    RulesView, StatusView, UpstreamView,
+    AcceptedView, AppliedView, EvacuationView, GroupView, LoadView, NodeView, QuarantineView,
+    RuleTestResponse, RulesView, StatusView, UpstreamView,
 };
 
 /// The number of spaces between two columns.
@@ -27,12 +27,15 @@
         Operation::Upstreams => Ok(upstreams(&parse_response::<Vec<_>>(response)?)),
         Operation::Quarantine => Ok(quarantine(&parse_response::<Vec<_>>(response)?)),
         Operation::Groups => Ok(groups(&parse_response::<Vec<_>>(response)?)),
+        Operation::Evacuations => Ok(evacuations(&parse_response::<Vec<_>>(response)?)),
         Operation::Lift(digest) => Ok(format!("{digest} may pass again\n")),
         Operation::Apply(_) => Ok(applied(&parse_response::<Vec<_>>(response)?)),
         Operation::PutRules(..)
         | Operation::PutUpstream(..)
         | Operation::SetState(..)
-        | Operation::Hold(..) => {
+        | Operation::Hold(..)
+        | Operation::Evacuate(_)
+        | Operation::Restore(_) => {
             let accepted: AcceptedView = parse_response(response)?;
             Ok(format!("accepted as of revision {}\n", accepted.revision))
         }
@@ -92,7 +95,19 @@
         ],
         nodes,
     );
-    format!("{summary}{nodes}\n{}", upstreams(&view.upstreams))
+    let mut text = format!("{summary}{nodes}\n{}", upstreams(&view.upstreams));
+    if !view.evacuations.is_empty() {
+        text.push('\n');
+        text.push_str(&evacuations(&view.evacuations));
+    }
+    text
+}
+
+fn evacuations(views: &[EvacuationView]) -> String {
+    let rows = views
+        .iter()
+        .map(|view| vec![view.zone.clone(), view.revision.to_string()]);
+    table(&["EVACUATED ZONE", "REVISION"], rows)
 }
 
 fn node_row(node: &NodeView) -> Vec<String> {
--- a/crates/sardinepin/src/entry.rs
+++ b/crates/sardinepin/src/entry.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod balancer;
 mod call;
+mod evacuations;
 mod follow;
 mod links;
 mod liveness;
--- a/crates/sardinepin/src/entry/links.rs
+++ b/crates/sardinepin/src/entry/links.rs
@@ -11,6 +11,7 @@
 
 use crate::entry::agent_link::{AgentLink, LinkStatus};
 use crate::entry::balancer::BalancerHandle;
+use crate::entry::evacuations::EvacuationLog;
 use crate::entry::upstream_ids::UpstreamIds;
 use crate::link::Identity;
 
@@ -33,6 +34,7 @@
         let manager = LinkManager {
             links: links.clone(),
             upstream_ids: UpstreamIds::default(),
+            evacuations: EvacuationLog::default(),
             identity,
             balancer,
         };
@@ -67,6 +69,7 @@
 struct LinkManager {
     links: Links,
     upstream_ids: UpstreamIds,
+    evacuations: EvacuationLog,
     identity: Identity,
     balancer: BalancerHandle,
 }
@@ -83,6 +86,7 @@
     }
 
     fn apply(&mut self, snapshot: &Snapshot) {
+        self.evacuations.record(snapshot);
         let infos = self.upstream_ids.infos(snapshot);
         // The balancer must know an upstream before its link comes up.
         self.balancer.notify(Event::Upstreams(infos.clone()));
--- a/crates/sardinepin/src/entry/upstream_ids.rs
+++ b/crates/sardinepin/src/entry/upstream_ids.rs
@@ -18,7 +18,10 @@
     pub(crate) fn infos(&mut self, snapshot: &Snapshot) -> Vec<UpstreamInfo> {
         snapshot
             .upstreams()
-            .map(|upstream| self.info(upstream))
+            .map(|upstream| UpstreamInfo {
+                evacuated: snapshot.is_evacuated(&upstream.zone),
+                ..self.info(upstream)
+            })
             .collect()
     }
 
@@ -35,6 +38,7 @@
             zone: Arc::from(upstream.zone.as_str()),
             group: upstream.group.as_deref().map(Arc::from),
             state: upstream.state,
+            evacuated: false,
         }
     }
 }
--- a/crates/sardinepin/tests/integration/operators.rs
+++ b/crates/sardinepin/tests/integration/operators.rs
@@ -189,6 +189,73 @@
     Ok(())
 }
 
+/// Polls until 20 requests in a row end as `expected` says of their bodies and status, and the upstream has got none of them.
+async fn until_unused(
+    fleet: &Fleet,
+    upstream: usize,
+    expected: impl Fn(&FullResponse) -> bool,
+) -> Result<()> {
+    let upstream = fleet.upstreams[upstream].address();
+    for _ in 0..POLLS_MAX {
+        let before: Counts = fleet.client.get_json(upstream, "/counts").await?;
+        let mut ended = 0;
+        for number in 0..20 {
+            let response = call(fleet, number % fleet.entries.len(), "/x").await?;
+            ended += u32::from(expected(&response));
+        }
+        let after: Counts = fleet.client.get_json(upstream, "/counts").await?;
+        if ended == 20 && after.arrived == before.arrived {
+            return Ok(());
+        }
+    }
+    anyhow::bail!("{}", fleet.recent_output())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_zone_gets_no_requests_until_it_is_restored() -> Result<()> {
+    let fleet = start_fleet("evacuate").await?;
+    let zone = |action: &'static str, name: &'static str| {
+        ["zone", action, name, "--wait", "--wait-ms", WAIT_MS]
+    };
+    let first = ctl(&fleet, 0, &zone("evacuate", "zone-a")).await?;
+    assert_eq!(first.status.code(), Some(0), "{}", output_text(&first));
+    let again = ctl(&fleet, 1, &zone("evacuate", "zone-a")).await?;
+    let line = |output: &Output| output_text(output).lines().next().map(str::to_owned);
+    assert_eq!(line(&again), line(&first), "repeating it changes nothing");
+    until_unused(&fleet, 0, |response| response.status.is_success()).await?;
+    let status = output_text(&ctl(&fleet, 1, &["status"]).await?);
+    assert!(status.contains("EVACUATED ZONE"), "{status}");
+    assert!(
+        status.lines().any(|line| line.starts_with("zone-a ")),
+        "{status}"
+    );
+
+    let both = ctl(&fleet, 1, &zone("evacuate", "zone-b")).await?;
+    assert_eq!(both.status.code(), Some(0), "{}", output_text(&both));
+    let is_refused = |response: &FullResponse| {
+        let body: Value = response.json().unwrap_or_default();
+        response.status == 503 && body["type"] == "urn:sardinepin:zones_evacuated"
+    };
+    until_unused(&fleet, 1, is_refused).await?;
+
+    let restored = ctl(&fleet, 0, &zone("restore", "zone-a")).await?;
+    assert_eq!(
+        restored.status.code(),
+        Some(0),
+        "{}",
+        output_text(&restored)
+    );
+    let again = ctl(&fleet, 0, &zone("restore", "zone-a")).await?;
+    assert_eq!(again.status.code(), Some(0), "{}", output_text(&again));
+    until_unused(&fleet, 1, |response| response.status.is_success()).await?;
+    let listed = output_text(&ctl(&fleet, 1, &["zone", "list"]).await?);
+    assert!(
+        listed.contains("zone-b") && !listed.contains("zone-a"),
+        "{listed}"
+    );
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn while_the_platform_is_unavailable_changes_fail_and_requests_succeed() -> Result<()> {
     let fleet = start_fleet("platform-unavailable").await?;
--- a/trials/src/decide/harness.rs
+++ b/trials/src/decide/harness.rs
@@ -124,6 +124,7 @@
             zone: Arc::clone(&zone),
             group: None,
             state: UpstreamState::Active,
+            evacuated: false,
         })
         .collect()
 }
