Check evacuations of zones with a model of all senders

Cause: the tests of one gateway do not show that all senders keep an evacuation under restarts, cuts, standstills and dead watches.

--- a/trials/src/bounds.rs
+++ b/trials/src/bounds.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod day;
 mod disturbance;
+mod evacuation_check;
 mod event;
 mod limit_check;
 mod mutant;
@@ -30,6 +31,7 @@
 use crate::bounds::budget_check::BudgetRule;
 use crate::bounds::day::{Day, DaySettings, LimitSettings};
 use crate::bounds::mutant::Mutant;
+use crate::bounds::upstreams::Upstreams;
 use crate::bounds::world::World;
 
 /// Returns the trial's command line.
@@ -66,6 +68,12 @@
                 .help("Lets upstreams leave and rest, as only their answers say")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("evacuations")
+                .long("evacuations")
+                .help("Evacuates availability zones during the day")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("mutant")
                 .long("mutant")
@@ -99,6 +107,7 @@
             length: Millis(integer_value(arguments, "seconds") * 1_000),
             limit,
             withdraws: arguments.get_flag("withdrawals"),
+            evacuates: arguments.get_flag("evacuations"),
         };
         broken += u64::from(!print_day(&settings));
     }
@@ -121,7 +130,9 @@
         .as_ref()
         .map(|plan| limit_check::used_share(&record, plan));
     let late = withdrawal_check::count_broken(&record);
-    let is_kept = budget.is_kept() && limit.is_none_or(|worst| worst.is_kept()) && late == 0;
+    let (evaded, _) = evacuation_check::count_late(&record, &day, Upstreams::new(&day).zones());
+    let is_kept =
+        budget.is_kept() && limit.is_none_or(|worst| worst.is_kept()) && late == 0 && evaded == 0;
     let line = json!({
         "senders": settings.senders,
         "seed": settings.seed,
@@ -141,6 +152,8 @@
         "permit_requests": record.permit_requests,
         "withdrawn": record.withdrawn.len(),
         "late": late,
+        "evacuations": day.evacuations.len(),
+        "late_in_zones": evaded,
         "kept": is_kept,
         "disturbances": disturbances,
     });
--- a/trials/src/bounds/day.rs
+++ b/trials/src/bounds/day.rs
@@ -5,7 +5,9 @@
 use sardinepin_protocol::RequestRate;
 
 use crate::bounds::disturbance::{Disturbance, Kind};
+use crate::bounds::evacuation_check::EvacuationPlan;
 use crate::bounds::mutant::Mutant;
+use crate::bounds::network::ZONES;
 
 /// The settings of a simulated day.
 #[derive(Debug, Clone, Copy)]
@@ -19,6 +21,8 @@
     pub(super) limit: Option<LimitSettings>,
     /// Whether upstreams leave and rest.
     pub(super) withdraws: bool,
+    /// Whether zones are evacuated.
+    pub(super) evacuates: bool,
 }
 
 /// The limit that upstreams name on a day.
@@ -57,6 +61,7 @@
             length: Millis(20_000),
             limit: None,
             withdraws: false,
+            evacuates: false,
         }
     }
 }
@@ -97,6 +102,8 @@
     pub(super) limit: Option<LimitPlan>,
     /// Which upstreams leave or rest.
     pub(super) withdrawals: Vec<WithdrawalPlan>,
+    /// Which zones are evacuated.
+    pub(super) evacuations: Vec<EvacuationPlan>,
 }
 
 /// The requests for the service of a single upstream in a second, where it names no limit.
@@ -120,6 +127,9 @@
 /// The shortest and the longest rest, in milliseconds.
 const REST_MS: std::ops::Range<u64> = 700..6_000;
 
+/// The shortest and the longest evacuation, in milliseconds.
+const EVACUATION_MS: std::ops::Range<u64> = 6_000..14_000;
+
 /// How long a process that lost power takes to start again.
 const POWER_LOSS: Millis = Millis(300);
 
@@ -146,6 +156,7 @@
             disturbances,
             limit: None,
             withdrawals: Vec::new(),
+            evacuations: Vec::new(),
         };
         if settings.withdraws {
             day.draw_withdrawals(settings.length, &mut rng);
@@ -153,9 +164,24 @@
         if let Some(limit) = settings.limit {
             day.set_limit(limit, settings.length, &mut rng);
         }
+        if settings.evacuates {
+            day.draw_evacuations(settings.length, &mut rng);
+        }
         day
     }
 
+    /// Evacuates up to all zones, also several at once.
+    fn draw_evacuations(&mut self, length: Millis, rng: &mut Rng) {
+        for zone in 0..rng.random_range(1..=ZONES) {
+            let from = LEAD_TIME + Millis(rng.random_range(0..length.0 / 2));
+            self.evacuations.push(EvacuationPlan {
+                zone,
+                from,
+                until: from + Millis(rng.random_range(EVACUATION_MS)),
+            });
+        }
+    }
+
     /// Lets some ranks leave and others rest during the day.
     fn draw_withdrawals(&mut self, length: Millis, rng: &mut Rng) {
         let ranks = self.groups * self.ranks;
--- a/trials/src/bounds/event.rs
+++ b/trials/src/bounds/event.rs
@@ -41,6 +41,10 @@
     StallCheck,
     /// A disturbance begins.
     Begin(usize),
+    /// An evacuation begins or ends in the store.
+    ChangeEvacuations,
+    /// A sender learns which zones are evacuated.
+    ReadEvacuations(usize),
     /// A sender starts again.
     Start(usize),
 }
--- a/trials/src/bounds/mutant.rs
+++ b/trials/src/bounds/mutant.rs
@@ -20,11 +20,15 @@
     LeavingUnread,
     /// What upstreams say of resting is not read.
     RestUnread,
+    /// Evacuations are not read.
+    EvacuationUnread,
+    /// A sender that starts does not wait until it has read the evacuations.
+    EvacuationUnreadAtStart,
 }
 
 impl Mutant {
     /// All mutants, and none.
-    pub(super) const ALL: [Self; 8] = [
+    pub(super) const ALL: [Self; 10] = [
         Self::None,
         Self::NeverCharged,
         Self::HalfCharged,
@@ -33,6 +37,8 @@
         Self::OwnAllocators,
         Self::LeavingUnread,
         Self::RestUnread,
+        Self::EvacuationUnread,
+        Self::EvacuationUnreadAtStart,
     ];
 
     /// Returns the name on the command line.
@@ -46,6 +52,8 @@
             Self::OwnAllocators => "own_allocators",
             Self::LeavingUnread => "leaving_unread",
             Self::RestUnread => "rest_unread",
+            Self::EvacuationUnread => "evacuation_unread",
+            Self::EvacuationUnreadAtStart => "evacuation_unread_at_start",
         }
     }
 
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sardinepin_common::{Map, Millis};
+use sardinepin_common::{Map, Millis, Set};
 use sardinepin_decisions::direct::{
     AllowedRegions, AttemptEnd, Balancer, BalancerSettings, Decision, PermitAsk, PermitReply,
     PlacementRequest, QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
@@ -130,6 +130,19 @@
         }
     }
 
+    /// Replaces the set of evacuated zones.
+    pub(super) fn replace_evacuated(
+        &mut self,
+        now: Millis,
+        zones: Set<Arc<str>>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.mutant != Mutant::EvacuationUnread {
+            let (_, decisions) = self.balancer.replace_evacuated(now, zones);
+            self.carry_out_all(now, decisions, actions);
+        }
+    }
+
     /// Handles a request of a caller.
     pub(super) fn handle_request(
         &mut self,
--- a/trials/src/bounds/tests.rs
+++ b/trials/src/bounds/tests.rs
@@ -6,9 +6,11 @@
 
 use crate::bounds::budget_check::{BudgetRule, Window};
 use crate::bounds::day::{Day, DaySettings, LimitPlan, LimitSettings};
+use crate::bounds::evacuation_check;
 use crate::bounds::limit_check;
 use crate::bounds::mutant::Mutant;
 use crate::bounds::record::{Arrival, Excuse, Record, Told, Withdrawn};
+use crate::bounds::upstreams::Upstreams;
 use crate::bounds::withdrawal_check;
 use crate::bounds::world::World;
 
@@ -284,6 +286,52 @@
     assert_eq!(withdrawal_check::count_broken(&record), 0);
 }
 
+/// Simulates a day with evacuations; returns how many requests reached evacuated zones too late, and how many were checked.
+fn evacuation_day(seed: u64, senders: usize, mutant: Mutant) -> (usize, usize) {
+    let settings = DaySettings {
+        seed,
+        senders,
+        mutant,
+        evacuates: true,
+        ..DaySettings::default()
+    };
+    let day = Day::draw(&settings);
+    let record = World::new(&settings, &day).run();
+    let zones = Upstreams::new(&day).zones();
+    assert!(BudgetRule::default().worst_window(&record).is_kept());
+    evacuation_check::count_late(&record, &day, zones)
+}
+
+fn assert_evacuations_heeded(senders: usize, seeds: std::ops::RangeInclusive<u64>) {
+    let mut all_checked = 0;
+    for seed in seeds {
+        let (late, checked) = evacuation_day(seed, senders, Mutant::None);
+        assert_eq!(late, 0, "{senders} senders, seed {seed}");
+        all_checked += checked;
+    }
+    assert!(all_checked > 0, "{senders} senders: nothing was checked");
+}
+
+#[test]
+fn evacuated_zones_get_no_requests_from_6_37_and_69_senders() {
+    assert_evacuations_heeded(6, 1..=20);
+    assert_evacuations_heeded(37, 1..=4);
+    assert_evacuations_heeded(69, 1..=2);
+}
+
+#[test]
+fn evacuated_zones_get_no_requests_from_390_senders() {
+    assert_evacuations_heeded(390, 3..=3);
+}
+
+#[test]
+fn evacuations_that_are_not_read_are_noticed() {
+    for mutant in [Mutant::EvacuationUnread, Mutant::EvacuationUnreadAtStart] {
+        let broken = (1..=20).any(|seed| evacuation_day(seed, 6, mutant).0 > 0);
+        assert!(broken, "{} was not noticed", mutant.name());
+    }
+}
+
 /// One request a millisecond for `length`, of which each tenth arrives twice.
 fn steady_record(length: Millis) -> Record {
     let arrivals = (0..length.0).flat_map(|at| {
--- a/trials/src/bounds/upstreams.rs
+++ b/trials/src/bounds/upstreams.rs
@@ -149,6 +149,12 @@
         self.list[index].zone
     }
 
+    /// Returns a function from the position of an upstream to its zone.
+    pub(super) fn zones(&self) -> impl Fn(usize) -> usize + use<> {
+        let zones: Vec<usize> = self.list.iter().map(|upstream| upstream.zone).collect();
+        move |index| zones[index]
+    }
+
     /// Returns the group of the upstream beside an agent.
     pub(super) fn group(&self, agent: usize) -> usize {
         self.list[agent].group.unwrap_or_default()
--- a/trials/src/bounds/world.rs
+++ b/trials/src/bounds/world.rs
@@ -1,6 +1,7 @@
 //! The event loop of a simulated day.
 
 mod disturb;
+mod evacuations;
 mod permits;
 
 use std::collections::BTreeMap;
@@ -125,6 +126,10 @@
             };
             world.schedule(LEAD_TIME, call);
         }
+        for plan in &day.evacuations {
+            world.schedule(plan.from, Event::ChangeEvacuations);
+            world.schedule(plan.until, Event::ChangeEvacuations);
+        }
         world.schedule(TICK, Event::Tick);
         world.schedule(STALL_CHECK_INTERVAL, Event::StallCheck);
         world
@@ -192,6 +197,8 @@
                 self.schedule(now + STALL_CHECK_INTERVAL, Event::StallCheck);
             }
             Event::Begin(index) => self.begin(now, self.day.disturbances[index]),
+            Event::ChangeEvacuations => self.change_evacuations(now),
+            Event::ReadEvacuations(index) => self.read_evacuations(now, index),
             Event::Start(index) => self.start(now, index),
         }
     }
--- a/trials/src/bounds/world/disturb.rs
+++ b/trials/src/bounds/world/disturb.rs
@@ -6,6 +6,7 @@
 use super::{World, zone_of};
 use crate::bounds::disturbance::{Disturbance, Kind};
 use crate::bounds::event::Event;
+use crate::bounds::mutant::Mutant;
 use crate::bounds::network::ZONES;
 use crate::bounds::record::Excuse;
 use crate::bounds::sender::{Sender, SenderSettings};
@@ -90,6 +91,9 @@
             mutant: self.settings.mutant,
         };
         self.nodes[index].sender = Some(Sender::start(now, settings, &self.specs));
+        if self.settings.mutant != Mutant::EvacuationUnreadAtStart {
+            self.read_evacuations(now, index);
+        }
         if self.nodes[index].incarnation == 0 {
             for group in 0..self.day.groups {
                 let at = now + Millis(self.rng.random_range(1..100));
