--- a/trials/src/bounds.rs
+++ b/trials/src/bounds.rs
@@ -9,6 +9,7 @@
 mod cold_check;
 mod day;
 mod disturbance;
+mod evacuation_check;
 mod event;
 mod limit_check;
 mod mutant;
@@ -32,6 +33,7 @@
 use crate::bounds::cold_check::ColdSettings;
 use crate::bounds::day::{Day, DaySettings, LimitSettings};
 use crate::bounds::mutant::Mutant;
+use crate::bounds::upstreams::Upstreams;
 use crate::bounds::world::World;
 
 /// Returns the trial's command line.
@@ -83,6 +85,12 @@
                 .help("Lets upstreams leave and rest, as only their answers say")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("evacuations")
+                .long("evacuations")
+                .help("Evacuates availability zones during the day")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("mutant")
                 .long("mutant")
@@ -124,6 +132,7 @@
             limit,
             withdraws: arguments.get_flag("withdrawals"),
             cold,
+            evacuates: arguments.get_flag("evacuations"),
         };
         broken += u64::from(!print_day(&settings));
     }
@@ -149,10 +158,12 @@
     let cold_worst = cold.map(|plan| plan.worst_window(&record));
     let fare = cold.map(|plan| plan.fare(&record));
     let late = withdrawal_check::count_broken(&record);
+    let (evaded, _) = evacuation_check::count_late(&record, &day, Upstreams::new(&day).zones());
     let is_kept = budget.is_kept()
         && limit.is_none_or(|worst| worst.is_kept())
         && late == 0
-        && cold_worst.is_none_or(|worst| worst.is_kept());
+        && cold_worst.is_none_or(|worst| worst.is_kept())
+        && evaded == 0;
     let line = json!({
         "senders": settings.senders,
         "seed": settings.seed,
@@ -182,6 +193,8 @@
         "permit_requests": record.permit_requests,
         "withdrawn": record.withdrawn.len(),
         "late": late,
+        "evacuations": day.evacuations.len(),
+        "late_in_zones": evaded,
         "kept": is_kept,
         "disturbances": disturbances,
     });
--- a/trials/src/bounds/day.rs
+++ b/trials/src/bounds/day.rs
@@ -6,7 +6,9 @@
 
 use crate::bounds::cold_check::{ColdPlan, ColdSettings};
 use crate::bounds::disturbance::{Disturbance, Kind};
+use crate::bounds::evacuation_check::EvacuationPlan;
 use crate::bounds::mutant::Mutant;
+use crate::bounds::network::ZONES;
 
 /// The settings of a simulated day.
 #[derive(Debug, Clone, Copy)]
@@ -22,6 +24,8 @@
     pub(super) withdraws: bool,
     /// The cold state of ranks that start again, if any does.
     pub(super) cold: Option<ColdSettings>,
+    /// Whether zones are evacuated.
+    pub(super) evacuates: bool,
 }
 
 /// The limit that upstreams name on a day.
@@ -61,6 +65,7 @@
             limit: None,
             withdraws: false,
             cold: None,
+            evacuates: false,
         }
     }
 }
@@ -103,6 +108,8 @@
     pub(super) withdrawals: Vec<WithdrawalPlan>,
     /// Which ranks start again and are cold.
     pub(super) cold: Option<ColdPlan>,
+    /// Which zones are evacuated.
+    pub(super) evacuations: Vec<EvacuationPlan>,
 }
 
 /// The requests for the service of a single upstream in a second, where it names no limit.
@@ -126,6 +133,9 @@
 /// The shortest and the longest rest, in milliseconds.
 const REST_MS: std::ops::Range<u64> = 700..6_000;
 
+/// The shortest and the longest evacuation, in milliseconds.
+const EVACUATION_MS: std::ops::Range<u64> = 6_000..14_000;
+
 /// How long a process that lost power takes to start again.
 const POWER_LOSS: Millis = Millis(300);
 
@@ -153,6 +163,7 @@
             limit: None,
             withdrawals: Vec::new(),
             cold: None,
+            evacuations: Vec::new(),
         };
         if settings.withdraws {
             day.draw_withdrawals(settings.length, &mut rng);
@@ -168,9 +179,24 @@
         if let Some(limit) = settings.limit {
             day.set_limit(limit, settings.length, &mut rng);
         }
+        if settings.evacuates {
+            day.draw_evacuations(settings.length, &mut rng);
+        }
         day
     }
 
+    /// Evacuates up to all zones, also several at once.
+    fn draw_evacuations(&mut self, length: Millis, rng: &mut Rng) {
+        for zone in 0..rng.random_range(1..=ZONES) {
+            let from = LEAD_TIME + Millis(rng.random_range(0..length.0 / 2));
+            self.evacuations.push(EvacuationPlan {
+                zone,
+                from,
+                until: from + Millis(rng.random_range(EVACUATION_MS)),
+            });
+        }
+    }
+
     /// Lets some ranks leave and others rest during the day.
     fn draw_withdrawals(&mut self, length: Millis, rng: &mut Rng) {
         let ranks = self.groups * self.ranks;
--- a/trials/src/bounds/mutant.rs
+++ b/trials/src/bounds/mutant.rs
@@ -22,11 +22,15 @@
     RestUnread,
     /// What the list says of cold upstreams is not read.
     ColdUnread,
+    /// Evacuations are not read.
+    EvacuationUnread,
+    /// A sender that starts does not wait until it has read the evacuations.
+    EvacuationUnreadAtStart,
 }
 
 impl Mutant {
     /// All mutants, and none.
-    pub(super) const ALL: [Self; 9] = [
+    pub(super) const ALL: [Self; 11] = [
         Self::None,
         Self::NeverCharged,
         Self::HalfCharged,
@@ -36,6 +40,8 @@
         Self::LeavingUnread,
         Self::RestUnread,
         Self::ColdUnread,
+        Self::EvacuationUnread,
+        Self::EvacuationUnreadAtStart,
     ];
 
     /// Returns the name on the command line.
@@ -50,6 +56,8 @@
             Self::LeavingUnread => "leaving_unread",
             Self::RestUnread => "rest_unread",
             Self::ColdUnread => "cold_unread",
+            Self::EvacuationUnread => "evacuation_unread",
+            Self::EvacuationUnreadAtStart => "evacuation_unread_at_start",
         }
     }
 
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sardinepin_common::{Map, Millis};
+use sardinepin_common::{Map, Millis, Set};
 use sardinepin_decisions::direct::{
     AllowedRegions, AttemptEnd, Balancer, BalancerSettings, ColdService, Decision, PermitAsk,
     PermitReply, PlacementRequest, QueueDecision, RequestNumber, UpstreamId, UpstreamSpec,
@@ -147,6 +147,19 @@
         self.carry_out_all(now, decisions, actions);
     }
 
+    /// Replaces the set of evacuated zones.
+    pub(super) fn replace_evacuated(
+        &mut self,
+        now: Millis,
+        zones: Set<Arc<str>>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.mutant != Mutant::EvacuationUnread {
+            let (_, decisions) = self.balancer.replace_evacuated(now, zones);
+            self.carry_out_all(now, decisions, actions);
+        }
+    }
+
     /// Handles a request of a caller.
     pub(super) fn handle_request(
         &mut self,
--- a/trials/src/bounds/world/disturb.rs
+++ b/trials/src/bounds/world/disturb.rs
@@ -7,6 +7,7 @@
 use crate::bounds::cold_check::ColdPlan;
 use crate::bounds::disturbance::{Disturbance, Kind};
 use crate::bounds::event::Event;
+use crate::bounds::mutant::Mutant;
 use crate::bounds::network::ZONES;
 use crate::bounds::record::Excuse;
 use crate::bounds::sender::{Sender, SenderSettings};
@@ -92,6 +93,9 @@
             cold: self.day.cold.as_ref().map(ColdPlan::service),
         };
         self.nodes[index].sender = Some(Sender::start(now, settings, &self.specs_at(now)));
+        if self.settings.mutant != Mutant::EvacuationUnreadAtStart {
+            self.read_evacuations(now, index);
+        }
         if self.nodes[index].incarnation == 0 {
             for group in 0..self.day.groups {
                 let at = now + Millis(self.rng.random_range(1..100));
