Samples of a group's load carry their age

Cause: a sample waits at the coordinator for its next poll, about 100 ms, and its age counted from its arrival at the agent. Gateways took the requests that they sent meanwhile for part of the sample, and estimated too little load at each rank. Change: the coordinator passes the age on with the sample. Measured: tests of ranks pass. The effect alone was not measured.

--- a/crates/ranks/src/agent.rs
+++ b/crates/ranks/src/agent.rs
@@ -57,7 +57,7 @@
 struct LoadState {
     /// The engine's last report and when it was read.
     report: Option<(Millis, EngineReport)>,
-    /// The coordinator's last sample and when it arrived.
+    /// The coordinator's last sample and when it was taken.
     sample: Option<(Millis, GroupSample)>,
     /// When each gateway last asked.
     gateways: Map<u64, Millis>,
@@ -136,8 +136,8 @@
 
     fn record_look(&self, look: &Look) {
         self.record_coordinator(look.term);
-        if let Some(sample) = &look.sample {
-            self.record_sample(sample.clone());
+        if let Some((age, sample)) = &look.sample {
+            self.record_sample(*age, sample.clone());
         }
     }
 
@@ -210,8 +210,8 @@
         lock(&self.load)
     }
 
-    /// Records the load of the group that the coordinator has sampled.
-    pub(crate) fn record_sample(&self, mut sample: GroupSample) {
+    /// Records the load of the group that the coordinator sampled `age` ago.
+    pub(crate) fn record_sample(&self, age: Millis, mut sample: GroupSample) {
         let now = self.clock.now();
         let mut load = self.load_state();
         load.largest.record(now, f64::from(sample.gateways));
@@ -225,7 +225,7 @@
             sample.term = last.term;
             sample.level.clone_from(&last.level);
         }
-        load.sample = Some((now, sample));
+        load.sample = Some((Millis(now.0.saturating_sub(age.0)), sample));
     }
 
     /// Returns the load of the group for a gateway; `None` if the engine does not report in time.
--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -114,7 +114,10 @@
                     .is_due(began, self.settings.policy.poll_interval),
                 experts: self.active_maps.is_none(),
             },
-            sample: self.sample.take(),
+            sample: self
+                .sample
+                .take()
+                .map(|sample| (began.since(self.sampled_at), sample)),
         };
         let skipped = self.skipped.take();
         let polls = self
@@ -232,7 +235,7 @@
                 .take(LIMITS_MAX)
                 .collect(),
         };
-        self.agent.record_sample(sample.clone());
+        self.agent.record_sample(Millis::ZERO, sample.clone());
         self.sample = Some(sample);
     }
 
--- a/crates/ranks/src/messages.rs
+++ b/crates/ranks/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use sardinepin_common::Millis;
 use sardinepin_protocol::{
     GroupDemand, GroupLoad, GroupSample, PermitGrant, PermitRequest, UpstreamLimit,
 };
@@ -50,8 +51,9 @@
     pub term: u64,
     /// What to return in addition to the report.
     pub scope: ViewScope,
-    /// The load of the group, if it was sampled since the last query.
-    pub sample: Option<GroupSample>,
+    /// The load of the group and its age, if it was sampled since the last query. Without the age, gateways would take the requests
+    /// that they sent since the sample for part of it.
+    pub sample: Option<(Millis, GroupSample)>,
 }
 
 /// What a view of an engine contains in addition to its report.
