--- a/crates/decisions/src/direct/admission.rs
+++ b/crates/decisions/src/direct/admission.rs
@@ -30,6 +30,14 @@
 /// The most requests that retries, moves and resumed streams, which are never refused, can take from later arrivals.
 const DEBT_MAX: f64 = 4.0;
 
+/// How many requests more than usual a rank may be estimated to hold while a level is in force. The level keeps the load of the whole
+/// group at its slots, so that single ranks differ from their slots by a few requests either way.
+const LEVEL_BACKLOG: f64 = 2.0;
+
+/// How many random ranks are compared for a request while a level is in force. All gateways have samples of the same age; the more
+/// ranks each compares, the more of them meet at the rank that was emptiest then.
+const LEVEL_RANK_CHOICES: usize = 2;
+
 /// The level of one group and the demand that its agents are still to be told.
 #[derive(Debug, Default)]
 struct GroupState {
@@ -241,6 +249,19 @@
         self.admission.record_load(now, load);
     }
 
+    /// Sets how ranks are chosen for the next request; returns how many requests beyond its slots a rank may be estimated to hold.
+    pub(super) fn prepare_choice(&mut self, now: Millis) -> f64 {
+        let policy = *self.policy();
+        let mut groups = self.admission.groups.values();
+        if policy.admission && groups.any(|group| group.level(now).is_some()) {
+            let choices = policy.rank_choices.min(LEVEL_RANK_CHOICES);
+            self.upstreams_mut().set_rank_choices(choices);
+            return policy.backlog + LEVEL_BACKLOG;
+        }
+        self.upstreams_mut().set_rank_choices(policy.rank_choices);
+        policy.backlog
+    }
+
     /// Counts a request as demand for its groups; returns the retry delay if it is not admitted.
     pub(super) fn refuse_by_level(
         &mut self,
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -487,12 +487,13 @@
     }
 
     fn choose(&mut self, now: Millis, request: &PlacementRequest) -> Option<UpstreamId> {
+        let backlog = self.prepare_choice(now);
         let settings = &self.settings;
         self.upstreams.choose(
             now,
             &mut self.rng,
             &settings.zone,
-            settings.policy.backlog,
+            backlog,
             &request.needs(),
         )
     }
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -190,6 +190,11 @@
         groups.collect()
     }
 
+    /// Sets how many random ranks are compared for one request.
+    pub(super) fn set_rank_choices(&mut self, choices: usize) {
+        self.rank_choices = choices.max(1);
+    }
+
     /// Returns the rank groups of a service that are not closed, with the number of their ranks.
     pub(super) fn open_groups(&self, now: Millis, service: &str) -> Vec<(Arc<str>, usize)> {
         let groups = self.services.get(service).map(|service| &service.groups);
--- a/trials/src/fleet.rs
+++ b/trials/src/fleet.rs
@@ -3,6 +3,7 @@
 //!
 //! The product's balancer runs in each gateway; three baseline policies run on the same calls.
 
+mod burst;
 mod engine;
 mod plot;
 mod policies;
@@ -14,10 +15,11 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde_json::json;
 
 use crate::arguments::{integer_arg, integer_value};
+use crate::fleet::burst::{BurstPolicy, BurstSummary, Pattern, simulate_burst};
 use crate::fleet::plot::{Point, plot};
 use crate::fleet::policies::{POLICIES, Policy};
 use crate::fleet::simulation::simulate;
@@ -47,6 +49,12 @@
             "0",
             "The duration of an outage of one group, in milliseconds; 0 for none",
         ))
+        .arg(
+            Arg::new("burst")
+                .long("burst")
+                .help("Simulates bursts on one large group that many gateways share instead")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("plot")
                 .long("plot")
@@ -57,6 +65,10 @@
 
 /// Runs the trial and prints a line for each policy and load.
 pub(crate) fn run(arguments: &ArgMatches) -> anyhow::Result<()> {
+    if arguments.get_flag("burst") {
+        run_bursts(integer_value(arguments, "seed"));
+        return Ok(());
+    }
     let mut points = Vec::new();
     for load in LOADS_PERCENT {
         let settings = WorkloadSettings {
@@ -83,6 +95,38 @@
     }
 }
 
+/// Prints a line for each pattern of a burst and each policy.
+fn run_bursts(seed: u64) {
+    for pattern in Pattern::ALL {
+        for policy in BurstPolicy::ALL {
+            let summary = simulate_burst(seed, pattern, policy);
+            print_burst(seed, pattern, policy, &summary);
+        }
+    }
+}
+
+fn print_burst(seed: u64, pattern: Pattern, policy: BurstPolicy, summary: &BurstSummary) {
+    let line = json!({
+        "pattern": pattern.name(),
+        "policy": policy.name(),
+        "seed": seed,
+        "arrivals": summary.arrivals,
+        "rejected": round(summary.rejected),
+        "abandoned": round(summary.abandoned),
+        "refused": round(summary.refused),
+        "good_by_priority": summary.good.map(round),
+        "good_all": round(summary.good_all),
+        "good_per_s": round(summary.good_per_s),
+        "completed_per_s": round(summary.completed_per_s),
+        "good_small": round(summary.good_small),
+        "recovery_ms": summary.recovery_ms,
+        "fill_min": round(summary.fill.0),
+        "fill_max": round(summary.fill.1),
+        "credit_asks": summary.asks,
+    });
+    println!("{line}");
+}
+
 fn print_summary(policy: Policy, settings: &WorkloadSettings, summary: &Summary) {
     let line = json!({
         "policy": policy.name(),
--- a/trials/src/fleet/engine.rs
+++ b/trials/src/fleet/engine.rs
@@ -42,6 +42,8 @@
     pub(crate) attempt: usize,
     pub(crate) prompt: u32,
     pub(crate) events: u32,
+    /// The priority that the engine was told; 0 is the most urgent.
+    pub(crate) priority: u8,
 }
 
 /// The result of a pass for a request; the number is that of its attempt.
@@ -60,9 +62,31 @@
     waiting: VecDeque<EngineRequest>,
 }
 
+/// The number of ranks of a group and the limits of each.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct GroupShape {
+    pub(crate) ranks: usize,
+    pub(crate) slots: usize,
+    pub(crate) queue_max: usize,
+    /// The duration of a pass over that of today's deployment.
+    pub(crate) pass_time: f64,
+}
+
+impl Default for GroupShape {
+    fn default() -> Self {
+        Self {
+            ranks: RANKS,
+            slots: RANK_SLOTS,
+            queue_max: RANK_QUEUE_MAX,
+            pass_time: 1.0,
+        }
+    }
+}
+
 /// A rank group.
 #[derive(Debug)]
 pub(crate) struct Group {
+    shape: GroupShape,
     ranks: Vec<Rank>,
     /// The number of passes that have ended.
     pub(crate) step: u64,
@@ -74,22 +98,29 @@
 
 impl Default for Group {
     fn default() -> Self {
+        Self::new(GroupShape::default())
+    }
+}
+
+impl Group {
+    pub(crate) fn new(shape: GroupShape) -> Self {
         Self {
-            ranks: (0..RANKS).map(|_| Rank::default()).collect(),
+            shape,
+            ranks: (0..shape.ranks).map(|_| Rank::default()).collect(),
             step: 0,
             in_pass: false,
             is_out: false,
         }
     }
-}
 
-impl Group {
     /// Queues a request at a rank; returns `false` if the group has an outage or the queue is full.
     pub(crate) fn accept(&mut self, rank: usize, request: EngineRequest) -> bool {
         let rank = &mut self.ranks[rank];
-        let has_room = !self.is_out && rank.waiting.len() < RANK_QUEUE_MAX;
+        let has_room = !self.is_out && rank.waiting.len() < self.shape.queue_max;
         if has_room {
-            rank.waiting.push_back(request);
+            let ahead = |queued: &EngineRequest| queued.priority <= request.priority;
+            let position = rank.waiting.partition_point(ahead);
+            rank.waiting.insert(position, request);
         }
         has_room
     }
@@ -128,7 +159,7 @@
         let mut slowest_ms: f64 = 0.0;
         let mut has_work = false;
         for rank in &mut self.ranks {
-            while rank.running.len() < RANK_SLOTS
+            while rank.running.len() < self.shape.slots
                 && let Some(request) = rank.waiting.pop_front()
             {
                 rank.running.push(request);
@@ -138,7 +169,7 @@
         }
         self.in_pass = has_work;
         let skew_factor = 1.0 - EXPERT_SHARE + EXPERT_SHARE * SKEW;
-        has_work.then(|| Millis((slowest_ms * skew_factor).ceil() as u64))
+        has_work.then(|| Millis((slowest_ms * skew_factor * self.shape.pass_time).ceil() as u64))
     }
 
     /// Returns the load of all ranks, as the coordinator of the group samples it.
--- a/trials/src/fleet/simulation.rs
+++ b/trials/src/fleet/simulation.rs
@@ -217,6 +217,7 @@
             attempt,
             prompt: call.prompt,
             events: call.events,
+            priority: 0,
         };
         let group = upstream / RANKS;
         if self.groups[group].accept(upstream % RANKS, request) {
--- a/trials/src/fleet/workload.rs
+++ b/trials/src/fleet/workload.rs
@@ -13,16 +13,16 @@
 pub(crate) const ORGANISATIONS: usize = 5;
 
 /// The mean and standard deviation of the logarithm of a prompt's tokens.
-const PROMPT_TOKENS_LOG: (f64, f64) = (6.4, 0.7);
+pub(crate) const PROMPT_TOKENS_LOG: (f64, f64) = (6.4, 0.7);
 
 /// The mean and standard deviation of the logarithm of an answer's events.
-const EVENTS_LOG: (f64, f64) = (3.1, 0.6);
+pub(crate) const EVENTS_LOG: (f64, f64) = (3.1, 0.6);
 
 /// The maximum number of events of an answer.
-const EVENTS_MAX: f64 = 66.0;
+pub(crate) const EVENTS_MAX: f64 = 66.0;
 
 /// The maximum number of tokens of a prompt.
-const PROMPT_TOKENS_MAX: f64 = 2_880.0;
+pub(crate) const PROMPT_TOKENS_MAX: f64 = 2_880.0;
 
 /// Settings of a simulation.
 #[derive(Debug, Clone)]
