--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -10,6 +10,7 @@
 use sardinepin_protocol::{ErrorKind, GroupLoad};
 
 use crate::cold_bound::ColdRule;
+use crate::direct::admission::AdmissionGate;
 use crate::direct::cold_start::Demand;
 use crate::direct::policy::Policy;
 use crate::direct::queue::{QueuedRequest, RequestQueue};
@@ -84,6 +85,10 @@
     pub returning: bool,
     /// Whether a retry was reserved for it in the budget of its service.
     pub is_retry: bool,
+    /// The organisation of its caller, if it has one.
+    pub organisation: Option<Arc<str>>,
+    /// Whether it continues what has been admitted before: a retry within the gateway, or a stream that moves or is resumed.
+    pub continues: bool,
 }
 
 impl PlacementRequest {
@@ -112,6 +117,20 @@
     },
 }
 
+impl Decision {
+    /// Returns the decision with another retry delay if it is a refusal.
+    fn with_delay(self, retry_after: Millis) -> Self {
+        match self {
+            Self::Refuse { kind, counts, .. } => Self::Refuse {
+                kind,
+                retry_after,
+                counts,
+            },
+            Self::Send(_) => self,
+        }
+    }
+}
+
 /// The decision on a queued request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueDecision {
@@ -137,6 +156,7 @@
     gateways: NodeCount,
     /// This gateway's position among them, from 0 to 1.
     position: f64,
+    pub(super) admission: AdmissionGate,
     rng: Rng,
 }
 
@@ -157,6 +177,7 @@
             demands: Map::default(),
             gateways: NodeCount::default(),
             position,
+            admission: AdmissionGate::default(),
             rng,
             settings,
         }
@@ -185,6 +206,14 @@
         self.demands.get_mut(service)
     }
 
+    pub(super) fn policy(&self) -> &Policy {
+        &self.settings.policy
+    }
+
+    pub(super) fn admission_and_rng(&mut self) -> (&mut AdmissionGate, &mut Rng) {
+        (&mut self.admission, &mut self.rng)
+    }
+
     pub(super) fn identity(&self) -> u64 {
         self.settings.identity
     }
@@ -276,6 +305,10 @@
         if now >= request.deadline {
             return Some(self.refuse(now, &request, ErrorKind::TooLate));
         }
+        if let Some(retry_after) = self.refuse_by_level(now, &request) {
+            let decision = self.refuse(now, &request, ErrorKind::NotAdmitted);
+            return Some(decision.with_delay(retry_after));
+        }
         let queue = self.queues.get(&request.service);
         let ahead = queue.map_or(0, |queue| queue.count_ahead(&request));
         if ahead == 0
@@ -375,6 +408,9 @@
         id: UpstreamId,
         end: AttemptEnd,
     ) -> Vec<QueueDecision> {
+        if let Some(group) = self.upstreams.group_of(id) {
+            self.count_end(&group, end);
+        }
         self.upstreams.record_end(now, id, end);
         self.process_queues(now)
     }
@@ -408,6 +444,7 @@
     /// this allows.
     pub fn record_group_load(&mut self, now: Millis, load: &GroupLoad) -> Vec<QueueDecision> {
         self.upstreams.record_group_load(now, load);
+        self.record_level(now, load);
         if let Some(gateways) = self.upstreams.gateways(now) {
             self.gateways.record(now, gateways);
         }
@@ -520,12 +557,13 @@
     }
 
     fn choose(&mut self, now: Millis, request: &PlacementRequest) -> Option<UpstreamId> {
+        let backlog = self.prepare_choice(now);
         let settings = &self.settings;
         self.upstreams.choose(
             now,
             &mut self.rng,
             &settings.zone,
-            settings.policy.backlog,
+            backlog,
             &request.needs(),
         )
     }
--- a/crates/decisions/tests/direct.rs
+++ b/crates/decisions/tests/direct.rs
@@ -61,6 +61,8 @@
         regions: AllowedRegions::default(),
         returning: false,
         is_retry: false,
+        organisation: None,
+        continues: false,
     }
 }
 
--- a/crates/decisions/tests/place_share.rs
+++ b/crates/decisions/tests/place_share.rs
@@ -89,6 +89,8 @@
                 tried: Vec::new(),
                 returning: false,
                 is_retry: false,
+                organisation: None,
+                continues: false,
                 regions: AllowedRegions::default(),
             };
             let decision = self.gateways[gateway].place(now, request);
--- a/crates/decisions/tests/upstream_limit.rs
+++ b/crates/decisions/tests/upstream_limit.rs
@@ -226,6 +226,8 @@
         regions: AllowedRegions::default(),
         returning: false,
         is_retry: false,
+        organisation: None,
+        continues: false,
     }
 }
 
--- a/crates/decisions/tests/zones.rs
+++ b/crates/decisions/tests/zones.rs
@@ -56,6 +56,8 @@
         regions: AllowedRegions::new(regions.iter().map(|name| Arc::from(*name)).collect()),
         returning: false,
         is_retry: false,
+        organisation: None,
+        continues: false,
     }
 }
 
--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -162,6 +162,8 @@
     ZonesEvacuated => 503, NotRun, Later, "zones_evacuated", "The zones of the upstreams are evacuated";
     /// No upstream that could take the request is in a region that its route and its organisation allow.
     RegionNotAllowed => 503, NotRun, Later, "region_not_allowed", "No upstream is in an allowed region";
+    /// The rank group takes only a share of all requests at present, as its coordinator has decided, and this one is not in it.
+    NotAdmitted => 503, NotRun, Later, "not_admitted", "The model takes only a part of all requests now";
 }
 
 impl fmt::Display for ErrorKind {
--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -114,7 +114,10 @@
                     .is_due(began, self.settings.policy.poll_interval),
                 experts: self.active_maps.is_none(),
             },
-            sample: self.sample.take(),
+            sample: self
+                .sample
+                .take()
+                .map(|sample| (began.since(self.sampled_at), sample)),
         };
         let skipped = self.skipped.take();
         let polls = self
@@ -218,9 +221,13 @@
         let ranks = views
             .iter()
             .map(|view| view.as_ref().map(|view| view.report.load));
+        let gateways = views.iter().flatten().map(|view| view.gateways).sum();
+        let slots = self.members.iter().map(|target| target.member.slots);
         let sample = GroupSample {
             ranks: ranks.collect(),
-            gateways: views.iter().flatten().map(|view| view.gateways).sum(),
+            gateways,
+            term: self.term,
+            level: self.admission.level(now, gateways, views, slots),
             limits: views
                 .iter()
                 .flatten()
@@ -228,7 +235,7 @@
                 .take(LIMITS_MAX)
                 .collect(),
         };
-        self.agent.record_sample(sample.clone());
+        self.agent.record_sample(Millis::ZERO, sample.clone());
         self.sample = Some(sample);
     }
 
@@ -296,6 +303,7 @@
                     experts: None,
                     gateways: 0,
                     limits: Vec::new(),
+                    demand: None,
                 })
             });
         let found: Vec<Option<EngineView>> = join_all(polls).await;
--- a/crates/ranks/src/messages.rs
+++ b/crates/ranks/src/messages.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use sardinepin_protocol::{GroupLoad, GroupSample, PermitGrant, PermitRequest, UpstreamLimit};
+use sardinepin_common::Millis;
+use sardinepin_protocol::{
+    GroupDemand, GroupLoad, GroupSample, PermitGrant, PermitRequest, UpstreamLimit,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::counts::CountIncrements;
@@ -36,6 +39,8 @@
     Load {
         /// A number that identifies the gateway.
         gateway: u64,
+        /// What the gateway has received for the group since its last query.
+        demand: GroupDemand,
     },
 }
 
@@ -46,8 +51,9 @@
     pub term: u64,
     /// What to return in addition to the report.
     pub scope: ViewScope,
-    /// The load of the group, if it was sampled since the last query.
-    pub sample: Option<GroupSample>,
+    /// The load of the group and its age, if it was sampled since the last query. Without the age, gateways would take the requests
+    /// that they sent since the sample for part of it.
+    pub sample: Option<(Millis, GroupSample)>,
 }
 
 /// What a view of an engine contains in addition to its report.
@@ -91,4 +97,7 @@
     pub gateways: u32,
     /// The limits of the upstreams for which this agent hands out permits.
     pub limits: Vec<UpstreamLimit>,
+    /// What gateways have reported to this agent since it started. Totals rather than increments, so that a lost view loses nothing
+    /// and each of two coordinators sees all of it. `None` if only the engine was reached.
+    pub demand: Option<GroupDemand>,
 }
--- a/trials/src/bounds/sender.rs
+++ b/trials/src/bounds/sender.rs
@@ -206,6 +206,8 @@
             regions: AllowedRegions::default(),
             returning: false,
             is_retry,
+            organisation: None,
+            continues: false,
         };
         if let Some(decision) = self.balancer.place(now, request) {
             self.carry_out(now, number, decision, actions);
--- a/trials/src/bounds/upstreams.rs
+++ b/trials/src/bounds/upstreams.rs
@@ -303,6 +303,7 @@
                     ranks: loads.collect(),
                     gateways,
                     limits,
+                    ..GroupSample::default()
                 },
             )),
         })
--- a/trials/src/fleet/policies.rs
+++ b/trials/src/fleet/policies.rs
@@ -217,6 +217,8 @@
                 regions: AllowedRegions::default(),
                 returning: false,
                 is_retry: false,
+                organisation: None,
+                continues: false,
             },
         )?;
         Some(self.to_choice(decision))
