--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -1,18 +1,17 @@
 //! The state of all upstreams of a gateway, and the selection among them.
 
+mod limits;
+mod selection;
 mod state;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rand::Rng as _;
-use rand::seq::IteratorRandom as _;
-use sardinepin_common::{Map, Millis, Rng, rendezvous_order};
-use sardinepin_protocol::{ErrorKind, GroupLoad, UpstreamLimit};
+use sardinepin_common::{Map, Millis};
+use sardinepin_protocol::{ErrorKind, GroupLoad};
 
 use crate::direct::cold_start::ColdServices;
-use crate::direct::limit_state::LimitState;
 use crate::direct::place_share::GroupPlaces;
 use crate::direct::policy::Policy;
 use crate::direct::rank_groups::RankGroups;
@@ -20,7 +19,6 @@
 pub use crate::direct::upstream_set::state::{AttemptEnd, LoadReport, UpstreamState};
 use crate::direct::upstream_spec::UpstreamSpec;
 use crate::direct::zones::{AllowedRegions, Zones};
-use crate::heard_limit::LimitNotice;
 
 /// The identifier of an upstream process within one gateway; never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -314,86 +312,6 @@
             .filter_map(|id| Some((*id, self.upstreams.get(id)?)))
     }
 
-    /// Returns an upstream that can take a request now, or `None` if none has capacity.
-    ///
-    /// Chooses the upstream with the lowest score among some random ranks of all groups that work,
-    /// or else among all of them, or among the upstreams without a group. `backlog` is how many
-    /// requests beyond its slots an upstream may hold.
-    #[must_use]
-    pub fn choose(
-        &self,
-        now: Millis,
-        rng: &mut Rng,
-        zone: &str,
-        backlog: f64,
-        needs: &Needs<'_>,
-    ) -> Option<UpstreamId> {
-        let service = self.services.get(needs.service)?;
-        let candidate = |id: &UpstreamId| self.candidate(now, *id, zone, backlog, needs);
-        let open: Vec<&[UpstreamId]> = service
-            .groups
-            .iter()
-            .filter(|(name, _)| {
-                !self.groups.is_closed(now, name) && self.groups.has_place(now, name)
-            })
-            .map(|(_, members)| members.as_slice())
-            .collect();
-        let ranks: usize = open.iter().map(|members| members.len()).sum();
-        if ranks > 0 {
-            // A permit is valid for a moment only.
-            let permitted = self.permitted(now, needs.service).filter_map(candidate);
-            let some = (0..self.rank_choices).filter_map(|_| {
-                let id = member_at(&open, rng.random_range(0..ranks))?;
-                candidate(id)
-            });
-            let some = some.chain(permitted);
-            let best = lowest(some);
-            if best.is_some() {
-                return best;
-            }
-            // Gateways that took the least loaded of all ranks would all take the same one until its next report.
-            let all = open.iter().copied().flatten().filter_map(candidate);
-            if let Some((_, id)) = all.choose(rng) {
-                return Some(id);
-            }
-        }
-        let plain = service.plain.iter();
-        lowest(plain.filter_map(candidate))
-    }
-
-    /// Returns the upstreams of a service that have named limits and for which there are permits, unless their group is closed.
-    fn permitted(&self, now: Millis, service: &str) -> impl Iterator<Item = &UpstreamId> {
-        self.limited.iter().filter(move |id| {
-            let upstream = self.upstreams.get(id);
-            upstream.is_some_and(|upstream| {
-                *upstream.spec.service == *service
-                    && upstream.limit.count_permits(now) > 0
-                    && self.is_usable(now, upstream)
-            })
-        })
-    }
-
-    /// Returns an upstream with its score if it can take a request now.
-    fn candidate(
-        &self,
-        now: Millis,
-        id: UpstreamId,
-        zone: &str,
-        backlog: f64,
-        needs: &Needs<'_>,
-    ) -> Option<(f64, UpstreamId)> {
-        let upstream = self.upstreams.get(&id)?;
-        let spec = &upstream.spec;
-        let max = self.zones.open_slots(now, id, &spec.zone, spec.slots) + backlog;
-        let takes = upstream.is_usable(now)
-            && self.is_zone_open(upstream, needs.regions)
-            && !upstream.is_ejected(now)
-            && !needs.tried.contains(&id)
-            && upstream.is_open(now)
-            && upstream.estimated_load(now) + 1.0 <= max;
-        takes.then(|| (upstream.score(now, zone), id))
-    }
-
     pub(super) fn zones(&self) -> &Zones {
         &self.zones
     }
@@ -479,26 +397,6 @@
         }
     }
 
-    /// Records what an agent knew of the limit of an upstream at `sampled_at`.
-    fn record_reported_limit(&mut self, sampled_at: Millis, reported: &UpstreamLimit) {
-        let limit = reported.limit;
-        let Some(id) = self.find_by_name(&reported.upstream) else {
-            return;
-        };
-        let upstream = self.upstreams.get(&id);
-        if upstream.is_some_and(|upstream| upstream.spec.started_at == limit.started_at) {
-            let heard_at = sampled_at.since(limit.age);
-            self.change_limit(id, |state| state.record_report(heard_at, limit.rate));
-        }
-        // A process that started later may have the address already, while the store cannot be read here.
-        let upstream = self.upstreams.get(&id);
-        if let Some(cold) = limit.cold
-            && upstream.is_some_and(|upstream| upstream.spec.started_at <= limit.started_at)
-        {
-            self.change_limit(id, |state| state.cold.record_report(sampled_at, cold));
-        }
-    }
-
     /// Records that an upstream has sent data, which shows that its whole group works.
     pub fn record_progress(&mut self, now: Millis, id: UpstreamId) {
         if let Some(upstream) = self.upstreams.get(&id)
@@ -508,35 +406,6 @@
         }
     }
 
-    /// Returns whether an attempt should move to another upstream: its group has stalled, and an
-    /// upstream of another group has capacity.
-    #[must_use]
-    pub fn should_move(
-        &self,
-        now: Millis,
-        id: UpstreamId,
-        backlog: f64,
-        regions: &AllowedRegions,
-    ) -> bool {
-        let Some(upstream) = self.upstreams.get(&id) else {
-            return false;
-        };
-        let Some(group) = &upstream.spec.group else {
-            return false;
-        };
-        self.groups.is_stalled(now, &group.name)
-            && self.in_service(&upstream.spec.service).any(|(_, other)| {
-                let working_elsewhere = other.spec.group.as_ref().is_some_and(|other_group| {
-                    other_group.name != group.name
-                        && !self.groups.is_stalled(now, &other_group.name)
-                });
-                let free_slots = f64::from(other.spec.slots) + backlog - other.estimated_load(now);
-                let is_open = other.is_open(now);
-                let is_open = is_open && self.is_zone_open(other, regions);
-                working_elsewhere && self.is_usable(now, other) && is_open && free_slots >= 1.0
-            })
-    }
-
     /// Returns when the limits and rests of the usable upstreams of a service that were not tried yet, in the regions of a request, allow it: at once
     /// if one of them has none. `None` if no upstream is usable.
     #[must_use]
@@ -636,48 +505,6 @@
         }
     }
 
-    /// Records what an answer to a request sent at `sent_at` says about the limit of its upstream; returns whether the limit
-    /// changed.
-    pub fn record_limit(
-        &mut self,
-        now: Millis,
-        id: UpstreamId,
-        sent_at: Millis,
-        notice: LimitNotice,
-    ) -> bool {
-        let upstream = self.upstreams.get_mut(&id);
-        let changed = upstream.is_some_and(|upstream| upstream.record_limit(now, sent_at, notice));
-        self.update_limited(id);
-        changed
-    }
-
-    /// Updates whether an upstream counts as limited: it has a limit, or its end has to be told to an agent.
-    fn update_limited(&mut self, id: UpstreamId) {
-        let upstream = self.upstreams.get(&id);
-        let listed = upstream.filter(|one| self.names.get(&one.spec.id) == Some(&id));
-        if listed.is_some_and(|one| one.limit.concerns_agents()) {
-            self.limited.insert(id);
-        } else {
-            self.limited.remove(&id);
-        }
-    }
-
-    /// Returns whether a service has a usable upstream without a limit.
-    pub(super) fn has_unlimited(&self, now: Millis, service: &str) -> bool {
-        self.in_service(service)
-            .any(|(_, one)| !one.limit.is_bounded(now) && self.is_usable(now, one))
-    }
-
-    /// Returns whether any upstream has named a limit.
-    pub(super) fn has_limited(&self) -> bool {
-        !self.limited.is_empty()
-    }
-
-    /// Returns whether any upstream has named a limit, or rests.
-    pub(super) fn has_turns(&self, now: Millis) -> bool {
-        !self.limited.is_empty() || now < self.rests_until
-    }
-
     /// Records that an upstream has said that it is leaving; returns whether that is new.
     pub fn record_leaving(&mut self, id: UpstreamId) -> bool {
         let upstream = self.upstreams.get_mut(&id);
@@ -692,39 +519,6 @@
         }
     }
 
-    /// Returns the upstreams that have named a limit, or have just lifted one.
-    pub(super) fn limited(&self) -> impl Iterator<Item = (UpstreamId, &UpstreamState)> {
-        let ids = self.limited.iter();
-        ids.filter_map(|id| Some((*id, self.upstreams.get(id)?)))
-    }
-
-    /// Changes what is known of the limit of an upstream.
-    pub(super) fn change_limit<T>(
-        &mut self,
-        id: UpstreamId,
-        change: impl FnOnce(&mut LimitState) -> T,
-    ) -> Option<T> {
-        let result = change(&mut self.upstreams.get_mut(&id)?.limit);
-        self.update_limited(id);
-        Some(result)
-    }
-
-    /// Returns the upstream beside which the agent runs that hands out the permits for an upstream: itself, or for one without an
-    /// agent the one that all gateways choose alike.
-    pub(super) fn permit_agent(&self, id: UpstreamId) -> Option<SocketAddr> {
-        let spec = &self.upstreams.get(&id)?.spec;
-        if spec.group.is_some() {
-            return Some(spec.address);
-        }
-        let ranks = self.listed().filter(|(_, rank)| rank.spec.group.is_some());
-        let ranks: BTreeMap<&str, SocketAddr> = ranks
-            .map(|(_, rank)| (&*rank.spec.id, rank.spec.address))
-            .collect();
-        let (names, addresses): (Vec<&str>, Vec<SocketAddr>) = ranks.into_iter().unzip();
-        let first = rendezvous_order(&&*spec.id, &names).first().copied()?;
-        addresses.get(first).copied()
-    }
-
     /// Records how many attempts the other gateways have in flight.
     pub fn record_peer_load(&mut self, now: Millis, id: UpstreamId, peer_load: u32) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -732,19 +526,3 @@
         }
     }
 }
-
-/// Returns the member at a position, counted over all groups.
-fn member_at<'a>(groups: &[&'a [UpstreamId]], mut position: usize) -> Option<&'a UpstreamId> {
-    for members in groups {
-        if let Some(id) = members.get(position) {
-            return Some(id);
-        }
-        position -= members.len();
-    }
-    None
-}
-
-fn lowest(candidates: impl Iterator<Item = (f64, UpstreamId)>) -> Option<UpstreamId> {
-    let best = candidates.min_by(|one, other| one.0.total_cmp(&other.0));
-    best.map(|(_, id)| id)
-}
--- a/crates/decisions/src/group_admission.rs
+++ b/crates/decisions/src/group_admission.rs
@@ -27,6 +27,10 @@
 /// served.
 const ADMITTED_MIN: f64 = 0.2;
 
+/// How many times the admitted rate the demand is at least when a level begins. Below that the gateways' shares of the free places and
+/// short waits serve nearly all of it, and refusals on arrival would leave slots unused.
+const OVERLOAD_MIN: f64 = 1.25;
+
 /// The part of the admitted rate that is divided among all priorities by their demand, so that none is starved.
 const FLOOR_SHARE: f64 = 0.1;
 
@@ -208,7 +212,11 @@
         let admitted = rates.completed + (target - load) / horizon;
         let admitted = admitted.max(rates.completed * ADMITTED_MIN);
         let demand: f64 = rates.arrived.iter().sum();
-        (demand > admitted).then(|| AdmissionLevel {
+        let tolerated = match self.level {
+            None => admitted * OVERLOAD_MIN,
+            Some(_) => admitted,
+        };
+        (demand > tolerated).then(|| AdmissionLevel {
             admitted_per_s: admitted as u32,
             completed_per_s: rates.completed as u32,
             shares: shares(&rates.arrived, admitted),
