Trial fleet: the code before has no shares of places; its fallback is that of before again

Change: with shares-places off a gateway falls back to the least loaded rank, as before, and the replay switches it off for all but the product. The check and its bounds are as they were.

--- a/crates/decisions/src/direct/rank_groups.rs
+++ b/crates/decisions/src/direct/rank_groups.rs
@@ -228,6 +228,11 @@
         self.group_mut(name).share.record_sample(now, places);
     }
 
+    /// Returns whether free places are shared between gateways.
+    pub(super) fn shares_places(&self) -> bool {
+        self.policy.shares_places
+    }
+
     /// Returns whether this gateway may send one more request to a group.
     pub(super) fn has_place(&self, now: Millis, name: &str) -> bool {
         let group = self.groups.get(name);
--- a/crates/decisions/src/direct/upstream_set/selection.rs
+++ b/crates/decisions/src/direct/upstream_set/selection.rs
@@ -45,9 +45,13 @@
             if best.is_some() {
                 return best;
             }
-            // Gateways that took the least loaded of all ranks would all take the same one until its next report.
             let all = open.iter().copied().flatten().filter_map(candidate);
-            if let Some((_, id)) = all.choose(rng) {
+            // Gateways that share places and took the least loaded of all ranks would all take the same one until its next report.
+            let best = match self.groups.shares_places() {
+                true => all.choose(rng).map(|(_, id)| id),
+                false => lowest(all),
+            };
+            if let Some(id) = best {
                 return Some(id);
             }
         }
--- a/trials/src/fleet/burst.rs
+++ b/trials/src/fleet/burst.rs
@@ -254,6 +254,7 @@
     let calls = generate(seed, pattern);
     let gateway_policy = GatewayPolicy {
         admission: policy == BurstPolicy::AdmissionLevel,
+        shares_places: policy == BurstPolicy::AdmissionLevel,
         ..GatewayPolicy::default()
     };
     let specs: Vec<UpstreamSpec> = (0..SHAPE.ranks).map(upstream_spec).collect();
