--- a/trials/src/maps.rs
+++ b/trials/src/maps.rs
@@ -16,7 +16,7 @@
 use crate::arguments::{integer_arg, integer_value};
 use crate::maps::simulation::{Summary, simulate};
 use crate::maps::strategies::strategies;
-use crate::maps::traffic::{Traffic, TrafficSettings};
+use crate::maps::traffic::{GroupShape, Traffic, TrafficSettings};
 
 /// Returns the trial's command line.
 pub(crate) fn command() -> Command {
@@ -38,6 +38,27 @@
             "148",
             "The time that a rank takes to load one expert, in milliseconds",
         ))
+        .arg(integer_arg(
+            "ranks",
+            "8",
+            "The number of ranks in the group",
+        ))
+        .arg(integer_arg("layers", "6", "The number of expert layers"))
+        .arg(integer_arg(
+            "experts",
+            "64",
+            "The number of experts in a layer",
+        ))
+        .arg(integer_arg(
+            "rank-slots",
+            "11",
+            "The most experts of one layer that a rank can hold",
+        ))
+        .arg(integer_arg(
+            "layer-loads",
+            "4",
+            "The most experts of one layer that a rank may load for one change",
+        ))
         .arg(float_arg(
             "load-gain",
             "Overrides RebalanceSettings::transfer_gain",
@@ -60,17 +81,26 @@
 
 /// Runs the trial and prints a line for each strategy.
 pub(crate) fn run(arguments: &ArgMatches) -> anyhow::Result<()> {
+    let size = |name: &str| integer_value(arguments, name) as usize;
+    let shape = GroupShape {
+        layers: size("layers"),
+        experts: size("experts"),
+        ranks: size("ranks"),
+        rank_slots: size("rank-slots"),
+        layer_transfers: size("layer-loads"),
+    };
     let settings = TrafficSettings {
+        shape,
         seed: integer_value(arguments, "seed"),
         seconds: integer_value(arguments, "seconds"),
         shift_ms: integer_value(arguments, "shift-ms"),
         ..TrafficSettings::default()
     };
     let traffic = match arguments.get_one::<PathBuf>("counts") {
-        Some(path) => Traffic::read(path)?,
+        Some(path) => Traffic::read(path, shape)?,
         None => Traffic::generate(&settings)?,
     };
-    for strategy in strategies(rebalance_settings(arguments)) {
+    for strategy in strategies(rebalance_settings(arguments), shape) {
         let summary = simulate(&traffic, &strategy, integer_value(arguments, "load-ms"));
         print_summary(strategy.name, &summary);
     }
--- a/trials/src/maps/simulation.rs
+++ b/trials/src/maps/simulation.rs
@@ -4,7 +4,7 @@
 use sardinepin_groups::{LayerMap, Popularity, RebalanceSettings, map_skew, plan_rebalance};
 
 use crate::maps::strategies::Strategy;
-use crate::maps::traffic::{EXPERTS, LAYERS, RANKS, Traffic};
+use crate::maps::traffic::{GroupShape, Traffic};
 
 /// The time from the last expert transfer of a switch until the new maps are in use.
 const SWITCH_TIME: Millis = Millis(80);
@@ -44,7 +44,8 @@
 /// Runs one strategy over the traffic; `transfer_ms` is the time to load one expert.
 pub(crate) fn simulate(traffic: &Traffic, strategy: &Strategy, transfer_ms: u64) -> Summary {
     let mut summary = Summary::default();
-    let mut layers = initial_maps();
+    let shape = traffic.shape;
+    let mut layers = initial_maps(shape);
     let mut popularity = Popularity::new(strategy.popularity);
     let mut pending_switch: Option<PendingSwitch> = None;
     let mut next_plan_at = Millis::ZERO;
@@ -52,7 +53,7 @@
     for (index, sample) in traffic.samples.iter().enumerate() {
         let increments = traffic.increments_before(index);
         let increments: Vec<_> = increments.into_iter().collect();
-        popularity.record_increments(sample.at, 1, RANKS, &increments, EXPERTS);
+        popularity.record_increments(sample.at, 1, shape.ranks, &increments, shape.experts);
         if let Some(switch) =
             pending_switch.take_if(|pending_switch| sample.at >= pending_switch.active_at)
         {
@@ -69,7 +70,7 @@
         } else if let Some(settings) = &strategy.rebalance
             && pending_switch.is_none()
             && sample.at >= next_plan_at
-            && let Some(demand) = popularity.demand(LAYERS, EXPERTS)
+            && let Some(demand) = popularity.demand(shape.layers, shape.experts)
             && let Some(change) = plan_rebalance(settings, &layers, &demand, &[])
         {
             summary.transfers += change.transfers;
@@ -129,17 +130,18 @@
 }
 
 /// Returns the maps that engines start with: experts assigned to ranks in turn.
-fn initial_maps() -> Vec<LayerMap> {
+fn initial_maps(shape: GroupShape) -> Vec<LayerMap> {
     let rank = |rank: usize| {
-        let own_experts = (0..EXPERTS).filter(|expert| expert % RANKS == rank);
+        let own_experts = (0..shape.experts).filter(|expert| expert % shape.ranks == rank);
         own_experts.map(|expert| expert as u16).collect()
     };
-    vec![(0..RANKS).map(rank).collect(); LAYERS]
+    vec![(0..shape.ranks).map(rank).collect(); shape.layers]
 }
 
 /// Returns the number of experts that the rank with the most transfers loads.
 fn max_rank_transfers(before: &[LayerMap], after: &[LayerMap]) -> usize {
-    let mut transfers = [0; RANKS];
+    let ranks = before.first().map_or(0, Vec::len);
+    let mut transfers = vec![0; ranks];
     for (old, new) in before.iter().zip(after) {
         for (rank, (old, new)) in old.iter().zip(new).enumerate() {
             transfers[rank] += new.iter().filter(|expert| !old.contains(expert)).count();
--- a/trials/src/maps/strategies.rs
+++ b/trials/src/maps/strategies.rs
@@ -3,14 +3,11 @@
 use sardinepin_common::Millis;
 use sardinepin_groups::{PopularitySettings, RebalanceSettings};
 
-use crate::maps::traffic::{EXPERTS, LAYERS, SLOTS_PER_RANK};
+use crate::maps::traffic::GroupShape;
 
 /// A shift threshold above every possible distance between counts, so that no shift is detected.
 const NO_SHIFT_DETECTION: f64 = 3.0;
 
-/// A transfer limit that no plan reaches.
-const UNLIMITED_TRANSFERS: usize = LAYERS * EXPERTS;
-
 /// A strategy for changing the expert maps.
 #[derive(Debug, Clone)]
 pub(crate) struct Strategy {
@@ -25,15 +22,17 @@
 }
 
 /// Returns all strategies, the simplest first; `settings` are those of the product's planner.
-pub(crate) fn strategies(settings: RebalanceSettings) -> Vec<Strategy> {
+pub(crate) fn strategies(settings: RebalanceSettings, shape: GroupShape) -> Vec<Strategy> {
+    // No plan reaches this limit.
+    let unlimited_transfers = shape.layers * shape.experts;
     let earlier_planner = Strategy {
         name: "before",
         rebalance: Some(RebalanceSettings {
-            rank_slots: SLOTS_PER_RANK,
+            rank_slots: shape.rank_slots,
+            layer_transfers: shape.layer_transfers,
             rank_transfers: 2,
             transfer_gain: 0.032,
             change_gain: 0.02,
-            ..RebalanceSettings::default()
         }),
         popularity: PopularitySettings {
             shift_threshold: NO_SHIFT_DETECTION,
@@ -45,7 +44,8 @@
     let product_planner = Strategy {
         name: "product",
         rebalance: Some(RebalanceSettings {
-            rank_slots: SLOTS_PER_RANK,
+            rank_slots: shape.rank_slots,
+            layer_transfers: shape.layer_transfers,
             ..settings
         }),
         popularity: PopularitySettings::default(),
@@ -53,7 +53,7 @@
         is_ideal: false,
     };
     let unlimited = RebalanceSettings {
-        rank_transfers: UNLIMITED_TRANSFERS,
+        rank_transfers: unlimited_transfers,
         ..rebalance_of(&product_planner)
     };
     vec![
@@ -88,7 +88,7 @@
         Strategy {
             name: "ideal",
             rebalance: Some(RebalanceSettings {
-                layer_transfers: UNLIMITED_TRANSFERS,
+                layer_transfers: unlimited_transfers,
                 change_gain: 0.0,
                 ..unlimited
             }),
--- a/trials/src/maps/traffic.rs
+++ b/trials/src/maps/traffic.rs
@@ -9,17 +9,32 @@
 use sardinepin_common::{Millis, Rng, seeded_rng};
 use serde::Deserialize;
 
-/// The layers of the simulated rank group.
-pub(crate) const LAYERS: usize = 6;
-
-/// The experts of each layer.
-pub(crate) const EXPERTS: usize = 64;
-
-/// The ranks of the group.
-pub(crate) const RANKS: usize = 8;
+/// The dimensions of the simulated rank group.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct GroupShape {
+    /// The layers whose experts have a map of their own.
+    pub(crate) layers: usize,
+    /// The experts of each layer.
+    pub(crate) experts: usize,
+    /// The ranks of the group.
+    pub(crate) ranks: usize,
+    /// The experts of each layer that a rank has room for, replicas included.
+    pub(crate) rank_slots: usize,
+    /// The experts of each layer that a rank may load for one change.
+    pub(crate) layer_transfers: usize,
+}
 
-/// The experts of each layer that a rank has room for, replicas included.
-pub(crate) const SLOTS_PER_RANK: usize = 11;
+impl Default for GroupShape {
+    fn default() -> Self {
+        Self {
+            layers: 6,
+            experts: 64,
+            ranks: 8,
+            rank_slots: 11,
+            layer_transfers: 4,
+        }
+    }
+}
 
 /// The time between two samples of the counts.
 const SAMPLE_INTERVAL: Millis = Millis(120);
@@ -27,6 +42,7 @@
 /// Settings of generated traffic.
 #[derive(Debug, Clone)]
 pub(crate) struct TrafficSettings {
+    pub(crate) shape: GroupShape,
     pub(crate) seed: u64,
     pub(crate) seconds: u64,
     /// The time between two shifts of the popularity.
@@ -46,6 +62,7 @@
 impl Default for TrafficSettings {
     fn default() -> Self {
         Self {
+            shape: GroupShape::default(),
             seed: 1,
             seconds: 60,
             shift_ms: 3_400,
@@ -68,6 +85,7 @@
 /// The samples of a rank group's counts, in order of time.
 #[derive(Debug)]
 pub(crate) struct Traffic {
+    pub(crate) shape: GroupShape,
     pub(crate) samples: Vec<Sample>,
 }
 
@@ -77,7 +95,7 @@
     /// # Errors
     ///
     /// Fails if the file cannot be read, or a line is not a sample with a count for each expert.
-    pub(crate) fn read(path: &Path) -> anyhow::Result<Self> {
+    pub(crate) fn read(path: &Path, shape: GroupShape) -> anyhow::Result<Self> {
         let text = std::fs::read_to_string(path)
             .with_context(|| format!("cannot read {}", path.display()))?;
         let samples: Result<Vec<Sample>, _> = text.lines().map(serde_json::from_str).collect();
@@ -89,13 +107,13 @@
         })?;
         let is_complete = samples
             .iter()
-            .all(|sample| sample.counts.len() == LAYERS * EXPERTS);
+            .all(|sample| sample.counts.len() == shape.layers * shape.experts);
         anyhow::ensure!(
             is_complete,
             "every line must hold {} counts",
-            LAYERS * EXPERTS
+            shape.layers * shape.experts
         );
-        Ok(Self { samples })
+        Ok(Self { shape, samples })
     }
 
     /// Generates random counts; the same settings give the same counts.
@@ -109,7 +127,7 @@
             .map(|_| draw_expert_shares(settings, &mut rng))
             .collect();
         let topic_distribution = Zipf::new(settings.topics as f64, 1.0)?;
-        let mut counts = vec![0; LAYERS * EXPERTS];
+        let mut counts = vec![0; settings.shape.layers * settings.shape.experts];
         let mut samples = Vec::new();
         let mut at = Millis::ZERO;
         let mut current_topic = 0;
@@ -141,7 +159,10 @@
             });
             at = at + SAMPLE_INTERVAL;
         }
-        Ok(Self { samples })
+        Ok(Self {
+            shape: settings.shape,
+            samples,
+        })
     }
 
     /// Returns the tokens of each expert between a sample and the one before it; `None` for the first
@@ -163,18 +184,19 @@
             .zip(&next.counts)
             .map(|(before, after)| after.saturating_sub(*before) as f64)
             .collect();
-        Some(increase.chunks(EXPERTS).map(<[f64]>::to_vec).collect())
+        let layers = increase.chunks(self.shape.experts);
+        Some(layers.map(<[f64]>::to_vec).collect())
     }
 }
 
 /// Draws the token shares of all experts for one topic, layer by layer.
 fn draw_expert_shares(settings: &TrafficSettings, rng: &mut Rng) -> Vec<f64> {
-    let weights: Vec<f64> = (1..=EXPERTS)
+    let weights: Vec<f64> = (1..=settings.shape.experts)
         .map(|position| (position as f64).powf(-settings.zipf_exponent))
         .collect();
     let sum: f64 = weights.iter().sum();
     let mut shares = Vec::new();
-    for _ in 0..LAYERS {
+    for _ in 0..settings.shape.layers {
         let mut layer: Vec<f64> = weights.iter().map(|weight| weight / sum).collect();
         layer.shuffle(rng);
         shares.extend(layer);
