Requests of callers that come back into an outage of a rank group are held

Cause: a refused caller waits at most a third of its time and has one retry. Change: while the groups of its service are out, a returning request waits in the queue until the group opens, until shortly before callers leave (the median of those that left without an answer, 2 s on the users' platform), or until it could no longer end before its deadline (the usual service time), at most half of a queue. First attempts are refused at once as before. A gateway that stops refuses what it holds. Placement, queue and retry budget of the balancer are modules of their own, and requests and decisions a module that the others use; no change of behaviour there.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -8,26 +8,27 @@
 mod caller_timeouts;
 mod cold_start;
 mod crashes;
+mod hold;
 mod limit_state;
 mod permits;
 mod place_share;
 mod policy;
 mod queue;
 mod rank_groups;
+mod request;
 mod returns;
 mod upstream_set;
 mod upstream_spec;
 mod withdrawal;
 mod zones;
 
-pub use balancer::{
-    Balancer, BalancerSettings, Decision, PlacementRequest, QueueDecision, RequestNumber,
-};
+pub use balancer::{Balancer, BalancerSettings};
 pub use caller_timeouts::CallerTimeouts;
 pub use cold_start::ColdService;
 pub use crashes::{Crash, CrashRecords, CrashedAttempt};
 pub use permits::{PermitAsk, PermitReply};
 pub use policy::Policy;
+pub use request::{Decision, PlacementRequest, QueueDecision, RequestNumber};
 pub use upstream_set::{
     AttemptEnd, GroupMembers, LoadReport, Needs, UpstreamCounts, UpstreamHealth, UpstreamId,
     UpstreamSet, UpstreamState,
--- a/crates/decisions/src/direct/admission.rs
+++ b/crates/decisions/src/direct/admission.rs
@@ -8,7 +8,8 @@
 use sardinepin_common::{Map, Millis, Rng};
 use sardinepin_protocol::{AdmissionLevel, GroupDemand, GroupLoad, PRIORITIES};
 
-use crate::direct::balancer::{Balancer, PlacementRequest};
+use crate::direct::balancer::Balancer;
+use crate::direct::request::PlacementRequest;
 use crate::direct::returns::late_delay;
 use crate::direct::upstream_set::AttemptEnd;
 
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -3,6 +3,9 @@
 //! Under a burst of requests, a request is sent while an upstream has capacity, waits while
 //! capacity is expected soon, and is refused as soon as neither holds.
 
+mod queueing;
+mod retries;
+
 use std::sync::Arc;
 
 use rand::Rng as _;
@@ -12,17 +15,17 @@
 use crate::cold_bound::ColdRule;
 use crate::direct::admission::AdmissionGate;
 use crate::direct::cold_start::Demand;
+use crate::direct::hold::{CallerPatience, ServiceTime};
 use crate::direct::policy::Policy;
-use crate::direct::queue::{QueuedRequest, RequestQueue};
+use crate::direct::queue::RequestQueue;
+use crate::direct::request::{Decision, PlacementRequest, QueueDecision};
 use crate::direct::returns::{Returns, exclusion_delay, overload_delay, turn_delay};
-use crate::direct::upstream_set::{
-    AttemptEnd, LoadReport, Needs, NextTurn, UpstreamCounts, UpstreamId, UpstreamSet,
-};
+use crate::direct::upstream_set::{AttemptEnd, LoadReport, NextTurn, UpstreamId, UpstreamSet};
 use crate::direct::upstream_spec::UpstreamSpec;
 use crate::direct::zones::{AllowedRegions, Zones};
 use crate::heard_limit::LimitNotice;
 use crate::node_count::NodeCount;
-use crate::retry_budget::{BudgetSettings, BudgetStatus, RetryBudget};
+use crate::retry_budget::{BudgetSettings, RetryBudget};
 
 /// Settings of a balancer.
 #[derive(Debug, Clone)]
@@ -60,86 +63,6 @@
     }
 }
 
-/// The sequence number of a request within one gateway, in order of arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequestNumber(pub u64);
-
-/// A request that needs an upstream.
-#[derive(Debug, Clone)]
-pub struct PlacementRequest {
-    /// The number of the request.
-    pub number: RequestNumber,
-    /// The service whose upstreams can take the request.
-    pub service: Arc<str>,
-    /// The priority; 0 is the most urgent.
-    pub priority: u8,
-    /// The response time within which the request is of full use.
-    pub latency_objective: Millis,
-    /// The time after which it is not sent any more.
-    pub deadline: Millis,
-    /// The upstreams already tried for it.
-    pub tried: Vec<UpstreamId>,
-    /// The regions that it may go to.
-    pub regions: AllowedRegions,
-    /// Whether its caller has been refused before, as far as can be told.
-    pub returning: bool,
-    /// Whether a retry was reserved for it in the budget of its service.
-    pub is_retry: bool,
-    /// The organisation of its caller, if it has one.
-    pub organisation: Option<Arc<str>>,
-    /// Whether it continues what has been admitted before: a retry within the gateway, or a stream that moves or is resumed.
-    pub continues: bool,
-}
-
-impl PlacementRequest {
-    fn needs(&self) -> Needs<'_> {
-        Needs {
-            service: &self.service,
-            tried: &self.tried,
-            regions: &self.regions,
-        }
-    }
-}
-
-/// Whether a request is sent or refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// It is sent to this upstream; the attempt is already counted as in flight.
-    Send(UpstreamId),
-    /// It is refused.
-    Refuse {
-        /// The reason, which decides the status of the response.
-        kind: ErrorKind,
-        /// The delay after which a retry is useful.
-        retry_after: Millis,
-        /// The number of upstreams of the service in each state.
-        counts: UpstreamCounts,
-    },
-}
-
-impl Decision {
-    /// Returns the decision with another retry delay if it is a refusal.
-    fn with_delay(self, retry_after: Millis) -> Self {
-        match self {
-            Self::Refuse { kind, counts, .. } => Self::Refuse {
-                kind,
-                retry_after,
-                counts,
-            },
-            Self::Send(_) => self,
-        }
-    }
-}
-
-/// The decision on a queued request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QueueDecision {
-    /// The number of the request.
-    pub number: RequestNumber,
-    /// Whether it is sent or refused.
-    pub decision: Decision,
-}
-
 /// Balances the requests of one gateway over its upstreams.
 #[derive(Debug)]
 pub struct Balancer {
@@ -148,6 +71,10 @@
     queues: Map<Arc<str>, RequestQueue>,
     budgets: Map<Arc<str>, RetryBudget>,
     returns: Map<Arc<str>, Returns>,
+    pub(super) service_times: Map<Arc<str>, ServiceTime>,
+    pub(super) patience: CallerPatience,
+    /// Whether the gateway stops, so that no requests are held any more.
+    pub(super) is_stopping: bool,
     /// When the last request for each service arrived.
     last_requests: Map<Arc<str>, Millis>,
     /// How many requests for each service arrive.
@@ -173,6 +100,9 @@
             queues: Map::default(),
             budgets: Map::default(),
             returns: Map::default(),
+            service_times: Map::default(),
+            patience: CallerPatience::default(),
+            is_stopping: false,
             last_requests: Map::default(),
             demands: Map::default(),
             gateways: NodeCount::default(),
@@ -232,6 +162,11 @@
         self.last_requests.get(service).copied()
     }
 
+    /// Returns the maximum queue length of each service.
+    pub(super) fn queue_max(&self) -> usize {
+        self.settings.queue_max
+    }
+
     /// Returns how many requests for a service are queued.
     pub(super) fn queue_len(&self, service: &str) -> usize {
         self.queues.get(service).map_or(0, RequestQueue::len)
@@ -243,46 +178,6 @@
         self.process_queues(now)
     }
 
-    /// Counts a request in the retry budget of its service.
-    pub fn record_request(&mut self, now: Millis, service: &Arc<str>) {
-        self.last_requests.insert(Arc::clone(service), now);
-        let demand = self.demands.entry(Arc::clone(service)).or_default();
-        demand.record(now);
-        let settings = self.settings.retry_budget;
-        self.budget(now, service).record_request(now, &settings);
-    }
-
-    /// Reserves a retry in the budget of a service; returns whether one was left. A request for which one is reserved is placed
-    /// with `is_retry`, or the retry is released.
-    pub fn try_reserve_retry(&mut self, now: Millis, service: &Arc<str>) -> bool {
-        let settings = self.settings.retry_budget;
-        self.budget(now, service).try_reserve(now, &settings)
-    }
-
-    /// Gives back a reserved retry that will not be placed.
-    pub fn release_retry(&mut self, now: Millis, service: &Arc<str>) {
-        let settings = self.settings.retry_budget;
-        self.budget(now, service).release(now, &settings);
-    }
-
-    /// Returns what is left of the retry budget of a service.
-    pub fn retry_budget(&mut self, now: Millis, service: &Arc<str>) -> BudgetStatus {
-        let settings = self.settings.retry_budget;
-        self.budget(now, service).status(now, &settings)
-    }
-
-    /// Returns the retry budget of a service, which knows how many gateways share it.
-    fn budget(&mut self, now: Millis, service: &Arc<str>) -> &mut RetryBudget {
-        let settings = &self.settings.retry_budget;
-        let position = self.position;
-        let budgets = self.budgets.entry(Arc::clone(service));
-        let budget = budgets.or_insert_with(|| RetryBudget::new(now, position, settings));
-        if let Some(gateways) = self.upstreams.gateways(now) {
-            budget.record_nodes(now, gateways);
-        }
-        budget
-    }
-
     /// Decides on a new request; `None` means that it is queued.
     pub fn place(&mut self, now: Millis, request: PlacementRequest) -> Option<Decision> {
         let retried = request.is_retry.then(|| Arc::clone(&request.service));
@@ -293,14 +188,6 @@
         decision
     }
 
-    /// Records what became of a reserved retry.
-    fn settle_retry(&mut self, now: Millis, service: &Arc<str>, decision: Decision) {
-        match decision {
-            Decision::Send(_) => self.budget(now, service).record_sent(),
-            Decision::Refuse { .. } => self.release_retry(now, service),
-        }
-    }
-
     fn decide(&mut self, now: Millis, request: PlacementRequest) -> Option<Decision> {
         if now >= request.deadline {
             return Some(self.refuse(now, &request, ErrorKind::TooLate));
@@ -326,21 +213,16 @@
         let returns = self.returns.entry(Arc::clone(&request.service));
         returns.or_default().record_usable(now, turn.is_some());
         let Some(turn) = turn else {
-            return Some(self.refuse(now, &request, ErrorKind::NoUpstream));
+            return match self.hold_until(now, &request) {
+                Some(expires_at) => self.enqueue(now, request, expires_at),
+                None => Some(self.refuse(now, &request, ErrorKind::NoUpstream)),
+            };
         };
         let expires_at = request.deadline.min(now + self.longest_wait(&request));
         if turn.not_before > expires_at {
             return Some(self.refuse(now, &request, turn.refusal()));
         }
-        let queue = self.queues.entry(Arc::clone(&request.service)).or_default();
-        if queue.len() >= self.settings.queue_max {
-            return Some(self.refuse(now, &request, ErrorKind::QueueFull));
-        }
-        queue.push(QueuedRequest {
-            expires_at,
-            request,
-        });
-        None
+        self.enqueue(now, request, expires_at)
     }
 
     /// Returns when an upstream may take a request, as far as limits go; `None` if none is usable.
@@ -355,28 +237,6 @@
         (kind != ErrorKind::NoUpstream).then_some(kind)
     }
 
-    /// Refuses the queued requests that have lost their last upstream to an evacuation or to their regions.
-    fn refuse_excluded(
-        &mut self,
-        now: Millis,
-        queue: &mut RequestQueue,
-        decisions: &mut Vec<QueueDecision>,
-    ) {
-        while let Some(excluded) = queue.pop_first(|queued| {
-            let request = &queued.request;
-            self.upstreams.zones().may_exclude(&request.regions)
-                && self.next_turn(now, request).is_none()
-                && self.exclusion(now, request).is_some()
-        }) {
-            let request = &excluded.request;
-            let kind = self
-                .exclusion(now, request)
-                .unwrap_or(ErrorKind::NoUpstream);
-            let decision = self.refuse(now, request, kind);
-            decisions.push(self.deliver(now, request, decision));
-        }
-    }
-
     /// Returns how long a request may wait in the queue.
     fn longest_wait(&self, request: &PlacementRequest) -> Millis {
         let policy = &self.settings.policy;
@@ -392,15 +252,6 @@
         returns.or_default().record_usable(now, true);
     }
 
-    /// Removes a request from its queue.
-    pub fn withdraw(&mut self, now: Millis, service: &Arc<str>, number: RequestNumber) {
-        let queue = self.queues.get_mut(service);
-        let removed = queue.and_then(|queue| queue.remove(number));
-        if removed.is_some_and(|queued| queued.request.is_retry) {
-            self.release_retry(now, service);
-        }
-    }
-
     /// Records the end of an attempt and decides on queued requests.
     pub fn record_end(
         &mut self,
@@ -481,81 +332,6 @@
         self.upstreams.record_rest(now, id, time);
     }
 
-    /// Decides on queued requests; call it at short intervals while the queues are not empty.
-    pub fn process_queues(&mut self, now: Millis) -> Vec<QueueDecision> {
-        let mut decisions = Vec::new();
-        let services: Vec<Arc<str>> = self
-            .queues
-            .iter()
-            .filter(|(_, queue)| !queue.is_empty())
-            .map(|(service, _)| Arc::clone(service))
-            .collect();
-        for service in services {
-            self.process_queue(now, &service, &mut decisions);
-        }
-        decisions
-    }
-
-    fn process_queue(
-        &mut self,
-        now: Millis,
-        service: &Arc<str>,
-        decisions: &mut Vec<QueueDecision>,
-    ) {
-        let Some(mut queue) = self.queues.remove(service) else {
-            return;
-        };
-        self.refuse_excluded(now, &mut queue, decisions);
-        while let Some(expired) = queue.pop_expired(now) {
-            let turn = self.next_turn(now, &expired.request);
-            let turn = turn.filter(|turn| turn.expected > now);
-            let kind = turn.map_or(ErrorKind::TooLate, NextTurn::refusal);
-            let decision = self.refuse(now, &expired.request, kind);
-            decisions.push(self.deliver(now, &expired.request, decision));
-        }
-        // Requests of other regions go on when the first one finds no capacity in its own.
-        let mut full_regions = Vec::new();
-        while let Some(first) = queue.first_outside(&full_regions) {
-            let Some(id) = self.choose(now, &first.request) else {
-                full_regions.push(first.request.regions.clone());
-                continue;
-            };
-            let Some(sent) = queue.remove(first.request.number) else {
-                break;
-            };
-            self.record_send(now, id, &sent.request);
-            decisions.push(self.deliver(now, &sent.request, Decision::Send(id)));
-        }
-        while self.upstreams.has_turns(now)
-            && let Some(held) = queue.pop_first(|queued| {
-                let turn = self.next_turn(now, &queued.request);
-                turn.is_some_and(|turn| turn.not_before > queued.expires_at)
-            })
-        {
-            let turn = self.next_turn(now, &held.request);
-            let kind = turn.map_or(ErrorKind::NoUpstream, NextTurn::refusal);
-            let decision = self.refuse(now, &held.request, kind);
-            decisions.push(self.deliver(now, &held.request, decision));
-        }
-        self.queues.insert(Arc::clone(service), queue);
-    }
-
-    /// Returns the decision on a queued request, and records what becomes of its retry.
-    fn deliver(
-        &mut self,
-        now: Millis,
-        request: &PlacementRequest,
-        decision: Decision,
-    ) -> QueueDecision {
-        if request.is_retry {
-            self.settle_retry(now, &request.service, decision);
-        }
-        QueueDecision {
-            number: request.number,
-            decision,
-        }
-    }
-
     fn choose(&mut self, now: Millis, request: &PlacementRequest) -> Option<UpstreamId> {
         let backlog = self.prepare_choice(now);
         let settings = &self.settings;
--- a/crates/decisions/src/direct/permits.rs
+++ b/crates/decisions/src/direct/permits.rs
@@ -5,8 +5,9 @@
 use sardinepin_common::Millis;
 use sardinepin_protocol::{LimitReport, PermitGrant, PermitRequest};
 
-use crate::direct::balancer::{Balancer, QueueDecision};
+use crate::direct::balancer::Balancer;
 use crate::direct::limit_state::Turns;
+use crate::direct::request::QueueDecision;
 use crate::direct::upstream_set::{UpstreamId, UpstreamState};
 
 /// How long after the last request for a service permits for its limited upstreams are wanted, even if others have capacity.
--- a/crates/decisions/src/direct/policy.rs
+++ b/crates/decisions/src/direct/policy.rs
@@ -25,6 +25,8 @@
     pub wait_ratio: f64,
     /// The longest time in the queue of a request whose caller has come back after a refusal.
     pub return_wait: Millis,
+    /// Whether the requests of returning callers are held while the rank groups of their service are out.
+    pub holds_returns: bool,
     /// Whether callers are asked back when an outage is expected to be over; otherwise at any time.
     pub expects_outages: bool,
     /// Whether the admission levels that the coordinators of rank groups decide are applied.
@@ -41,6 +43,7 @@
             shares_places: true,
             wait_ratio: 0.5,
             return_wait: Millis(300),
+            holds_returns: true,
             expects_outages: true,
             admission: true,
         }
--- a/crates/decisions/src/direct/queue.rs
+++ b/crates/decisions/src/direct/queue.rs
@@ -7,7 +7,7 @@
 
 use sardinepin_common::Millis;
 
-use crate::direct::balancer::{PlacementRequest, RequestNumber};
+use crate::direct::request::{PlacementRequest, RequestNumber};
 use crate::direct::zones::AllowedRegions;
 
 /// A queued request.
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -331,6 +331,12 @@
             && group.is_none_or(|group| !self.groups.is_closed(now, &group.name))
     }
 
+    /// Returns whether any upstream of a service is a rank of a group.
+    pub(super) fn has_groups(&self, service: &str) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| !service.groups.is_empty())
+    }
+
     /// Returns the number of gateways, as the agents of rank groups count them; `None` if unknown.
     #[must_use]
     pub fn gateways(&self, now: Millis) -> Option<f64> {
--- a/crates/decisions/src/direct/zones.rs
+++ b/crates/decisions/src/direct/zones.rs
@@ -8,7 +8,8 @@
 use sardinepin_common::{Map, Millis, Set};
 use sardinepin_protocol::ErrorKind;
 
-use crate::direct::balancer::{Balancer, QueueDecision};
+use crate::direct::balancer::Balancer;
+use crate::direct::request::QueueDecision;
 use crate::direct::upstream_set::{Needs, UpstreamId, UpstreamSet, UpstreamState};
 
 /// The time in which the share of slots used in a zone rises to all of them after its evacuation.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -58,7 +58,7 @@
 
 impl Drop for UpstreamPermit {
     fn drop(&mut self) {
-        self.dispatcher.record_end(self.id, self.end);
+        self.dispatcher.record_end(self.id, self.sent_at, self.end);
     }
 }
 
@@ -209,7 +209,7 @@
         }
     }
 
-    fn record_end(&self, id: UpstreamId, end: AttemptEnd) {
+    fn record_end(&self, id: UpstreamId, sent_at: Millis, end: AttemptEnd) {
         let mut state = self.state();
         let now = self.clock.now();
         let before = state.balancer.upstreams().health(now, id);
@@ -218,6 +218,12 @@
             .upstreams()
             .get(id)
             .map(|upstream| upstream.spec.clone());
+        if end == AttemptEnd::Served
+            && let Some(spec) = &spec
+        {
+            let took = now.since(sent_at);
+            state.balancer.record_service_time(&spec.service, took);
+        }
         let decisions = state.balancer.record_end(now, id, end);
         let after = state.balancer.upstreams().health(now, id);
         state.deliver(now, decisions);
@@ -279,6 +285,14 @@
         self.notify_if_limited(&state);
     }
 
+    /// Refuses the requests that are held for the end of an outage, and holds no further ones.
+    pub(crate) fn stop_holding(&self) {
+        let mut state = self.state();
+        let now = self.clock.now();
+        let decisions = state.balancer.stop_holding(now);
+        state.deliver(now, decisions);
+    }
+
     /// Records an agent's reply to a request for permits.
     pub(crate) fn record_permits(&self, ask: &PermitAsk, reply: PermitReply) {
         let mut state = self.state();
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -75,12 +75,16 @@
 impl Drop for UnansweredRequest<'_> {
     fn drop(&mut self) {
         let call = self.call;
+        let waited = self.gateway.clock.now().since(call.received_at);
         request_metrics::count_outcome(call, RequestOutcome::CallerLeft);
+        self.gateway
+            .dispatcher
+            .with_balancer(|balancer, _| balancer.record_departure(waited));
         log::info!(
             event = "caller_left", request = call.id_text(), service = &*call.service,
             upstream = self.gateway.last_upstream(&self.attempts).as_deref(),
             sent = self.attempts.sent, chunks = 0,
-            after_ms = self.gateway.clock.now().since(call.received_at).0;
+            after_ms = waited.0;
             "caller disconnected before its response"
         );
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -51,6 +51,7 @@
         log::info!(event = "stopping", open = gateway.open_requests(); "shutting down");
         let began = gateway.clock.now();
         gateway.start_draining();
+        gateway.dispatcher.stop_holding();
         tokio::time::sleep(self.stop.drain_delay.duration()).await;
         self.closing.send_replace(true);
         while gateway.open_requests() > 0
