Streams move away from a rank that later requests have overtaken

Change: a resumable stream whose answer has not begun at its objective moves to another rank once four requests that the gateway sent later to the same group have been answered, if the retry budget allows it; the attempt counts as a failure of the rank. The wait alone does not count, as it grows for all requests when the group slows down. Policy moves-overtaken.

--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod hold;
 mod limit_state;
+mod overtaking;
 mod permits;
 mod place_share;
 mod policy;
--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -307,6 +307,33 @@
         self.upstreams.record_progress(now, id);
     }
 
+    /// Records that an upstream has begun to answer a request that was sent at `sent_at`.
+    pub fn record_answer(&mut self, id: UpstreamId, sent_at: Millis) {
+        self.upstreams.record_answer(id, sent_at);
+    }
+
+    /// Returns whether a request that waits for its answer since `sent_at` should be sent to another rank: its objective has passed,
+    /// later requests have overtaken it, and the retry budget allows a retry.
+    #[must_use]
+    pub fn is_overtaken(
+        &mut self,
+        now: Millis,
+        id: UpstreamId,
+        sent_at: Millis,
+        objective: Millis,
+    ) -> bool {
+        let settings = self.settings.retry_budget;
+        let is_late = self.settings.policy.moves_overtaken && now.since(sent_at) >= objective;
+        if !is_late || !self.upstreams.is_overtaken(id, sent_at) {
+            return false;
+        }
+        let Some(upstream) = self.upstreams.get(id) else {
+            return false;
+        };
+        let service = Arc::clone(&upstream.spec.service);
+        self.budget(now, &service).has_retry(now, &settings)
+    }
+
     /// Returns whether a silent attempt should move to another upstream: its group has stalled,
     /// another group has capacity, and the retry budget allows a retry.
     #[must_use]
--- a/crates/decisions/src/direct/policy.rs
+++ b/crates/decisions/src/direct/policy.rs
@@ -13,6 +13,8 @@
     pub group_loads: bool,
     /// Whether no requests are sent to a group that has made no step for a while.
     pub closes_stalled: bool,
+    /// Whether a request to a rank that does not answer moves to another one when later requests have overtaken it.
+    pub moves_overtaken: bool,
     /// How many requests beyond its slots an upstream may be estimated to hold.
     pub backlog: f64,
     /// How many random ranks of all groups are compared for one request, at least 1. Comparing all of
@@ -38,6 +40,7 @@
         Self {
             group_loads: true,
             closes_stalled: true,
+            moves_overtaken: true,
             backlog: 0.0,
             rank_choices: 4,
             shares_places: true,
--- a/crates/decisions/src/direct/rank_groups.rs
+++ b/crates/decisions/src/direct/rank_groups.rs
@@ -9,6 +9,7 @@
 use sardinepin_common::{Map, Millis};
 use sardinepin_protocol::GroupLoad;
 
+use crate::direct::overtaking::AnsweredRequests;
 use crate::direct::place_share::{GroupPlaces, PlaceShare};
 use crate::direct::policy::Policy;
 use crate::direct::upstream_set::AttemptEnd;
@@ -66,6 +67,7 @@
     suspended_until: Millis,
     report: Option<Report>,
     share: PlaceShare,
+    answered: AnsweredRequests,
 }
 
 impl RankGroup {
@@ -78,6 +80,7 @@
             suspended_until: Millis::ZERO,
             report: None,
             share: PlaceShare::new(position),
+            answered: AnsweredRequests::default(),
         }
     }
 
@@ -166,6 +169,19 @@
         }
     }
 
+    /// Records that the answer to a request that was sent to the group at `sent_at` has begun.
+    pub(crate) fn record_answer(&mut self, name: &str, sent_at: Millis) {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.answered.record(sent_at);
+        }
+    }
+
+    /// Returns whether the group has answered requests that were sent after one that waits since `sent_at`.
+    pub(crate) fn have_overtaken(&self, name: &str, sent_at: Millis) -> bool {
+        let group = self.groups.get(name);
+        group.is_some_and(|group| group.answered.have_overtaken(sent_at))
+    }
+
     /// Records the end of an attempt.
     pub(crate) fn record_end(&mut self, now: Millis, name: &str, end: AttemptEnd) {
         let Some(group) = self.groups.get_mut(name) else {
--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -412,6 +412,21 @@
         }
     }
 
+    /// Records that an upstream has begun to answer a request that was sent at `sent_at`.
+    pub(super) fn record_answer(&mut self, id: UpstreamId, sent_at: Millis) {
+        if let Some(upstream) = self.upstreams.get(&id)
+            && let Some(group) = &upstream.spec.group
+        {
+            self.groups.record_answer(&group.name, sent_at);
+        }
+    }
+
+    /// Returns whether a request that an upstream has not begun to answer has been overtaken by later ones to its group.
+    pub(super) fn is_overtaken(&self, id: UpstreamId, sent_at: Millis) -> bool {
+        let group = self.group_of(id);
+        group.is_some_and(|group| self.groups.have_overtaken(&group, sent_at))
+    }
+
     /// Returns when the limits and rests of the usable upstreams of a service that were not tried yet, in the regions of a request, allow it: at once
     /// if one of them has none. `None` if no upstream is usable.
     #[must_use]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -107,8 +107,8 @@
     pub(crate) deadline: Millis,
     /// Whether the request may move to another upstream if the group of this one stalls.
     pub(crate) can_move: bool,
-    /// Whether the upstream has begun to write an answer, so that the request does not crash it.
-    pub(crate) answering: bool,
+    /// When the request was sent, until the upstream begins to write an answer.
+    pub(crate) unanswered_since: Option<Millis>,
 }
 
 /// An attempt whose response head has been received.
@@ -205,7 +205,7 @@
             call,
             deadline,
             can_move,
-            answering: false,
+            unanswered_since: Some(now),
         };
         let response = self.wait_for_upstream(permit.id, limits, connection.send(request));
         let response = match response.await {
@@ -226,6 +226,8 @@
         self.record_withdrawal(permit, &parts);
         if parts.status.is_success() {
             self.record_progress(permit.id);
+            self.dispatcher
+                .with_balancer(|balancer, _| balancer.record_answer(permit.id, now));
         }
         self.check_response(call, permit, &parts)?;
         Ok((parts, body, connection))
@@ -242,7 +244,7 @@
             call,
             deadline,
             can_move,
-            answering,
+            unanswered_since,
         } = limits;
         let mut work = pin!(work);
         loop {
@@ -254,7 +256,7 @@
             if let Ok(done) = tokio::time::timeout(interval.duration(), work.as_mut()).await {
                 return Ok(done);
             }
-            if !answering && self.quarantine_remaining(call).is_some() {
+            if unanswered_since.is_some() && self.quarantine_remaining(call).is_some() {
                 return Err(AttemptFailure::Quarantined);
             }
             let stalled = can_move
@@ -264,6 +266,16 @@
             if stalled {
                 return Err(AttemptFailure::Stalled);
             }
+            let objective = call.route.latency_objective;
+            let overtaken = can_move
+                && unanswered_since.is_some_and(|sent_at| {
+                    self.dispatcher.with_balancer(|balancer, now| {
+                        balancer.is_overtaken(now, id, sent_at, objective)
+                    })
+                });
+            if overtaken {
+                return Err(AttemptFailure::TimedOut);
+            }
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -255,7 +255,10 @@
             call: &self.call,
             deadline: self.call.deadline,
             can_move,
-            answering: self.attempt_began.is_some(),
+            unanswered_since: self
+                .attempt_began
+                .is_none()
+                .then_some(response.permit.sent_at),
         };
         let frame = response.next_frame();
         match self.gateway.wait_for_upstream(id, limits, frame).await? {
