--- a/crates/decisions/src/direct/balancer.rs
+++ b/crates/decisions/src/direct/balancer.rs
@@ -15,7 +15,7 @@
 use crate::cold_bound::ColdRule;
 use crate::direct::admission::AdmissionGate;
 use crate::direct::cold_start::Demand;
-use crate::direct::hold::{CallerPatience, ServiceTime};
+use crate::direct::hold::Holds;
 use crate::direct::policy::Policy;
 use crate::direct::queue::RequestQueue;
 use crate::direct::request::{Decision, PlacementRequest, QueueDecision};
@@ -71,10 +71,7 @@
     queues: Map<Arc<str>, RequestQueue>,
     budgets: Map<Arc<str>, RetryBudget>,
     returns: Map<Arc<str>, Returns>,
-    pub(super) service_times: Map<Arc<str>, ServiceTime>,
-    pub(super) patience: CallerPatience,
-    /// Whether the gateway stops, so that no requests are held any more.
-    pub(super) is_stopping: bool,
+    pub(super) holds: Holds,
     /// When the last request for each service arrived.
     last_requests: Map<Arc<str>, Millis>,
     /// How many requests for each service arrive.
@@ -100,9 +97,7 @@
             queues: Map::default(),
             budgets: Map::default(),
             returns: Map::default(),
-            service_times: Map::default(),
-            patience: CallerPatience::default(),
-            is_stopping: false,
+            holds: Holds::default(),
             last_requests: Map::default(),
             demands: Map::default(),
             gateways: NodeCount::default(),
--- a/crates/decisions/tests/hold.rs
+++ b/crates/decisions/tests/hold.rs
@@ -131,6 +131,23 @@
     assert!(refusal(ErrorKind::NoUpstream)(&decision));
 }
 
+/// No outage ends the wait of a request that every usable upstream has already been tried for.
+#[test]
+fn request_that_was_sent_to_all_usable_upstreams_is_not_held() {
+    let mut balancer = balancer(Policy::default());
+    report(&mut balancer, START, true);
+    let mut request = returning(START, 1);
+    for attempt in 0..2 {
+        let decision = balancer.place(START, request.clone()).unwrap();
+        let Decision::Send(id) = decision else {
+            panic!("attempt {attempt} was not sent: {decision:?}");
+        };
+        request.tried.push(id);
+    }
+    let decision = balancer.place(START, request).unwrap();
+    assert!(refusal(ErrorKind::NoUpstream)(&decision));
+}
+
 /// Callers that had left before the hold ended never learnt that their requests did not run.
 #[test]
 fn held_request_is_refused_before_its_caller_would_leave() {
--- a/crates/gateway/tests/path/streams.rs
+++ b/crates/gateway/tests/path/streams.rs
@@ -8,7 +8,7 @@
 
 use crate::util::{
     ScriptedUpstream, Step, chunk, header, last_chunk, request, send_raw, start_gateway,
-    stream_head,
+    stream_head, wait_for,
 };
 
 fn event(number: u64) -> String {
@@ -166,6 +166,31 @@
     assert_eq!(two.count(), 0);
 }
 
+/// A rank that hung kept each request until its caller left.
+#[tokio::test]
+async fn stream_moves_from_a_rank_that_does_not_answer_while_others_of_its_group_do() {
+    let answers = vec![stream_head(), chunk(&event(1)), last_chunk()];
+    let mut one = ScriptedUpstream::start("one", vec![vec![Step::Hang]]).await;
+    let mut two = ScriptedUpstream::start("two", vec![answers]).await;
+    one.spec.group = membership("g0");
+    two.spec.group = membership("g0");
+    two.spec.zone = Arc::from("zone-b");
+    let (running, _) = start_gateway(&[&one, &two]).await;
+    let address = running.caller_address();
+    let first =
+        tokio::spawn(async move { send_raw(address, &request("/stream/a", "first", "")).await });
+    wait_for(async || one.count() == 1).await;
+    wait_for(async || {
+        let later = request("/stream/a", "later", "");
+        tokio::spawn(async move { send_raw(address, &later).await });
+        first.is_finished()
+    })
+    .await;
+    let response = first.await.unwrap();
+    assert_eq!(numbers(&response), [1], "{response}");
+    assert!(is_complete(&response), "{response}");
+}
+
 /// A slow stream is not cut, however long it pauses, while its deadline allows.
 #[tokio::test]
 async fn stream_that_is_slow_but_sound_is_forwarded_whole() {
