--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -266,19 +266,23 @@
             if stalled {
                 return Err(AttemptFailure::Stalled);
             }
-            let objective = call.route.latency_objective;
-            let overtaken = can_move
-                && unanswered_since.is_some_and(|sent_at| {
-                    self.dispatcher.with_balancer(|balancer, now| {
-                        balancer.is_overtaken(now, id, sent_at, objective)
-                    })
-                });
-            if overtaken {
+            if self.is_overtaken(id, &limits) {
                 return Err(AttemptFailure::TimedOut);
             }
         }
     }
 
+    /// Returns whether a request that may move waits for its answer while later ones to the same rank group have got theirs.
+    fn is_overtaken(&self, id: UpstreamId, limits: &WaitLimits<'_>) -> bool {
+        let objective = limits.call.route.latency_objective;
+        limits.can_move
+            && limits.unanswered_since.is_some_and(|sent_at| {
+                self.dispatcher.with_balancer(|balancer, now| {
+                    balancer.is_overtaken(now, id, sent_at, objective)
+                })
+            })
+    }
+
     /// Records that an upstream has sent data.
     pub(crate) fn record_progress(&self, id: UpstreamId) {
         self.dispatcher
