--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# One part of a prompt crashes each worker that begins to write an answer on it; the answers are no streams.
+# The store comes back from an older copy, in which a worker that has left still stands.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sardinepin ] && [ -x target/review/release/review-kit ] || { echo "build first" >&2; exit 2; }
-exec target/review/release/review-kit plain-crash review/4
+exec target/review/release/review-kit departed review/4
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A part of a prompt that had been answered before begins to crash workers.
+# One part of a prompt crashes each worker that begins to write an answer on it; the answers are no streams.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sardinepin ] && [ -x target/review/release/review-kit ] || { echo "build first" >&2; exit 2; }
-exec target/review/release/review-kit popular-part review/5
+exec target/review/release/review-kit plain-crash review/5
--- a/review/kit/src/deployment.rs
+++ b/review/kit/src/deployment.rs
@@ -140,6 +140,11 @@
         })
     }
 
+    /// Returns the identifier of the process.
+    pub fn process(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn wait_ready(&self) -> io::Result<()> {
         let until = Instant::now() + START_TIMEOUT;
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -4,6 +4,7 @@
 //! what was sent, answered and run into `record.txt`. It exits with 1 if the rule was broken, with 0 if it held, and with 2 if
 //! the case could not run. With `TROUBLE=0` it does the same without the disruption.
 
+mod crowd;
 mod departed;
 mod deployment;
 mod http;
@@ -42,6 +43,7 @@
     let result = Record::create(Path::new(folder)).and_then(|record| {
         record.line(&format!("case {case}, trouble {trouble}"));
         let verdict = match case.as_str() {
+            "crowd" => crowd::run(&record, trouble),
             "departed" => departed::run(&record, trouble),
             "plain-crash" => plain_crash::run(&record, trouble),
             "popular-part" => popular_part::run(&record, trouble),
--- a/review/kit/src/watchdog.rs
+++ b/review/kit/src/watchdog.rs
@@ -32,3 +32,9 @@
         std::process::exit(2);
     });
 }
+
+/// Sends a signal to a process that the case has started.
+pub fn signal(process: u32, signal: i32) {
+    // SAFETY: the call takes plain numbers; the process is a child that has not been waited for.
+    unsafe { kill(process as i32, signal) };
+}
