--- a/review/kit/src/crowd.rs
+++ b/review/kit/src/crowd.rs
@@ -58,12 +58,20 @@
         };
         let load = format!("{},0,{}", running.min(self.slots), self.slots);
         let result = if running > self.slots {
-            let fields = [("x-attempt-id", id), ("x-not-executed", "1"), ("x-server-load", &*load)];
+            let fields = [
+                ("x-attempt-id", id),
+                ("x-not-executed", "1"),
+                ("x-server-load", &*load),
+            ];
             respond(stream, "503 Service Unavailable", &fields, b"")
         } else {
             self.record.line(&format!("{} runs {id}", self.id));
             thread::sleep(self.work);
-            let fields = [("x-attempt-id", id), ("x-response-signature", "3e1b.07"), ("x-server-load", &*load)];
+            let fields = [
+                ("x-attempt-id", id),
+                ("x-response-signature", "3e1b.07"),
+                ("x-server-load", &*load),
+            ];
             respond(stream, "200 OK", &fields, b"booked")
         };
         *self.running.lock().unwrap() -= 1;
@@ -132,11 +140,15 @@
         number += 1;
         let id = format!("w{client}-{number}");
         let sent = request("POST", "/book/1", &id, 4_000, "Content-Length: 0\r\n");
-        let Ok(mut stream) = TcpStream::connect(front) else { continue };
+        let Ok(mut stream) = TcpStream::connect(front) else {
+            continue;
+        };
         if stream.write_all(sent.as_bytes()).is_err() {
             continue;
         }
-        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         let patience = match hurries {
             true => Duration::from_millis(20 + (random >> 33) % (LEAVES_WITHIN_MS - 20)),
             false => Duration::from_secs(4),
@@ -151,7 +163,10 @@
                 }
             }
             Err(_) => {
-                record.line(&format!("client leaves {id} after {} ms", patience.as_millis()));
+                record.line(&format!(
+                    "client leaves {id} after {} ms",
+                    patience.as_millis()
+                ));
             }
         }
     }
@@ -172,7 +187,13 @@
                 slots: 6,
             };
             let server = Server::start(any, Arc::new(worker))?;
-            let entry = Entry { service, address: server.address, zone, state: "ready", born: 1_700_000_000_000 };
+            let entry = Entry {
+                service,
+                address: server.address,
+                zone,
+                state: "ready",
+                born: 1_700_000_000_000,
+            };
             entries.push((id, entry));
             servers.push(server);
         }
@@ -187,8 +208,20 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let cap = spawn_cap(deployment.gateways[0].process(), Arc::clone(&is_over));
     let clients = [
-        spawn_client(record, front, "/book/1", Duration::from_millis(400), Arc::clone(&is_over)),
-        spawn_client(record, front, "/check/1", Duration::from_millis(60), Arc::clone(&is_over)),
+        spawn_client(
+            record,
+            front,
+            "/book/1",
+            Duration::from_millis(400),
+            Arc::clone(&is_over),
+        ),
+        spawn_client(
+            record,
+            front,
+            "/check/1",
+            Duration::from_millis(60),
+            Arc::clone(&is_over),
+        ),
     ];
     thread::sleep(Duration::from_secs(2));
     for storm in 0..STORMS {
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -8,6 +8,7 @@
 mod departed;
 mod deployment;
 mod http;
+mod memory;
 mod plain_crash;
 mod popular_part;
 mod record;
@@ -44,6 +45,7 @@
         record.line(&format!("case {case}, trouble {trouble}"));
         let verdict = match case.as_str() {
             "crowd" => crowd::run(&record, trouble),
+            "memory" => memory::run(&record, trouble),
             "departed" => departed::run(&record, trouble),
             "plain-crash" => plain_crash::run(&record, trouble),
             "popular-part" => popular_part::run(&record, trouble),
