--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Workers answer without a length; one is killed in the middle of its answer.
+# Clients on kept channels read their answers slowly.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sardinepin ] && [ -x target/review/release/review-kit ] || { echo "build first" >&2; exit 2; }
-exec target/review/release/review-kit truncated review/1
+exec target/review/release/review-kit slow-reader review/1
