Gateway: log how many crashes of a request count, and why records go

Cause: logs could not tell the hypotheses on the incident apart: crashes left out of the count, records removed by an answer, crashes that are not recognised. Change: `suspect` says how many crashes speak against the request and how many of them count, `crashes_cleared` that a response cleared them and with which status, `crash_removed` that another gateway did. No decision changes.

--- a/crates/decisions/src/culprits.rs
+++ b/crates/decisions/src/culprits.rs
@@ -123,6 +123,15 @@
     }
 }
 
+/// The crashes that speak against one trait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashTally {
+    /// The number of crashes.
+    pub known: usize,
+    /// The number of those that count.
+    pub counted: usize,
+}
+
 /// Whether a request may run, as far as culprits are concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -174,6 +183,20 @@
         self.evidence.is_empty()
     }
 
+    /// Returns how many crashes speak against a trait, and how many of them count.
+    #[must_use]
+    pub fn tally(&self, one: &Digest) -> CrashTally {
+        let evidence = self.evidence.values().map(|(_, evidence)| evidence);
+        let against: Vec<&CrashEvidence> = evidence
+            .filter(|evidence| evidence.speaks_against(&[*one]))
+            .collect();
+        let known: BTreeSet<&str> = against.iter().map(|evidence| &*evidence.crash).collect();
+        CrashTally {
+            known: known.len(),
+            counted: Case::new(*one, false, against).strength(),
+        }
+    }
+
     /// Returns whether there is evidence against the request with this digest.
     #[must_use]
     pub fn is_suspect(&self, request: &Digest) -> bool {
@@ -270,11 +293,13 @@
         true
     }
 
-    /// Removes the evidence under a name.
-    pub fn remove(&mut self, name: &str) {
-        if self.evidence.remove(name).is_some() {
+    /// Removes the evidence under a name; returns whether there was any.
+    pub fn remove(&mut self, name: &str) -> bool {
+        let removed = self.evidence.remove(name).is_some();
+        if removed {
             self.culprits = None;
         }
+        removed
     }
 
     /// Removes the evidence that `matches`; returns its names.
--- a/crates/decisions/src/direct/crashes.rs
+++ b/crates/decisions/src/direct/crashes.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::culprits::{
-    Admission, CrashEvidence, CulpritFinder, CulpritSettings, DoubtfulParts, Traits,
+    Admission, CrashEvidence, CrashTally, CulpritFinder, CulpritSettings, DoubtfulParts, Traits,
 };
 
 /// How long a crash counts against a request.
@@ -98,6 +98,12 @@
         self.finder.is_empty()
     }
 
+    /// Returns how many crashes of a request are known, and how many of them count.
+    #[must_use]
+    pub fn tally(&self, request: &Digest) -> CrashTally {
+        self.finder.tally(request)
+    }
+
     /// Records a crash that this gateway has seen just now; `now` is its monotonic time, `wall_now` the
     /// time since the Unix epoch. Returns the record unless it is known.
     pub fn record_crash(
@@ -125,9 +131,9 @@
         self.finder.add(now, crash.name(), crash.evidence())
     }
 
-    /// Removes a crash by its name.
-    pub fn remove(&mut self, name: &str) {
-        self.finder.remove(name);
+    /// Removes a crash by its name; returns whether it was known.
+    pub fn remove(&mut self, name: &str) -> bool {
+        self.finder.remove(name)
     }
 
     /// Returns how much longer a request is quarantined, or `None` if it is not. `wall_now` is the time
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use http::StatusCode;
 use sardinepin_common::{Clock, Map, Millis};
 use tokio::net::TcpStream;
 
@@ -67,14 +68,17 @@
             age: broken_at.since(permit.sent_at),
         };
         let seen_at = Clock::wall_time().since(now.since(broken_at));
-        let recorded = self.crashes().record_crash(broken_at, seen_at, attempt);
+        let mut crashes = self.crashes();
+        let recorded = crashes.record_crash(broken_at, seen_at, attempt);
+        let tally = crashes.tally(&call.digest());
+        drop(crashes);
         let Some(crash) = recorded else { return true };
         metrics::counter!("sardinepin_upstream_crashes_total").increment(1);
         let parts: Vec<&str> = call.shared_parts(&self.names).collect();
         log::info!(
             event = "suspect", request = call.id_text(), digest:% = crash.request,
             parts = parts.join(","), doubtful = crash.parts.unanswered.len(), upstream = &*crash.upstream,
-            born = crash.started_at;
+            born = crash.started_at, known = tally.known, counted = tally.counted;
             "an upstream crashed as it began to respond to a request"
         );
         self.send_crash_event(CrashEvent::Seen(crash));
@@ -100,7 +104,7 @@
     /// Records that an upstream has responded to a request.
     ///
     /// `succeeded` tells whether it wrote a whole answer, so that no part of the prompt is at fault.
-    pub(crate) fn record_response(&self, call: &Call, succeeded: bool) {
+    pub(crate) fn record_response(&self, call: &Call, status: StatusCode, succeeded: bool) {
         let mut crashes = self.crashes();
         if succeeded {
             crashes.record_answer(self.clock.now(), call.parts());
@@ -111,6 +115,11 @@
         let names = crashes.remove_request(&call.digest());
         drop(crashes);
         if !names.is_empty() {
+            log::info!(
+                event = "crashes_cleared", request = call.id_text(), digest:% = call.digest(),
+                status = status.as_u16(), crashes = names.len();
+                "a response clears the crashes of its request"
+            );
             self.send_crash_event(CrashEvent::Removed(names));
         }
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -229,9 +229,9 @@
             objective_ms = call.route.latency_objective.0;
             "response forwarded"
         );
-        self.record_response(call, complete.parts.status.is_success());
-        let signed = complete.parts.headers.contains_key(&names.signature);
         let status = complete.parts.status;
+        self.record_response(call, status, status.is_success());
+        let signed = complete.parts.headers.contains_key(&names.signature);
         // A caller takes these statuses to mean that the request did not run, which the upstream
         // did not say.
         if promises_not_run(status) || (!signed && !status.is_success() && status.as_u16() < 400) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -119,7 +119,8 @@
                     if let Some(response) = self.response.take() {
                         self.record_completion(&response);
                         let written = self.timing.chunks > 0;
-                        self.gateway.record_response(&self.call, written);
+                        let status = response.parts.status;
+                        self.gateway.record_response(&self.call, status, written);
                         response.finish(&self.gateway, AttemptEnd::Served);
                     }
                     return None;
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -224,13 +224,17 @@
     let mut crashes = gateway.crashes();
     for item in batch.items {
         let Some(crash) = item.value else {
-            crashes.remove(&item.name);
+            if crashes.remove(&item.name) {
+                log::info!(event = "crash_removed", crash = &*item.name, revision = item.revision; "a shared crash was removed");
+            }
             continue;
         };
         if crashes.add(gateway.clock.now(), &crash) {
+            let tally = crashes.tally(&crash.request);
             log::info!(
                 event = "suspect", digest:% = crash.request, doubtful = crash.parts.unanswered.len(),
-                upstream = &*crash.upstream, born = crash.started_at, revision = item.revision;
+                upstream = &*crash.upstream, born = crash.started_at, revision = item.revision,
+                known = tally.known, counted = tally.counted;
                 "another gateway reported an upstream crash"
             );
         }
