--- a/crates/decisions/tests/culprits.rs
+++ b/crates/decisions/tests/culprits.rs
@@ -356,3 +356,25 @@
         assert!(held_share < 0.01, "seed {seed}: {outcome:?}");
     }
 }
+
+/// Guards against three crashes counting as two: two copies of a request were under way at two gateways, and the record of the second
+/// crash was that of the copy that had been sent before the first.
+#[test]
+fn crashes_of_copies_that_were_under_way_at_once_count() {
+    let mut case = Case::new();
+    let began = case.now;
+    for (crash, sent_ms, crashed_ms) in [("u1", 0, 70), ("u2", 40, 126), ("u3", 128, 227)] {
+        let evidence = CrashEvidence {
+            crash: Arc::from(crash),
+            request: digest("copied"),
+            parts: sardinepin_decisions::DoubtfulParts::default(),
+            sent_at: began + Millis(sent_ms),
+            crashed_at: began + Millis(crashed_ms),
+            expires_at: began + RETENTION,
+        };
+        let name = Arc::from(format!("{crash}-copied"));
+        case.finder
+            .add(began + Millis(crashed_ms + 5), name, evidence);
+    }
+    assert!(case.is_held("copied", &[]));
+}
