Crashes of one request count though its copies were under way at once

Callers saw a plain service of three upstreams go down again and again: a request under which three had crashed was sent four times more. Cause: a crash counted only if its request had been sent after the crash before, by the clocks of the gateways that saw them. Copies of one request at several gateways overlap, so that three crashes counted as one or two; clocks that differ by seconds turned the loss of a rack into a series as well, and held a popular sound request back for ten minutes.

Class: an order of events is taken from clocks of several processes, and a missing order is taken for innocence. Change: a record names the earlier crashes that its sender knew of, which orders crashes without clocks; builds before this one leave the field out and are compared by their times as before. Crashes of a request that do not follow each other count as well if they lie 5 ms apart at least; as they may be chance, the request is then tested, by one gateway for all (a claim in the store), after 1 s, 4 s, 16 s and so on, and a test that crashed is never retried. Requests that were hit by the same crashes are all held back until a test tells them apart. A test that is answered clears the evidence against what it tested at all gateways.

All tests of decisions, gateway and platform pass.

--- a/crates/decisions/src/culprits.rs
+++ b/crates/decisions/src/culprits.rs
@@ -5,10 +5,12 @@
 //! one of these requests is at fault. A trait is a culprit once enough crashes have followed each other
 //! and no request with it has been answered since the first of them.
 //!
-//! What has been answered before can hardly be at fault. It is held back all the same while nothing is
-//! answered, but one request at a time is let through to find out.
+//! What has been answered before can hardly be at fault, and neither can a request be told from one that many callers send if no copy
+//! of it was sent after the crash before. It is held back all the same while nothing is answered, but one request at a time is let
+//! through to find out.
 
 mod case;
+mod probes;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -17,7 +19,8 @@
 use sardinepin_protocol::Digest;
 use serde::{Deserialize, Serialize};
 
-use case::Case;
+use case::{Case, Known};
+use probes::{TriedProbes, due_probe};
 
 /// Settings of a [`CulpritFinder`].
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,8 +30,11 @@
     pub request_crashes: usize,
     /// The number of crashes that make a part of a prompt a culprit.
     pub part_crashes: usize,
-    /// The interval at which a request is let through whose culprit has been answered before.
-    pub probe_interval: Millis,
+    /// The number of crashes that make the digest of a request a culprit though they do not follow each other, as long as they did
+    /// not happen at the same moment.
+    pub scattered_crashes: usize,
+    /// The wait after the last crash before a request is let through whose culprit may not be at fault.
+    pub probe_delay: Millis,
     /// The maximum number of pieces of evidence.
     pub evidence_max: usize,
     /// The maximum number of parts of which the last answer is remembered.
@@ -40,13 +46,21 @@
         Self {
             request_crashes: 3,
             part_crashes: 3,
-            probe_interval: Millis(4_000),
+            scattered_crashes: 3,
+            probe_delay: Millis(1_000),
             evidence_max: 1_024,
             parts_max: 4_096,
         }
     }
 }
 
+/// Crashes within this time of each other may have one cause, such as the loss of a rack. It is longer than what lies between the ends of
+/// connections to upstreams of one rack, and shorter than most answers.
+pub(crate) const MOMENT: Millis = Millis(5);
+
+/// The most crashes that evidence names as known before.
+const FOLLOWS_MAX: usize = 16;
+
 /// The traits of a request that may crash upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct Traits<'a> {
@@ -79,6 +93,10 @@
     pub crashed_at: Millis,
     /// When the evidence expires.
     pub expires_at: Millis,
+    /// The names of the earlier crashes that its sender knew of when it sent the request; `None` if that is not known.
+    pub follows: Option<Vec<Arc<str>>>,
+    /// Whether the request was let through to find out about a culprit.
+    pub is_probe: bool,
 }
 
 /// The parts of a prompt that a crash speaks against.
@@ -97,7 +115,8 @@
         std::iter::once(&self.request).chain(parts)
     }
 
-    fn speaks_against(&self, traits: &[Digest]) -> bool {
+    /// Returns whether the request has all of these traits.
+    pub(crate) fn speaks_against(&self, traits: &[Digest]) -> bool {
         let contains = |one: &Digest| self.traits().any(|own| own == one);
         traits.iter().all(contains)
     }
@@ -113,6 +132,8 @@
     pub until: Millis,
     /// Whether requests with the traits have been answered before.
     pub answered: bool,
+    /// Whether crashes in a row leave no doubt, unless requests with the traits have been answered before.
+    pub in_series: bool,
 }
 
 impl Culprit {
@@ -121,6 +142,11 @@
     pub fn most_specific(&self) -> Option<Digest> {
         self.traits.first().copied()
     }
+
+    /// Returns whether a request may be let through to find out whether the traits are at fault.
+    fn may_be_probed(&self) -> bool {
+        self.answered || !self.in_series
+    }
 }
 
 /// The crashes that speak against one trait.
@@ -133,16 +159,27 @@
 }
 
 /// Whether a request may run, as far as culprits are concerned.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Admission {
     /// It has no culprit.
     Run,
-    /// It is let through to find out about a culprit that has been answered before.
-    Probe,
+    /// It may run to find out about a culprit if no other process has claimed the test of this name.
+    Probe(ProbeClaim),
     /// It is held back until this time of the wall clock.
     Hold(Millis),
 }
 
+/// The right to send one request to find out about a culprit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbeClaim {
+    /// The name of the test, which is the same at all processes with the same evidence.
+    pub name: Arc<str>,
+    /// The traits that the request is to tell about.
+    pub traits: Vec<Digest>,
+    /// Until when the request is held back if another process has claimed the test, by the wall clock.
+    pub held_until: Millis,
+}
+
 /// Collects evidence and answers, and derives the culprits.
 #[derive(Debug)]
 pub struct CulpritFinder {
@@ -154,8 +191,7 @@
     answers: Map<Digest, Answered>,
     /// The culprits; `None` if they have to be derived again.
     culprits: Option<Vec<Culprit>>,
-    /// When a request was last let through, by the monotonic clock.
-    last_probe: Option<Millis>,
+    tried: TriedProbes,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -173,7 +209,7 @@
             evidence: Map::default(),
             answers: Map::default(),
             culprits: None,
-            last_probe: None,
+            tried: TriedProbes::default(),
         }
     }
 
@@ -186,14 +222,15 @@
     /// Returns how many crashes speak against a trait, and how many of them count.
     #[must_use]
     pub fn tally(&self, one: &Digest) -> CrashTally {
-        let evidence = self.evidence.values().map(|(_, evidence)| evidence);
-        let against: Vec<&CrashEvidence> = evidence
-            .filter(|evidence| evidence.speaks_against(&[*one]))
-            .collect();
-        let known: BTreeSet<&str> = against.iter().map(|evidence| &*evidence.crash).collect();
+        let evidence = self.evidence.values();
+        let against = evidence.filter(|(_, evidence)| evidence.speaks_against(&[*one]));
+        let against: Vec<Known<'_>> = against.map(|(at, evidence)| (*at, evidence)).collect();
+        let known: BTreeSet<&str> = against.iter().map(|(_, one)| &*one.crash).collect();
+        let known = known.len();
+        let case = Case::new(*one, false, against);
         CrashTally {
-            known: known.len(),
-            counted: Case::new(*one, false, against).strength(),
+            known,
+            counted: case.strength().max(case.scattered()),
         }
     }
 
@@ -213,11 +250,11 @@
     }
 
     /// Returns until when a request with these traits is to be held back, by the wall clock; `None` if
-    /// it is not. A probe is held back only for culprits that have never been answered.
+    /// it is not. A probe is held back only for culprits that are at fault beyond doubt.
     pub fn held_until(&mut self, traits: Traits<'_>, is_probe: bool) -> Option<Millis> {
         let at_fault = |culprit: &&Culprit| culprit.traits.iter().all(|one| traits.contain(one));
         let culprits = self.culprits().iter().filter(at_fault);
-        let culprits = culprits.filter(|culprit| !(is_probe && culprit.answered));
+        let culprits = culprits.filter(|culprit| !(is_probe && culprit.may_be_probed()));
         culprits.map(|culprit| culprit.until).max()
     }
 
@@ -226,17 +263,56 @@
         let Some(until) = self.held_until(traits, false) else {
             return Admission::Run;
         };
-        let interval = self.settings.probe_interval;
-        let is_due = self
-            .last_probe
-            .is_none_or(|last| now.since(last) >= interval);
-        if is_due && self.held_until(traits, true).is_none() {
-            self.last_probe = Some(now);
-            return Admission::Probe;
+        if self.held_until(traits, true).is_some() {
+            return Admission::Hold(until);
+        }
+        if let Some((name, traits)) = self.due_probe(now, traits)
+            && self.tried.insert(&name)
+        {
+            return Admission::Probe(ProbeClaim {
+                name,
+                traits,
+                held_until: until,
+            });
         }
         Admission::Hold(until)
     }
 
+    /// Returns the name of the test that is due for a request, and the traits that it tells about.
+    fn due_probe(&mut self, now: Millis, traits: Traits<'_>) -> Option<(Arc<str>, Vec<Digest>)> {
+        let delay = self.settings.probe_delay;
+        let at_fault = |culprit: &&Culprit| culprit.traits.iter().all(|one| traits.contain(one));
+        let culprit = self.culprits().iter().find(at_fault).cloned()?;
+        let name = due_probe(now, delay, &culprit, self.evidence.values())?;
+        Some((name, culprit.traits))
+    }
+
+    /// Returns the newest crashes that speak against one of the traits and come before a crash at `crashed_at`: they were known when its
+    /// request was sent, and lie a moment apart. Both times are those of the monotonic clock.
+    pub(crate) fn crashes_before(
+        &self,
+        sent_at: Millis,
+        crashed_at: Millis,
+        traits: Traits<'_>,
+    ) -> Vec<Arc<str>> {
+        let latest = sent_at.min(crashed_at.since(MOMENT));
+        let evidence = self.evidence.values();
+        let before = evidence.filter(|(known_at, one)| {
+            *known_at <= latest && one.traits().any(|own| traits.contain(own))
+        });
+        let mut newest: BTreeSet<(Millis, &Arc<str>)> = BTreeSet::new();
+        for (known_at, one) in before {
+            newest.insert((*known_at, &one.crash));
+            if newest.len() > FOLLOWS_MAX {
+                newest.pop_first();
+            }
+        }
+        newest
+            .into_iter()
+            .map(|(_, crash)| Arc::clone(crash))
+            .collect()
+    }
+
     /// Records at `now`, by a monotonic clock, that a request with these parts has been answered.
     pub fn record_answer(&mut self, now: Millis, parts: &[Digest]) {
         for one in parts {
@@ -342,30 +418,60 @@
     fn find_culprits(&self) -> Vec<Culprit> {
         let mut explained: BTreeSet<Arc<str>> = BTreeSet::new();
         let mut culprits = Vec::new();
-        while let Some(culprit) = self.strongest_culprit(&explained) {
-            let evidence = self.evidence.values();
-            let against = evidence.filter(|(_, one)| one.speaks_against(&culprit.traits));
-            explained.extend(against.map(|(_, one)| Arc::clone(&one.crash)));
-            culprits.push(culprit);
+        loop {
+            let strongest = self.strongest_culprits(&explained);
+            if strongest.is_empty() {
+                return culprits;
+            }
+            for culprit in &strongest {
+                let evidence = self.evidence.values();
+                let against = evidence.filter(|(_, one)| one.speaks_against(&culprit.traits));
+                explained.extend(against.map(|(_, one)| Arc::clone(&one.crash)));
+            }
+            culprits.extend(strongest);
         }
-        culprits
     }
 
-    fn strongest_culprit(&self, explained: &BTreeSet<Arc<str>>) -> Option<Culprit> {
+    /// Returns the culprit with the strongest evidence. A request comes with those that were hit by all of its crashes too, as nothing
+    /// tells which of them is at fault.
+    fn strongest_culprits(&self, explained: &BTreeSet<Arc<str>>) -> Vec<Culprit> {
         let cases = self.cases(explained);
-        let enough = |case: &&Case<'_>| case.strength() >= self.crashes_min(case);
-        let strongest = cases
-            .values()
-            .filter(enough)
-            .max_by_key(|case| case.rank())?;
-        let same = cases.values().filter(|case| case.is_like(strongest));
-        let mut traits: Vec<Digest> = same.map(|case| case.accused()).collect();
-        traits.sort_unstable_by_key(|one| strongest.position(one));
-        Some(Culprit {
-            traits,
-            until: strongest.expiry(self.crashes_min(strongest)),
-            answered: strongest.is_answered(),
-        })
+        let enough = |case: &&Case<'_>| self.is_in_series(case) || self.is_scattered(case);
+        let strongest = cases.values().filter(enough).max_by_key(|case| case.rank());
+        let Some(strongest) = strongest else {
+            return Vec::new();
+        };
+        let is_rival = |case: &&Case<'_>| strongest.is_rivalled_by(case);
+        let rivals: Vec<&Case<'_>> = cases.values().filter(enough).filter(is_rival).collect();
+        let in_series = self.is_in_series(strongest) && rivals.is_empty();
+        let culprit = |case: &&Case<'_>| {
+            let same = cases.values().filter(|one| one.is_like(case));
+            // Rivals are told apart by their requests, so that each stands for itself.
+            let same = same.filter(|one| !one.is_request() || one.accused() == case.accused());
+            let mut traits: Vec<Digest> = same.map(|one| one.accused()).collect();
+            traits.sort_unstable_by_key(|one| case.position(one));
+            let crashes_min = match in_series {
+                true => self.crashes_min(case),
+                false => self.settings.scattered_crashes,
+            };
+            Culprit {
+                traits,
+                until: case.expiry(crashes_min),
+                answered: case.is_answered(),
+                in_series,
+            }
+        };
+        let all = std::iter::once(&strongest).chain(&rivals);
+        all.map(culprit).collect()
+    }
+
+    fn is_in_series(&self, case: &Case<'_>) -> bool {
+        case.strength() >= self.crashes_min(case)
+    }
+
+    /// Returns whether a request has crashed enough upstreams, though the crashes do not follow each other.
+    fn is_scattered(&self, case: &Case<'_>) -> bool {
+        case.is_request() && case.scattered() >= self.settings.scattered_crashes
     }
 
     fn crashes_min(&self, case: &Case<'_>) -> usize {
@@ -378,7 +484,7 @@
     /// Returns the cases against all traits: the evidence that is not explained yet and that no later
     /// answer refutes.
     fn cases(&self, explained: &BTreeSet<Arc<str>>) -> Map<Digest, Case<'_>> {
-        let mut by_trait: Map<Digest, Vec<&CrashEvidence>> = Map::default();
+        let mut by_trait: Map<Digest, Vec<Known<'_>>> = Map::default();
         for (learned_at, evidence) in self.evidence.values() {
             if explained.contains(&evidence.crash) {
                 continue;
@@ -386,7 +492,8 @@
             for one in evidence.traits() {
                 let answered = self.answers.get(one);
                 if answered.is_none_or(|answered| answered.at < *learned_at) {
-                    by_trait.entry(*one).or_default().push(evidence);
+                    let known = (*learned_at, evidence);
+                    by_trait.entry(*one).or_default().push(known);
                 }
             }
         }
--- a/crates/decisions/src/culprits/case.rs
+++ b/crates/decisions/src/culprits/case.rs
@@ -3,10 +3,13 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
-use sardinepin_common::Millis;
+use sardinepin_common::{Map, Millis};
 use sardinepin_protocol::Digest;
 
-use super::CrashEvidence;
+use super::{CrashEvidence, MOMENT};
+
+/// Evidence, with the time at which it became known here.
+pub(super) type Known<'a> = (Millis, &'a CrashEvidence);
 
 /// The evidence against one trait.
 #[derive(Debug)]
@@ -14,23 +17,27 @@
     accused: Digest,
     /// Whether a request with the trait has been answered before, here or where a crash was seen.
     answered: bool,
+    /// All evidence against the trait, in the order of the crashes.
+    evidence: Vec<Known<'a>>,
     /// All crashes that speak against the trait, each with the request that had it.
     crashes: BTreeSet<(&'a str, Digest)>,
-    /// The longest series of crashes of which each hit a request sent after the one before.
-    series: Vec<&'a CrashEvidence>,
+    /// The length of the longest series of crashes of which each hit a request sent after the one before.
+    series: usize,
 }
 
 impl<'a> Case<'a> {
-    pub(super) fn new(accused: Digest, answered: bool, evidence: Vec<&'a CrashEvidence>) -> Self {
-        let was_answered = |one: &&CrashEvidence| one.parts.answered.contains(&accused);
+    pub(super) fn new(accused: Digest, answered: bool, mut evidence: Vec<Known<'a>>) -> Self {
+        evidence.sort_unstable_by_key(|(_, one)| (one.crashed_at, Reverse(one.sent_at)));
+        let was_answered = |(_, one): &Known<'a>| one.parts.answered.contains(&accused);
         Self {
             accused,
             answered: answered || evidence.iter().any(was_answered),
             crashes: evidence
                 .iter()
-                .map(|one| (&*one.crash, one.request))
+                .map(|(_, one)| (&*one.crash, one.request))
                 .collect(),
-            series: longest_series(evidence),
+            series: longest_series(&evidence),
+            evidence,
         }
     }
 
@@ -44,14 +51,14 @@
 
     /// Returns whether the trait is the digest of a whole request.
     pub(super) fn is_request(&self) -> bool {
-        let first = self.series.first();
-        first.is_some_and(|evidence| evidence.request == self.accused)
+        let first = self.evidence.first();
+        first.is_some_and(|(_, evidence)| evidence.request == self.accused)
     }
 
     /// Returns how specific a trait of the same requests is; the lowest position is that of a request, the
     /// highest that of the first part of a prompt.
     pub(super) fn position(&self, one: &Digest) -> (usize, Digest) {
-        let from_end = self.series.first().map_or(0, |evidence| {
+        let from_end = self.evidence.first().map_or(0, |(_, evidence)| {
             let traits: Vec<&Digest> = evidence.traits().collect();
             let at = traits.iter().position(|own| *own == one);
             match at {
@@ -63,9 +70,27 @@
         (from_end, *one)
     }
 
-    /// Returns the number of crashes that count.
+    /// Returns the length of the longest series of crashes.
     pub(super) fn strength(&self) -> usize {
-        self.series.len()
+        self.series
+    }
+
+    /// Returns the number of crashes, or one if all of them happened at the same moment.
+    ///
+    /// Copies of a request may be under way at several processes at once, so that no copy is sent after the crash that another one
+    /// causes. The loss of several upstreams at once looks the same, but for the moments of the crashes.
+    pub(super) fn scattered(&self) -> usize {
+        let mut wall: Vec<Millis> = self
+            .evidence
+            .iter()
+            .map(|(_, one)| one.crashed_at)
+            .collect();
+        let mut own: Vec<Millis> = self.evidence.iter().map(|(known, _)| *known).collect();
+        let crashes = self.crash_names();
+        match is_one_moment(&mut wall) && is_one_moment(&mut own) {
+            true => crashes.len().min(1),
+            false => crashes.len(),
+        }
     }
 
     /// Returns the key by which cases are compared. A trait that has never been answered comes before
@@ -87,9 +112,24 @@
         self.answered == other.answered && self.crashes == other.crashes
     }
 
-    /// Returns when fewer than `crashes_min` crashes of the series are left.
+    /// Returns whether this trait and that of `other` are different requests, of which the other one was hit by all crashes of this one.
+    pub(super) fn is_rivalled_by(&self, other: &Self) -> bool {
+        let both = self.is_request() && other.is_request() && self.accused != other.accused;
+        both && self.crash_names().is_subset(&other.crash_names())
+    }
+
+    fn crash_names(&self) -> BTreeSet<&'a str> {
+        self.crashes.iter().map(|(crash, _)| *crash).collect()
+    }
+
+    /// Returns when fewer than `crashes_min` crashes are left.
     pub(super) fn expiry(&self, crashes_min: usize) -> Millis {
-        let mut expiries: Vec<Millis> = self.series.iter().map(|one| one.expires_at).collect();
+        let mut by_crash: Map<&str, Millis> = Map::default();
+        for (_, one) in &self.evidence {
+            let expiry = by_crash.entry(&*one.crash).or_default();
+            *expiry = one.expires_at.max(*expiry);
+        }
+        let mut expiries: Vec<Millis> = by_crash.into_values().collect();
         expiries.sort_unstable_by_key(|expiry| Reverse(*expiry));
         let last = expiries.get(crashes_min.saturating_sub(1));
         last.copied().unwrap_or_default()
@@ -99,19 +139,61 @@
 /// How far apart two readings of the same moment may lie: each is told by two clocks that count whole milliseconds.
 const CLOCK_ROUNDING: Millis = Millis(1);
 
-/// Returns the longest series of crashes of which each hit a request sent after the one before.
+/// The longest series that is told from longer ones.
+const SERIES_MAX: usize = 32;
+
+fn is_one_moment(times: &mut [Millis]) -> bool {
+    times.sort_unstable();
+    let pairs = times.windows(2);
+    pairs
+        .into_iter()
+        .all(|pair| pair[1].since(pair[0]) < MOMENT)
+}
+
+/// Returns the length of the longest series of crashes of which each hit a request sent after the one before.
 ///
-/// The loss of several upstreams at once is no evidence against what many callers send at that moment.
-fn longest_series(mut evidence: Vec<&CrashEvidence>) -> Vec<&CrashEvidence> {
-    evidence.sort_unstable_by_key(|one| (one.crashed_at, Reverse(one.sent_at)));
-    let mut series: Vec<&CrashEvidence> = Vec::new();
-    for one in evidence {
-        let follows = |last: &&CrashEvidence| {
+/// The loss of several upstreams at once is no evidence against what many callers send at that moment. Clocks of processes differ by
+/// seconds, so that the order of crashes follows from what their senders knew, where that is recorded.
+fn longest_series(evidence: &[Known<'_>]) -> usize {
+    let mut lengths: Map<&str, usize> = Map::default();
+    for (_, one) in evidence {
+        if one.follows.is_none() {
+            return longest_series_by_clock(evidence);
+        }
+        lengths.insert(&*one.crash, 1);
+    }
+    for _ in 1..SERIES_MAX {
+        let mut changed = false;
+        for (_, one) in evidence {
+            let before = one.follows.iter().flatten();
+            let before = before.filter_map(|crash| lengths.get(&**crash));
+            let length = before
+                .max()
+                .map_or(1, |longest| longest + 1)
+                .min(SERIES_MAX);
+            let known = lengths.entry(&*one.crash).or_insert(1);
+            changed |= length > *known;
+            *known = length.max(*known);
+        }
+        if !changed {
+            break;
+        }
+    }
+    lengths.into_values().max().unwrap_or(0)
+}
+
+/// Returns the same by the times of the crashes, for evidence that does not tell what its sender knew.
+fn longest_series_by_clock(evidence: &[Known<'_>]) -> usize {
+    let mut length = 0;
+    let mut last: Option<&CrashEvidence> = None;
+    for (_, one) in evidence {
+        let follows = |last: &CrashEvidence| {
             one.sent_at + CLOCK_ROUNDING >= last.crashed_at && one.crash != last.crash
         };
-        if series.last().is_none_or(follows) {
-            series.push(one);
+        if last.is_none_or(follows) {
+            length += 1;
+            last = Some(one);
         }
     }
-    series
+    length
 }
--- a/crates/decisions/src/direct.rs
+++ b/crates/decisions/src/direct.rs
@@ -26,7 +26,7 @@
 pub use balancer::{Balancer, BalancerSettings};
 pub use caller_timeouts::CallerTimeouts;
 pub use cold_start::ColdService;
-pub use crashes::{Crash, CrashRecords, CrashedAttempt};
+pub use crashes::{CRASH_RETENTION, Crash, CrashRecords, CrashedAttempt};
 pub use permits::{PermitAsk, PermitReply};
 pub use policy::Policy;
 pub use request::{Decision, PlacementRequest, QueueDecision, RequestNumber};
--- a/crates/decisions/src/direct/crashes.rs
+++ b/crates/decisions/src/direct/crashes.rs
@@ -15,7 +15,7 @@
 };
 
 /// How long a crash counts against a request.
-const CRASH_RETENTION: Millis = Millis(600_000);
+pub const CRASH_RETENTION: Millis = Millis(600_000);
 
 /// The crash of an upstream that was about to answer a request. Its times are in milliseconds since the
 /// Unix epoch.
@@ -40,6 +40,13 @@
     /// When the record expires.
     #[serde(rename = "until")]
     pub expires_at: Millis,
+    /// The names of the earlier crashes that the gateway knew of when it sent the request; builds that do not know the field leave it
+    /// out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub follows: Option<Vec<Arc<str>>>,
+    /// Whether the request was let through to find out whether it crashes upstreams.
+    #[serde(default, rename = "probe")]
+    pub is_probe: bool,
 }
 
 /// An attempt that a crash has ended.
@@ -53,6 +60,8 @@
     pub started_at: u64,
     /// How long before the crash the request was sent.
     pub age: Millis,
+    /// Whether [`CrashRecords::admit`] let the request through to find out whether it crashes upstreams.
+    pub is_probe: bool,
 }
 
 impl Crash {
@@ -73,6 +82,8 @@
             sent_at: self.sent_at,
             crashed_at: self.crashed_at,
             expires_at: self.expires_at,
+            follows: self.follows.clone(),
+            is_probe: self.is_probe,
         }
     }
 }
@@ -122,6 +133,8 @@
             sent_at: wall_now.since(attempt.age),
             crashed_at: wall_now,
             expires_at: wall_now + CRASH_RETENTION,
+            follows: Some(self.finder.crashes_before(sent_at, now, attempt.traits)),
+            is_probe: attempt.is_probe,
         };
         self.add(now, &crash).then_some(crash)
     }
@@ -152,6 +165,7 @@
     pub fn admit(&mut self, now: Millis, wall_now: Millis, traits: Traits<'_>) -> Admission {
         match self.finder.admit(now, traits) {
             Admission::Hold(until) if until <= wall_now => Admission::Run,
+            Admission::Probe(claim) if claim.held_until <= wall_now => Admission::Run,
             admission => admission,
         }
     }
@@ -167,6 +181,12 @@
             .remove_where(|evidence| evidence.request == *request)
     }
 
+    /// Removes the crashes that speak against all of these traits, which a test has refuted; returns their names.
+    pub fn refute(&mut self, traits: &[Digest]) -> Vec<Arc<str>> {
+        self.finder
+            .remove_where(|evidence| evidence.speaks_against(traits))
+    }
+
     /// Removes expired crashes; returns their names.
     pub fn remove_expired(&mut self, wall_now: Millis) -> Vec<Arc<str>> {
         self.finder
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -48,7 +48,8 @@
 };
 pub use cold_bound::{ColdBound, ColdRule};
 pub use culprits::{
-    Admission, CrashEvidence, Culprit, CulpritFinder, CulpritSettings, DoubtfulParts, Traits,
+    Admission, CrashEvidence, Culprit, CulpritFinder, CulpritSettings, DoubtfulParts, ProbeClaim,
+    Traits,
 };
 pub use events::{
     Arrival, AttemptEnd, Effect, Event, RequestNumber, ServiceInfo, UpstreamId, UpstreamInfo,
--- a/crates/decisions/src/suspects.rs
+++ b/crates/decisions/src/suspects.rs
@@ -90,6 +90,9 @@
                 sent_at: attempt.sent,
                 crashed_at: now,
                 expires_at: now + self.settings.suspect_ttl,
+                // One process has one clock, which orders its crashes.
+                follows: None,
+                is_probe: false,
             };
             let name = Arc::from(format!("{crash}-{}", attempt.request));
             self.finder.add(now, name, evidence);
@@ -99,7 +102,7 @@
             let digest = culprit.most_specific()?;
             let is_held = quarantined.get(&digest).is_some_and(|until| *until > now);
             // What has been answered before can hardly be at fault, and is tried again soon.
-            let duration = match culprit.answered {
+            let duration = match culprit.answered || !culprit.in_series {
                 true => settings.retest_interval,
                 false => settings.duration,
             };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -37,8 +37,8 @@
     pub(crate) deadline: Millis,
     /// Whether the caller seems to come back after a refusal.
     pub(crate) returning: bool,
-    /// Whether it runs to find out about a part of its prompt.
-    pub(crate) is_probe: bool,
+    /// The traits that it runs to find out about, if it is a test of a culprit.
+    pub(crate) probed: Vec<Digest>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -128,7 +128,7 @@
             received_at,
             deadline: received_at + head.timeout,
             returning: false,
-            is_probe: false,
+            probed: Vec::new(),
             parts: parts_of_prompt.collect(),
             headers: headers::to_upstream(names, &parts.headers),
             method: parts.method,
@@ -224,6 +224,11 @@
         ])
     }
 
+    /// Returns whether the request was let through to find out about a culprit.
+    pub(crate) fn is_probe(&self) -> bool {
+        !self.probed.is_empty()
+    }
+
     /// Returns the request identifier as text, for the log.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use sardinepin_common::{Clock, Map, Millis};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
 use crate::call::Call;
 use crate::constants::CONNECT_TIMEOUT;
@@ -19,6 +20,9 @@
 /// later.
 const PROBE_RETENTION: Millis = Millis(500);
 
+/// How long a request waits for the right to test a culprit.
+const CLAIM_TIMEOUT: Millis = Millis(500);
+
 /// A change of the crash records that other gateways have to know.
 #[derive(Debug)]
 pub(crate) enum CrashEvent {
@@ -28,6 +32,13 @@
     Removed(Vec<Arc<str>>),
     /// The store came back from an older copy, which holds the crashes with these names.
     StoreRestored(Vec<Arc<str>>),
+    /// This gateway wants to test a culprit, which one gateway does for all.
+    ClaimProbe {
+        /// The name of the test.
+        name: Arc<str>,
+        /// Receives whether this gateway has the right to.
+        granted: oneshot::Sender<bool>,
+    },
 }
 
 /// Probes of upstreams at which requests broke off.
@@ -66,6 +77,7 @@
             upstream: &permit.spec.id,
             started_at: permit.spec.started_at,
             age: broken_at.since(permit.sent_at),
+            is_probe: call.is_probe(),
         };
         let seen_at = Clock::wall_time().since(now.since(broken_at));
         let mut crashes = self.crashes();
@@ -112,7 +124,10 @@
         if crashes.is_empty() {
             return;
         }
-        let names = crashes.remove_request(&call.digest());
+        let mut names = crashes.remove_request(&call.digest());
+        if succeeded && call.is_probe() {
+            names.extend(crashes.refute(&call.probed));
+        }
         drop(crashes);
         if !names.is_empty() {
             log::info!(
@@ -130,23 +145,45 @@
         if crashes.is_empty() {
             return None;
         }
-        crashes.quarantine_remaining(Clock::wall_time(), call.traits(), call.is_probe)
+        crashes.quarantine_remaining(Clock::wall_time(), call.traits(), call.is_probe())
     }
 
     /// Decides whether a new request may run; returns how long it is quarantined if not.
-    pub(crate) fn admit(&self, call: &mut Call) -> Result<(), Millis> {
-        let mut crashes = self.crashes();
-        if crashes.is_empty() {
-            return Ok(());
-        }
+    pub(crate) async fn admit(&self, call: &mut Call) -> Result<(), Millis> {
         let wall_now = Clock::wall_time();
-        let admission = crashes.admit(self.clock.now(), wall_now, call.traits());
-        call.is_probe = admission == Admission::Probe;
+        let admission = {
+            let mut crashes = self.crashes();
+            if crashes.is_empty() {
+                return Ok(());
+            }
+            crashes.admit(self.clock.now(), wall_now, call.traits())
+        };
         match admission {
+            Admission::Run => Ok(()),
             Admission::Hold(until) => Err(until.since(wall_now)),
-            Admission::Run | Admission::Probe => Ok(()),
+            Admission::Probe(claim) if self.claim_probe(&claim.name, call).await => {
+                call.probed = claim.traits;
+                Ok(())
+            }
+            Admission::Probe(claim) => Err(claim.held_until.since(wall_now)),
         }
     }
+
+    /// Claims the test of a culprit; returns whether this gateway may send a request.
+    async fn claim_probe(&self, name: &Arc<str>, call: &Call) -> bool {
+        let (granted, answer) = oneshot::channel();
+        self.send_crash_event(CrashEvent::ClaimProbe {
+            name: Arc::clone(name),
+            granted,
+        });
+        let answer = tokio::time::timeout(CLAIM_TIMEOUT.duration(), answer);
+        let is_granted = matches!(answer.await, Ok(Ok(true)));
+        log::info!(
+            event = "crash_probe", request = call.id_text(), digest:% = call.digest(), test = &**name, granted = is_granted;
+            "a request may find out whether it crashes upstreams, unless another gateway does"
+        );
+        is_granted
+    }
 }
 
 impl CrashProbes {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -28,7 +28,7 @@
         let service = Arc::clone(&call.service);
         self.dispatcher
             .with_balancer(|balancer, now| balancer.record_request(now, &service));
-        let admitted = self.admit(&mut call);
+        let admitted = self.admit(&mut call).await;
         let call = Arc::new(call);
         if let Err(retry_after) = admitted {
             let error = RequestFailure::new(ErrorKind::Quarantined, retry_after);
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -143,6 +143,8 @@
         let time_left = call.deadline.since(self.clock.now());
         let allowed = failure.not_run() || call.is_repeatable();
         let allowed = allowed && self.quarantine_remaining(call).is_none();
+        // A test that may have crashed an upstream is over.
+        let allowed = allowed && (failure.not_run() || !call.is_probe());
         if !allowed || time_left < RETRY_MIN_LEFT || attempts.sent >= call.route.max_attempts {
             return false;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,8 @@
 pub use sardinepin_decisions::{BudgetSettings, ColdRule};
 pub use settings::{EvacuationSettings, GatewaySettings, StopSettings, SyncSettings};
 pub use store::{
-    GatewayStore, GatewayStoreError, ObjectBatch, ReadFuture, StoredObject, WriteFuture,
+    ClaimFuture, GatewayStore, GatewayStoreError, ObjectBatch, ReadFuture, StoredObject,
+    WriteFuture,
 };
 pub use sync::{EvacuationList, UpstreamList, evacuation_wait};
 pub use withdrawals::rest_time;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -70,6 +70,9 @@
 /// The future of a write. Writes are idempotent, so one without a response may be repeated.
 pub type WriteFuture<'a> = BoxFuture<'a, Result<(), GatewayStoreError>>;
 
+/// The future of a claim, which is true if it is granted.
+pub type ClaimFuture<'a> = BoxFuture<'a, Result<bool, GatewayStoreError>>;
+
 /// The store operations that a gateway needs: the configuration, the upstream list, evacuations and
 /// shared crashes.
 pub trait GatewayStore: fmt::Debug + Send + Sync {
@@ -102,4 +105,10 @@
 
     /// Removes a crash; it is not an error if there is none of that name.
     fn remove_crash<'a>(&'a self, name: &'a str) -> WriteFuture<'a>;
+
+    /// Claims the test of this name, which is granted to one gateway only.
+    fn claim_probe<'a>(&'a self, name: &'a str) -> ClaimFuture<'a>;
+
+    /// Removes a claim; it is not an error if there is none of that name.
+    fn remove_probe<'a>(&'a self, name: &'a str) -> WriteFuture<'a>;
 }
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -5,6 +5,7 @@
 
 use sardinepin_common::{Clock, Map, Millis};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 
 use crate::crash_detection::CrashEvent;
 use crate::gateway::Gateway;
@@ -12,7 +13,7 @@
 use crate::store::{GatewayStore, GatewayStoreError, ObjectBatch};
 use crate::sync::backoff::Backoff;
 use crate::sync::position::{BatchUse, Position};
-use sardinepin_decisions::direct::Crash;
+use sardinepin_decisions::direct::{CRASH_RETENTION, Crash};
 
 /// The longest time that one watch waits. Crashes are rare; a watch that an outage of the store may have cost its response is given up
 /// when the outage ends.
@@ -57,12 +58,34 @@
                 }
                 unsent.remove_all(written.restored(&listed));
             }
+            Some(CrashEvent::ClaimProbe { name, granted }) => {
+                tokio::spawn(claim_probe(Arc::clone(&store), name, granted));
+                continue;
+            }
             None => return,
         }
         unsent.send(store.as_ref()).await;
     }
 }
 
+/// Claims the test of a culprit, and removes the claim when the evidence has expired.
+async fn claim_probe(store: Arc<dyn GatewayStore>, name: Arc<str>, granted: oneshot::Sender<bool>) {
+    match store.claim_probe(&name).await {
+        Ok(true) => {
+            // The request may have been given up meanwhile; the next test is due later.
+            let _ = granted.send(true);
+            tokio::time::sleep(CRASH_RETENTION.duration()).await;
+            if let Err(error) = store.remove_probe(&name).await {
+                log::debug!(event = "probe_kept", test = &*name, error:% = error; "a claim stays in the store");
+            }
+        }
+        Ok(false) => {}
+        Err(error) => {
+            log::debug!(event = "probe_unclaimed", test = &*name, error:% = error; "a test cannot be claimed");
+        }
+    }
+}
+
 /// A write that the store has not confirmed. Repeating it changes nothing.
 #[derive(Debug)]
 enum CrashWrite {
--- a/crates/gateway/tests/path/crashes.rs
+++ b/crates/gateway/tests/path/crashes.rs
@@ -101,6 +101,7 @@
             upstream: &Arc::from(upstream),
             started_at: 1,
             age,
+            is_probe: false,
         };
         assert!(crashes.record_crash(now, wall_now, attempt).is_some());
     }
@@ -131,6 +132,7 @@
             upstream: &Arc::from(upstream),
             started_at: 1,
             age: Millis(200),
+            is_probe: false,
         };
         assert!(crashes.record_crash(now, at, attempt).is_some());
         assert_eq!(crashes.record_crash(now, at, attempt), None);
