A stopping gateway writes the last bytes of answers that are read slowly

Callers saw streams and answers cut around a SIGTERM (LOST). Cause: a request ends for the gateway when the last part of its answer is handed to the HTTP server; what the server still holds, because the caller reads slowly, was lost when the process ended 50 to 100 ms later. Change: the stop waits until the connections of callers have been written to their ends, within the same timeout.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,8 @@
     crashes_known: AtomicBool,
     draining: AtomicBool,
     open_requests: AtomicUsize,
+    /// The connections of callers that are being served, up to the last byte of their answers.
+    open_connections: AtomicUsize,
     /// How many outages of the store have ended.
     outages: watch::Sender<u64>,
     crashes: Mutex<CrashRecords>,
@@ -61,6 +63,7 @@
             crashes_known: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             outages: watch::Sender::default(),
             crashes: Mutex::default(),
             crash_events,
@@ -197,6 +200,17 @@
         self.open_requests.load(Ordering::Acquire)
     }
 
+    /// Returns the number of callers' connections that are being served.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Acquire)
+    }
+
+    /// Counts a connection as being served until the returned guard is dropped.
+    pub(crate) fn open_connection(self: &Arc<Self>) -> OpenConnection {
+        self.open_connections.fetch_add(1, Ordering::AcqRel);
+        OpenConnection(Arc::clone(self))
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
@@ -222,3 +236,13 @@
         self.0.open_requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+/// A guard that counts one connection of a caller.
+#[derive(Debug)]
+pub(crate) struct OpenConnection(Arc<Gateway>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -44,8 +44,8 @@
         self.readiness_address
     }
 
-    /// Shuts down: reports not ready, accepts connections for the drain delay, then waits for open
-    /// requests until the shutdown timeout.
+    /// Shuts down: reports not ready, accepts connections for the drain delay, then waits until the last bytes of open requests have
+    /// been written, or for the shutdown timeout.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         log::info!(event = "stopping", open = gateway.open_requests(); "shutting down");
@@ -54,14 +54,16 @@
         gateway.dispatcher.stop_holding();
         tokio::time::sleep(self.stop.drain_delay.duration()).await;
         self.closing.send_replace(true);
-        while gateway.open_requests() > 0
+        // A request ends with the last part of its answer, which its caller may read much later.
+        while gateway.open_requests() + gateway.open_connections() > 0
             && gateway.clock.now().since(began) < self.stop.shutdown_timeout
         {
             tokio::time::sleep(STOP_POLL_INTERVAL.duration()).await;
         }
-        // Leaves time to write the last bytes of the last response.
-        tokio::time::sleep(STOP_POLL_INTERVAL.duration()).await;
-        log::info!(event = "stopped", open = gateway.open_requests(); "gateway stopped");
+        log::info!(
+            event = "stopped", open = gateway.open_requests(), connections = gateway.open_connections();
+            "gateway stopped"
+        );
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -101,6 +101,7 @@
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) {
+    let _open = gateway.open_connection();
     set_socket_options(&stream);
     let stream = CallerStream::new(stream);
     let limits = gateway
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod outcomes;
 mod records;
 mod restores;
+mod slow_callers;
 mod stopping;
 mod streams;
 mod util;
