A caller that pauses in reading keeps its connection while its request may take

Cause: TCP_USER_TIMEOUT of 1.5 s on the connections of callers also ends one whose window is closed, though its caller acknowledges every probe. Change: with each request the timeout of its connection becomes the time that the request may take, 1.5 s at least; connections to upstreams keep 1.5 s, as an upstream that is out of reach has to be found out soon. A caller that is gone without closing its connection is found out later, at the end of its request's time. Test: a caller that reads nothing for 2.5 s was reset after 4,800 bytes before; it gets 250 KiB now.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,6 +22,7 @@
 
 use crate::call::{Call, RequestHead};
 use crate::connection::set_socket_options;
+use crate::constants::TCP_USER_TIMEOUT;
 use crate::gateway::{Gateway, OpenRequest};
 use crate::manifest::CallerLimits;
 use crate::request_metrics;
@@ -109,7 +110,8 @@
         .map_or_else(CallerLimits::default, |table| *table.limits());
     let service = service_fn(|request| {
         let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
+        let caller = stream.clone();
+        async move { Ok::<_, Infallible>(respond(&gateway, &caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -136,9 +138,13 @@
     }
 }
 
-async fn respond(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<CountedBody> {
+async fn respond(
+    gateway: &Arc<Gateway>,
+    caller: &CallerStream,
+    request: Request<Incoming>,
+) -> Response<CountedBody> {
     let open = gateway.open_request();
-    let mut response = handle(gateway, request).await;
+    let mut response = handle(gateway, caller, request).await;
     if gateway.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -146,12 +152,20 @@
     response.map(|body| CountedBody { body, _open: open })
 }
 
-async fn handle(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+async fn handle(
+    gateway: &Arc<Gateway>,
+    caller: &CallerStream,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let received_at = gateway.clock.now();
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&gateway.names.request_id).cloned();
     match read_call(gateway, parts, body, received_at).await {
-        Ok(call) => gateway.handle(call).await,
+        Ok(call) => {
+            // A caller may pause in reading as long as its request may take.
+            caller.allow_silence(call.timeout().max(TCP_USER_TIMEOUT));
+            gateway.handle(call).await
+        }
         Err(kind) => {
             let name = id.as_ref().and_then(|id| id.to_str().ok());
             request_metrics::count_turned_down();
--- a/crates/gateway/tests/path/slow_callers.rs
+++ b/crates/gateway/tests/path/slow_callers.rs
@@ -11,7 +11,7 @@
 
 use crate::util::{
     FakeStore, ScriptedUpstream, Step, chunk, last_chunk, manifest, request, settings,
-    signed_response, stream_head, wait_for,
+    signed_response, start_gateway, stream_head, wait_for,
 };
 
 /// The receive buffer of a slow caller, in bytes.
@@ -24,6 +24,9 @@
 /// The length of a large answer, in bytes: more than the sockets of a connection hold while its caller does not read.
 const ANSWER_BYTES: usize = 250 * 1024;
 
+/// How long a caller pauses in reading, less than its request may take.
+const READ_PAUSE: Millis = Millis(2_500);
+
 /// Connects with a small receive buffer and sends a request on a connection that stays open.
 async fn send_slowly(address: SocketAddr, path: &str, id: &str) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
@@ -72,6 +75,20 @@
     String::from_utf8(answer).unwrap()
 }
 
+/// Guards against a connection being ended because its caller, which lives, reads nothing for some time.
+#[tokio::test]
+async fn a_caller_that_pauses_in_reading_gets_its_whole_answer() {
+    let body = format!("{}end", "x".repeat(ANSWER_BYTES - 3));
+    let upstream = ScriptedUpstream::start("one", vec![signed_response("200 OK", &body)]).await;
+    let (running, _) = start_gateway(&[&upstream]).await;
+    let mut caller = send_slowly(running.caller_address(), "/once/a", "r").await;
+    wait_for(async || upstream.count() == 1).await;
+    tokio::time::sleep(READ_PAUSE.duration()).await;
+    let answer = read_to(&mut caller, "end", FAST).await;
+    assert!(answer.starts_with("HTTP/1.1 200"));
+    assert!(answer.ends_with(&body), "{} bytes", answer.len());
+}
+
 /// A gateway on a runtime of its own, which ends with it as a process does.
 struct OwnRuntime {
     caller_address: SocketAddr,
--- a/crates/runtime/src/caller_stream.rs
+++ b/crates/runtime/src/caller_stream.rs
@@ -8,6 +8,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+use sardinepin_common::Millis;
+
+use crate::sockets::set_user_timeout;
+
 /// A shared TCP stream: one task reads and writes, another waits for the caller to leave.
 ///
 /// An HTTP server does not look for the end of a connection while a further request on it is unread.
@@ -21,6 +25,13 @@
         Self(Arc::new(stream))
     }
 
+    /// Ends the connection if its caller neither reads nor acknowledges anything for so long.
+    ///
+    /// The system does not tell a caller that lives and reads nothing from one that is gone.
+    pub fn allow_silence(&self, time: Millis) {
+        set_user_timeout(&*self.0, time);
+    }
+
     /// Waits until the caller has closed its side of the connection.
     pub async fn closed_by_caller(&self) {
         // This readiness comes with the end of the stream, but not with bytes to read. An error means
