A refusal counts as "not run" only if it is one of this request

Report of another operator: a faulty worker writes an earlier refusal once more on a kept connection, and callers are told 'not run' for requests that ran (REFUSED), or such a request runs a second time (TWICE). Cause here: the mark "not run" and status 421 were taken before the identifier in the answer was compared. Requests that may not be repeated get a connection of their own each, so that only an answer with another request's identifier on a new connection could hit them; those that may be repeated were told so on kept connections too. Change: an answer that names another request, or none on a connection that was used before, is a broken one; the request may have run. Tests: three; two failed before (503 for all four statuses, and on a kept connection), the third guards refusals without an identifier on a new connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -240,7 +240,7 @@
             self.dispatcher
                 .with_balancer(|balancer, _| balancer.record_answer(permit.id, now));
         }
-        self.check_response(call, permit, &parts)?;
+        self.check_response(call, permit, &parts, connection.is_reused())?;
         Ok((parts, body, connection))
     }
 
@@ -351,13 +351,21 @@
     }
 
     /// Returns an error if a response must not be forwarded.
+    ///
+    /// A refusal that names another request, or none on a connection that was used before, says nothing of this request, which may have
+    /// run.
     fn check_response(
         &self,
         call: &Call,
         permit: &UpstreamPermit,
         parts: &Parts,
+        is_reused: bool,
     ) -> Result<(), AttemptFailure> {
         let names = &self.names;
+        let echoed = parts.headers.get(&names.request_id);
+        if echoed.map_or(is_reused, |id| *id != call.id) {
+            return Err(AttemptFailure::BrokenResponse);
+        }
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             self.dispatcher
                 .with_balancer(|balancer, now| balancer.record_leaving(now, permit.id));
@@ -374,8 +382,7 @@
                 AttemptFailure::Rejected
             });
         }
-        let echoed = parts.headers.get(&names.request_id);
-        if echoed != Some(&call.id) || is_altered(names, parts) {
+        if echoed.is_none() || is_altered(names, parts) {
             return Err(AttemptFailure::BrokenResponse);
         }
         Ok(())
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -39,6 +39,8 @@
     sender: SendRequest<Full<Bytes>>,
     allowance: ByteAllowance,
     driver: AbortHandle,
+    /// Whether a response has been read from it before.
+    is_reused: bool,
 }
 
 impl Drop for Connection {
@@ -72,9 +74,15 @@
             sender,
             allowance,
             driver: driver.abort_handle(),
+            is_reused: false,
         })
     }
 
+    /// Returns whether a response has been read from it before, so that the next one may be a late one to an earlier request.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Bounds the bytes that may come before the next part of a response.
     pub(crate) fn expect_part(&self) {
         self.allowance.set(PART_MAX_BYTES);
@@ -150,12 +158,13 @@
         &self,
         now: Millis,
         id: UpstreamId,
-        connection: Connection,
+        mut connection: Connection,
         headers: &http::HeaderMap,
     ) {
         let Some(time) = idle_time(headers) else {
             return;
         };
+        connection.is_reused = true;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(id).or_default();
         if connections.len() < IDLE_PER_UPSTREAM {
--- a/crates/gateway/tests/path/outcomes.rs
+++ b/crates/gateway/tests/path/outcomes.rs
@@ -179,3 +179,51 @@
         );
     }
 }
+
+/// A refusal with the identifier of an earlier request, which says nothing about this one.
+fn earlier_refusal(status: &str) -> Vec<Step> {
+    vec![Step::Write(format!(
+        "HTTP/1.1 {status}\r\nx-request-id: earlier\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+    ))]
+}
+
+/// Guards against a request that ran being reported as not run, or sent again, because its upstream repeats an earlier refusal.
+#[tokio::test]
+async fn refusal_of_an_earlier_request_does_not_say_that_a_request_did_not_run() {
+    for status in ["503 Busy", "421 Misdirected", "429 Busy", "400 Bad"] {
+        let (one, two) = pair(earlier_refusal(status)).await;
+        let (running, _) = start_gateway(&[&one, &two]).await;
+        let response = send_raw(running.caller_address(), &request("/once/a", "r", "")).await;
+        assert!(response.starts_with("HTTP/1.1 502"), "{status}: {response}");
+        assert_eq!(total(&one, &two), 1, "{status}");
+    }
+}
+
+/// Guards against the same on a connection that is in use again, where a late refusal comes at the place of the next answer.
+#[tokio::test]
+async fn late_refusal_on_a_kept_connection_does_not_say_that_a_request_did_not_run() {
+    for late in [
+        earlier_refusal("503 Busy"),
+        not_run_response(),
+        vec![Step::Write(
+            "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n".to_owned(),
+        )],
+    ] {
+        let script = vec![signed_response("200 OK", "first"), late];
+        let upstream = ScriptedUpstream::start("one", script).await;
+        let (running, _) = start_gateway(&[&upstream]).await;
+        let first = send_raw(running.caller_address(), &request("/safe/a", "r-1", "")).await;
+        assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+        let second = send_raw(running.caller_address(), &request("/safe/a", "r-2", "")).await;
+        assert!(second.starts_with("HTTP/1.1 502"), "{second}");
+    }
+}
+
+/// Guards against a refusal without an identifier being taken for an unknown end on a connection that nothing else was sent over.
+#[tokio::test]
+async fn refusal_without_an_identifier_on_a_new_connection_says_that_a_request_did_not_run() {
+    let (one, two) = pair(not_run_response()).await;
+    let (running, _) = start_gateway(&[&one, &two]).await;
+    let response = send_raw(running.caller_address(), &request("/once/a", "r", "")).await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+}
