--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -77,7 +77,8 @@
         };
         let mut members: Vec<Member> = members
             .into_iter()
-            .filter(|member| member.group == own.group)
+            // An entry of another writer may name any rank, and is no member then.
+            .filter(|member| member.group == own.group && member.rank < size)
             .collect();
         members.sort_by_key(|member| member.rank);
         members.dedup_by_key(|member| member.rank);
--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -81,6 +81,8 @@
     terms: BTreeSet<u64>,
     /// How many times the list of members was read, which each coordinator does.
     member_reads: usize,
+    /// Entries of the list of members that are no members.
+    odd_members: Vec<Member>,
     /// The ranks that were ordered to be disarmed, whether or not the order was carried out.
     disarms: Vec<usize>,
     /// How many of those orders named a version that no other rank had replaced by a newer one.
@@ -132,6 +134,7 @@
             is_up: true,
             terms: BTreeSet::new(),
             member_reads: 0,
+            odd_members: Vec::new(),
             disarms: Vec::new(),
             unsafe_disarms: 0,
         }
@@ -323,7 +326,8 @@
             zone: Arc::from("zone-a"),
             slots: 10,
         });
-        let members: Vec<Member> = members.collect();
+        let odd = self.0.lock().unwrap().odd_members.clone();
+        let members: Vec<Member> = odd.into_iter().chain(members).collect();
         Box::pin(async move { Ok(members) })
     }
 }
@@ -444,6 +448,23 @@
     .await;
 }
 
+/// Guards against a group that stops switching maps because another writer left an entry with an impossible rank among its members.
+#[tokio::test]
+async fn an_odd_entry_among_the_members_does_not_block_the_group() {
+    for (rank, engine) in [(RANKS, address(1)), (usize::MAX, address(2))] {
+        let shared = SharedGroup(Arc::new(Mutex::new(FakeGroup::new(0))));
+        shared.0.lock().unwrap().odd_members = vec![Member {
+            group: Arc::from("g0"),
+            rank,
+            engine,
+            zone: Arc::from("zone-a"),
+            slots: 10,
+        }];
+        start_agents(&shared).await;
+        wait_until_replicated(&shared).await;
+    }
+}
+
 #[tokio::test]
 async fn lost_and_delayed_orders_do_not_block_the_group() {
     for loss_interval in [2, 3, 5, 7] {
