An error of an upstream does not clear the crashes of its request

Cause: any response that was forwarded removed all crashes of its request, at all gateways, also a 500 of an upstream that fails part of its requests without running them; a request that crashes upstreams started from nothing then. Change: responses with a status of 500 or above remove nothing and refute nothing. Test: error_of_an_upstream_does_not_clear_the_crashes_of_its_request failed before (0 records left of 1).

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -116,7 +116,11 @@
     /// Records that an upstream has responded to a request.
     ///
     /// `succeeded` tells whether it wrote a whole answer, so that no part of the prompt is at fault.
+    /// An upstream may fail a request without running it, so that an error proves nothing.
     pub(crate) fn record_response(&self, call: &Call, status: StatusCode, succeeded: bool) {
+        if status.is_server_error() {
+            return;
+        }
         let mut crashes = self.crashes();
         if succeeded {
             crashes.record_answer(self.clock.now(), call.parts());
--- a/crates/gateway/tests/path/crashes.rs
+++ b/crates/gateway/tests/path/crashes.rs
@@ -155,3 +155,23 @@
     assert_eq!(crashes.remove_request(&crashing_request).len(), 1);
     assert!(crashes.is_empty());
 }
+
+/// Guards against a request that crashes upstreams being cleared by an error that an upstream gives without running it.
+#[tokio::test]
+async fn error_of_an_upstream_does_not_clear_the_crashes_of_its_request() {
+    let first = crashing("a").await;
+    let (running, store) = start_gateway(&[&first]).await;
+    send_raw(running.caller_address(), &request("/once/x", "r-1", "")).await;
+    wait_for(async || store.crash_count() == 1).await;
+    let script = vec![signed_response("500 Error", "failed")];
+    let second = ScriptedUpstream::start("b", script).await;
+    store.set_upstreams(vec![second.spec.clone()]);
+    wait_for(async || {
+        let response = send_raw(running.caller_address(), &request("/once/x", "r-2", "")).await;
+        response.starts_with("HTTP/1.1 500")
+    })
+    .await;
+    // The removal of a record would have been shared by now.
+    tokio::time::sleep(Millis(300).duration()).await;
+    assert_eq!(store.crash_count(), 1);
+}
