--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -9,7 +9,7 @@
 use sardinepin_protocol::ErrorKind;
 
 use crate::admission_report;
-use crate::attempt::{AttemptFailure, AttemptOptions, CompleteResponse, UpstreamResponse};
+use crate::attempt::{AttemptFailure, AttemptOptions};
 use crate::call::Call;
 use crate::dispatch::{ReservedRetry, UpstreamPermit};
 use crate::gateway::Gateway;
@@ -19,6 +19,7 @@
 use crate::relay::StreamRelay;
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::{self, Body};
+use crate::upstream_response::{CompleteResponse, UpstreamResponse};
 use sardinepin_decisions::direct::{Decision, PlacementRequest};
 
 impl Gateway {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod store;
 mod sync;
 mod upstream_limits;
+mod upstream_response;
 mod withdrawals;
 
 pub use attempt::AttemptFailure;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,13 +10,14 @@
 use hyper::body::Frame;
 use sardinepin_common::Millis;
 
-use crate::attempt::{AttemptFailure, AttemptOptions, UpstreamResponse, WaitLimits};
+use crate::attempt::{AttemptFailure, AttemptOptions, WaitLimits};
 use crate::call::Call;
 use crate::events::{EventSplitter, events_after};
 use crate::gateway::Gateway;
 use crate::handler::{Attempts, can_move};
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::Body;
+use crate::upstream_response::UpstreamResponse;
 use sardinepin_decisions::direct::AttemptEnd;
 
 /// How long after its first bytes an upstream that crashes may have crashed because of the request.
