Crashes of a part of a prompt count though its requests were under way at once

The cause of the incident on another path: a part that was never answered was held back only after three crashes of which each hit a request sent after the one before; requests with it at several gateways at once crash any number of upstreams first. Change: five crashes at different moments hold the part back as well, until a test of one gateway tells. Requests with a popular part are at every upstream, hence five and not three, and nothing changes for parts that had been answered. Test: crashes_of_a_part_in_requests_that_were_under_way_at_once_count failed before.

--- a/crates/decisions/src/culprits.rs
+++ b/crates/decisions/src/culprits.rs
@@ -36,6 +36,8 @@
     /// The number of crashes that make the digest of a request a culprit though they do not follow each other, as long as they did
     /// not happen at the same moment.
     pub scattered_crashes: usize,
+    /// The same for a part of a prompt that has never been answered. It is more, as requests with a popular part are at every upstream.
+    pub scattered_part_crashes: usize,
     /// The wait after the last crash before a request is let through whose culprit may not be at fault.
     pub probe_delay: Millis,
     /// The maximum number of pieces of evidence.
@@ -50,6 +52,7 @@
             request_crashes: 3,
             part_crashes: 3,
             scattered_crashes: 3,
+            scattered_part_crashes: 5,
             probe_delay: Millis(1_000),
             evidence_max: 1_024,
             parts_max: 4_096,
@@ -336,7 +339,7 @@
             traits.sort_unstable_by_key(|one| case.position(one));
             let crashes_min = match in_series {
                 true => self.crashes_min(case),
-                false => self.settings.scattered_crashes,
+                false => self.scattered_min(case),
             };
             Culprit {
                 traits,
@@ -353,9 +356,17 @@
         case.strength() >= self.crashes_min(case)
     }
 
-    /// Returns whether a request has crashed enough upstreams, though the crashes do not follow each other.
+    /// Returns whether a trait has crashed enough upstreams, though the crashes do not follow each other.
     fn is_scattered(&self, case: &Case<'_>) -> bool {
-        case.is_request() && case.scattered() >= self.settings.scattered_crashes
+        let may_be_at_fault = case.is_request() || !case.is_answered();
+        may_be_at_fault && case.scattered() >= self.scattered_min(case)
+    }
+
+    fn scattered_min(&self, case: &Case<'_>) -> usize {
+        match case.is_request() {
+            true => self.settings.scattered_crashes,
+            false => self.settings.scattered_part_crashes,
+        }
     }
 
     fn crashes_min(&self, case: &Case<'_>) -> usize {
--- a/crates/decisions/tests/culprits.rs
+++ b/crates/decisions/tests/culprits.rs
@@ -394,3 +394,35 @@
     }
     assert!(case.is_held("copied", &[]));
 }
+
+/// Guards against a part of a prompt crashing upstream after upstream because requests with it are under way at once.
+#[test]
+fn crashes_of_a_part_in_requests_that_were_under_way_at_once_count() {
+    let mut case = Case::new();
+    let began = case.now;
+    let crash_at = |case: &mut Case, number: u64| {
+        let crash = format!("u{number}");
+        let crashed_at = began + Millis(100 + number * 20);
+        let evidence = CrashEvidence {
+            crash: Arc::from(crash.as_str()),
+            request: digest(&format!("r{number}")),
+            parts: case
+                .finder
+                .doubtful_parts(crashed_at, began, &digests(&["common", "bad"])),
+            sent_at: began,
+            crashed_at,
+            expires_at: began + RETENTION,
+            follows: Some(Vec::new()),
+            is_probe: false,
+        };
+        case.finder.add(crashed_at, Arc::from(crash), evidence);
+    };
+    case.answer(&["common"]);
+    for number in 1..=4 {
+        crash_at(&mut case, number);
+    }
+    assert!(!case.is_held("new", &["common", "bad"]));
+    crash_at(&mut case, 5);
+    assert!(case.is_held("new", &["common", "bad"]));
+    assert!(!case.is_held("new", &["common"]));
+}
