Moments of crashes are told by their times alone; claims that nobody answered are tried again

Cause: whether crashes happened at one moment was also judged by when their records became known, which the store's delays set apart, so that the loss of several upstreams held a popular request back until a test more often than needed; read while the diff was reviewed. Change: the recorded times decide; clocks that differ set crashes apart, and a test tells then. The model leaves out sound requests held back while the store is away.

--- a/crates/decisions/src/culprits.rs
+++ b/crates/decisions/src/culprits.rs
@@ -19,7 +19,7 @@
 use sardinepin_common::{Map, Millis};
 use sardinepin_protocol::Digest;
 
-use case::{Case, Known};
+use case::Case;
 pub use evidence::{
     Admission, CrashEvidence, CrashTally, Culprit, DoubtfulParts, ProbeClaim, Traits,
 };
@@ -109,10 +109,10 @@
     /// Returns how many crashes speak against a trait, and how many of them count.
     #[must_use]
     pub fn tally(&self, one: &Digest) -> CrashTally {
-        let evidence = self.evidence.values();
-        let against = evidence.filter(|(_, evidence)| evidence.speaks_against(&[*one]));
-        let against: Vec<Known<'_>> = against.map(|(at, evidence)| (*at, evidence)).collect();
-        let known: BTreeSet<&str> = against.iter().map(|(_, one)| &*one.crash).collect();
+        let evidence = self.evidence.values().map(|(_, evidence)| evidence);
+        let against = evidence.filter(|evidence| evidence.speaks_against(&[*one]));
+        let against: Vec<&CrashEvidence> = against.collect();
+        let known: BTreeSet<&str> = against.iter().map(|one| &*one.crash).collect();
         let known = known.len();
         let case = Case::new(*one, false, against);
         CrashTally {
@@ -154,7 +154,7 @@
             return Admission::Hold(until);
         }
         if let Some((name, traits)) = self.due_probe(now, traits)
-            && self.tried.insert(&name)
+            && self.tried.insert(now, &name)
         {
             return Admission::Probe(ProbeClaim {
                 name,
@@ -165,6 +165,12 @@
         Admission::Hold(until)
     }
 
+    /// Records at `now`, by the monotonic clock, that nobody told whether the claim of a test was granted.
+    pub fn record_unclaimed(&mut self, now: Millis, name: &str) {
+        let retry_at = now + self.settings.probe_delay;
+        self.tried.record_failure(name, retry_at);
+    }
+
     /// Returns the name of the test that is due for a request, and the traits that it tells about.
     fn due_probe(&mut self, now: Millis, traits: Traits<'_>) -> Option<(Arc<str>, Vec<Digest>)> {
         let delay = self.settings.probe_delay;
@@ -379,7 +385,7 @@
     /// Returns the cases against all traits: the evidence that is not explained yet and that no later
     /// answer refutes.
     fn cases(&self, explained: &BTreeSet<Arc<str>>) -> Map<Digest, Case<'_>> {
-        let mut by_trait: Map<Digest, Vec<Known<'_>>> = Map::default();
+        let mut by_trait: Map<Digest, Vec<&CrashEvidence>> = Map::default();
         for (learned_at, evidence) in self.evidence.values() {
             if explained.contains(&evidence.crash) {
                 continue;
@@ -387,8 +393,7 @@
             for one in evidence.traits() {
                 let answered = self.answers.get(one);
                 if answered.is_none_or(|answered| answered.at < *learned_at) {
-                    let known = (*learned_at, evidence);
-                    by_trait.entry(*one).or_default().push(known);
+                    by_trait.entry(*one).or_default().push(evidence);
                 }
             }
         }
--- a/crates/decisions/src/culprits/case.rs
+++ b/crates/decisions/src/culprits/case.rs
@@ -8,9 +8,6 @@
 
 use super::{CrashEvidence, MOMENT};
 
-/// Evidence, with the time at which it became known here.
-pub(super) type Known<'a> = (Millis, &'a CrashEvidence);
-
 /// The evidence against one trait.
 #[derive(Debug)]
 pub(super) struct Case<'a> {
@@ -18,7 +15,7 @@
     /// Whether a request with the trait has been answered before, here or where a crash was seen.
     answered: bool,
     /// All evidence against the trait, in the order of the crashes.
-    evidence: Vec<Known<'a>>,
+    evidence: Vec<&'a CrashEvidence>,
     /// All crashes that speak against the trait, each with the request that had it.
     crashes: BTreeSet<(&'a str, Digest)>,
     /// The length of the longest series of crashes of which each hit a request sent after the one before.
@@ -26,15 +23,19 @@
 }
 
 impl<'a> Case<'a> {
-    pub(super) fn new(accused: Digest, answered: bool, mut evidence: Vec<Known<'a>>) -> Self {
-        evidence.sort_unstable_by_key(|(_, one)| (one.crashed_at, Reverse(one.sent_at)));
-        let was_answered = |(_, one): &Known<'a>| one.parts.answered.contains(&accused);
+    pub(super) fn new(
+        accused: Digest,
+        answered: bool,
+        mut evidence: Vec<&'a CrashEvidence>,
+    ) -> Self {
+        evidence.sort_unstable_by_key(|one| (one.crashed_at, Reverse(one.sent_at)));
+        let was_answered = |one: &&CrashEvidence| one.parts.answered.contains(&accused);
         Self {
             accused,
             answered: answered || evidence.iter().any(was_answered),
             crashes: evidence
                 .iter()
-                .map(|(_, one)| (&*one.crash, one.request))
+                .map(|one| (&*one.crash, one.request))
                 .collect(),
             series: longest_series(&evidence),
             evidence,
@@ -52,13 +53,13 @@
     /// Returns whether the trait is the digest of a whole request.
     pub(super) fn is_request(&self) -> bool {
         let first = self.evidence.first();
-        first.is_some_and(|(_, evidence)| evidence.request == self.accused)
+        first.is_some_and(|evidence| evidence.request == self.accused)
     }
 
     /// Returns how specific a trait of the same requests is; the lowest position is that of a request, the
     /// highest that of the first part of a prompt.
     pub(super) fn position(&self, one: &Digest) -> (usize, Digest) {
-        let from_end = self.evidence.first().map_or(0, |(_, evidence)| {
+        let from_end = self.evidence.first().map_or(0, |evidence| {
             let traits: Vec<&Digest> = evidence.traits().collect();
             let at = traits.iter().position(|own| *own == one);
             match at {
@@ -78,18 +79,16 @@
     /// Returns the number of crashes, or one if all of them happened at the same moment.
     ///
     /// Copies of a request may be under way at several processes at once, so that no copy is sent after the crash that another one
-    /// causes. The loss of several upstreams at once looks the same, but for the moments of the crashes.
+    /// causes. The loss of several upstreams at once looks the same, but for the moments of the crashes; clocks that differ set these
+    /// apart, and a test has to tell then.
     pub(super) fn scattered(&self) -> usize {
-        let mut wall: Vec<Millis> = self
-            .evidence
-            .iter()
-            .map(|(_, one)| one.crashed_at)
-            .collect();
-        let mut own: Vec<Millis> = self.evidence.iter().map(|(known, _)| *known).collect();
-        let crashes = self.crash_names();
-        match is_one_moment(&mut wall) && is_one_moment(&mut own) {
-            true => crashes.len().min(1),
-            false => crashes.len(),
+        let mut pairs = self.evidence.windows(2);
+        let is_one_moment = pairs.all(|pair| pair[1].crashed_at.since(pair[0].crashed_at) < MOMENT);
+        let crashes = self.crash_names().len();
+        if is_one_moment {
+            crashes.min(1)
+        } else {
+            crashes
         }
     }
 
@@ -125,7 +124,7 @@
     /// Returns when fewer than `crashes_min` crashes are left.
     pub(super) fn expiry(&self, crashes_min: usize) -> Millis {
         let mut by_crash: Map<&str, Millis> = Map::default();
-        for (_, one) in &self.evidence {
+        for one in &self.evidence {
             let expiry = by_crash.entry(&*one.crash).or_default();
             *expiry = one.expires_at.max(*expiry);
         }
@@ -142,21 +141,13 @@
 /// The longest series that is told from longer ones.
 const SERIES_MAX: usize = 32;
 
-fn is_one_moment(times: &mut [Millis]) -> bool {
-    times.sort_unstable();
-    let pairs = times.windows(2);
-    pairs
-        .into_iter()
-        .all(|pair| pair[1].since(pair[0]) < MOMENT)
-}
-
 /// Returns the length of the longest series of crashes of which each hit a request sent after the one before.
 ///
 /// The loss of several upstreams at once is no evidence against what many callers send at that moment. Clocks of processes differ by
 /// seconds, so that the order of crashes follows from what their senders knew, where that is recorded.
-fn longest_series(evidence: &[Known<'_>]) -> usize {
+fn longest_series(evidence: &[&CrashEvidence]) -> usize {
     let mut lengths: Map<&str, usize> = Map::default();
-    for (_, one) in evidence {
+    for one in evidence {
         if one.follows.is_none() {
             return longest_series_by_clock(evidence);
         }
@@ -164,7 +155,7 @@
     }
     for _ in 1..SERIES_MAX {
         let mut changed = false;
-        for (_, one) in evidence {
+        for one in evidence {
             let before = one.follows.iter().flatten();
             let before = before.filter_map(|crash| lengths.get(&**crash));
             let length = before
@@ -183,10 +174,10 @@
 }
 
 /// Returns the same by the times of the crashes, for evidence that does not tell what its sender knew.
-fn longest_series_by_clock(evidence: &[Known<'_>]) -> usize {
+fn longest_series_by_clock(evidence: &[&CrashEvidence]) -> usize {
     let mut length = 0;
     let mut last: Option<&CrashEvidence> = None;
-    for (_, one) in evidence {
+    for one in evidence {
         let follows = |last: &CrashEvidence| {
             one.sent_at + CLOCK_ROUNDING >= last.crashed_at && one.crash != last.crash
         };
--- a/crates/decisions/src/culprits/probes.rs
+++ b/crates/decisions/src/culprits/probes.rs
@@ -23,21 +23,43 @@
 /// The tests that this process has tried to claim, the newest last.
 #[derive(Debug, Default)]
 pub(super) struct TriedProbes {
-    names: VecDeque<Arc<str>>,
+    probes: VecDeque<TriedProbe>,
+}
+
+#[derive(Debug)]
+struct TriedProbe {
+    name: Arc<str>,
+    /// When it may be tried again, if nobody told whether the claim was granted.
+    retry_at: Option<Millis>,
 }
 
 impl TriedProbes {
-    /// Remembers a name; returns whether it was unknown.
-    pub(super) fn insert(&mut self, name: &Arc<str>) -> bool {
-        if self.names.contains(name) {
-            return false;
+    /// Records at `now` that a test is tried; returns false if it has been tried before.
+    pub(super) fn insert(&mut self, now: Millis, name: &Arc<str>) -> bool {
+        if let Some(tried) = self.probes.iter_mut().find(|tried| tried.name == *name) {
+            let is_due = tried.retry_at.is_some_and(|at| now >= at);
+            if is_due {
+                tried.retry_at = None;
+            }
+            return is_due;
         }
-        if self.names.len() >= TRIED_MAX {
-            self.names.pop_front();
+        if self.probes.len() >= TRIED_MAX {
+            self.probes.pop_front();
         }
-        self.names.push_back(Arc::clone(name));
+        self.probes.push_back(TriedProbe {
+            name: Arc::clone(name),
+            retry_at: None,
+        });
         true
     }
+
+    /// Records that nobody told whether a claim was granted, so that it may be tried again from `retry_at` on.
+    pub(super) fn record_failure(&mut self, name: &str, retry_at: Millis) {
+        let tried = self.probes.iter_mut().find(|tried| *tried.name == *name);
+        if let Some(tried) = tried {
+            tried.retry_at = Some(retry_at);
+        }
+    }
 }
 
 /// Returns the name of the test of a culprit that is due at `now`, by the monotonic clock, or `None`.
--- a/crates/decisions/src/direct/crashes.rs
+++ b/crates/decisions/src/direct/crashes.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Records at `now`, by the monotonic clock, that nobody told whether the claim of a test was granted.
+    pub fn record_unclaimed(&mut self, now: Millis, name: &str) {
+        self.finder.record_unclaimed(now, name);
+    }
+
     /// Records that a request with these parts has been answered.
     pub fn record_answer(&mut self, now: Millis, parts: &[Digest]) {
         self.finder.record_answer(now, parts);
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -36,7 +36,7 @@
     ClaimProbe {
         /// The name of the test.
         name: Arc<str>,
-        /// Receives whether this gateway has the right to.
+        /// Receives whether this gateway has the right to; dropped if the store does not tell.
         granted: oneshot::Sender<bool>,
     },
 }
@@ -181,7 +181,11 @@
             granted,
         });
         let answer = tokio::time::timeout(CLAIM_TIMEOUT.duration(), answer);
-        let is_granted = matches!(answer.await, Ok(Ok(true)));
+        let answer = answer.await.ok().and_then(Result::ok);
+        if answer.is_none() {
+            self.crashes().record_unclaimed(self.clock.now(), name);
+        }
+        let is_granted = answer == Some(true);
         log::info!(
             event = "crash_probe", request = call.id_text(), digest:% = call.digest(), test = &**name, granted = is_granted;
             "a request may find out whether it crashes upstreams, unless another gateway does"
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -70,16 +70,23 @@
 
 /// Claims the test of a culprit, and removes the claim when the evidence has expired.
 async fn claim_probe(store: Arc<dyn GatewayStore>, name: Arc<str>, granted: oneshot::Sender<bool>) {
+    // A request that waited too long is held back, and needs no test any more.
+    if granted.is_closed() {
+        return;
+    }
     match store.claim_probe(&name).await {
         Ok(true) => {
-            // The request may have been given up meanwhile; the next test is due later.
-            let _ = granted.send(true);
-            tokio::time::sleep(CRASH_RETENTION.duration()).await;
+            // A claim without a request is left to another gateway at once.
+            if granted.send(true).is_ok() {
+                tokio::time::sleep(CRASH_RETENTION.duration()).await;
+            }
             if let Err(error) = store.remove_probe(&name).await {
                 log::debug!(event = "probe_kept", test = &*name, error:% = error; "a claim stays in the store");
             }
         }
-        Ok(false) => {}
+        Ok(false) => {
+            let _ = granted.send(false);
+        }
         Err(error) => {
             log::debug!(event = "probe_unclaimed", test = &*name, error:% = error; "a test cannot be claimed");
         }
