Trial stops: what callers get while gateways stop under load

Cause: no trial stopped gateway processes under load with callers that keep their connections, so that the reports on LOST could not be reproduced. Change: trials stops starts gateways, a store and workers, stops the gateways in turn as the platform does, and counts what callers of kept connections get; some read slowly. A lost, doubled or falsely refused request fails it.

--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod returns;
 mod soak;
+mod stops;
 mod switch;
 
 use anyhow::Context;
@@ -100,6 +101,10 @@
             command: soak::command(),
             run: soak::run,
         },
+        Trial {
+            command: stops::command(),
+            run: stops::run,
+        },
         Trial {
             command: switch::command(),
             run: switch::run,
