A caller that pauses in several answers keeps its connection

Callers saw: on a kept connection with a small receive window, answers cut in the middle though each pause was shorter than the request may take. Cause: with a closed window the system compares TCP_USER_TIMEOUT with the time since it first probed the window, and with a small window it never starts again, so that all pauses of a connection and what lies between them add up. Ruled out: the gateway closing by itself (system calls); an option that was set too low. Change: the option is the request's time on top of the connection's age, which no sum of pauses exceeds; what waits to be written is given up after the request's time by the gateway's own timer. Test: a_caller_that_pauses_in_each_answer_keeps_its_connection failed before (reset), passes now; the other slow_callers tests pass.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -104,7 +104,7 @@
 ) {
     let _open = gateway.open_connection();
     set_socket_options(&stream);
-    let stream = CallerStream::new(stream);
+    let stream = CallerStream::new(stream, gateway.clock);
     let limits = gateway
         .table()
         .map_or_else(CallerLimits::default, |table| *table.limits());
--- a/crates/gateway/tests/path/slow_callers.rs
+++ b/crates/gateway/tests/path/slow_callers.rs
@@ -24,17 +24,29 @@
 /// The length of a large answer, in bytes: more than the sockets of a connection hold while its caller does not read.
 const ANSWER_BYTES: usize = 250 * 1024;
 
+/// The length of an answer in which a caller pauses again and again: more than it can receive while it does not read.
+const PAUSED_ANSWER_BYTES: usize = 60 * 1024;
+
+/// How often it pauses, and for how long: less than its request may take, and more in all.
+const PAUSES: usize = 5;
+const SHORT_PAUSE: Millis = Millis(1_000);
+
 /// How long a caller pauses in reading, less than its request may take.
 const READ_PAUSE: Millis = Millis(2_500);
 
-/// Connects with a small receive buffer and sends a request on a connection that stays open.
-async fn send_slowly(address: SocketAddr, path: &str, id: &str) -> TcpStream {
+/// Connects with a small receive buffer.
+async fn connect_slowly(address: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
     socket2::SockRef::from(&socket)
         .set_tcp_mss(SEGMENT_SIZE)
         .unwrap();
-    let mut caller = socket.connect(address).await.unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+/// Connects with a small receive buffer and sends a request on a connection that stays open.
+async fn send_slowly(address: SocketAddr, path: &str, id: &str) -> TcpStream {
+    let mut caller = connect_slowly(address).await;
     let text = request(path, id, "").replace("connection: close\r\n", "");
     caller.write_all(text.as_bytes()).await.unwrap();
     caller
@@ -89,6 +101,49 @@
     assert!(answer.ends_with(&body), "{} bytes", answer.len());
 }
 
+/// Guards against the pauses of a caller being added up over the answers of its connection: the system counts how long a caller reads nothing from
+/// the first time on.
+#[tokio::test]
+async fn a_caller_that_pauses_in_each_answer_keeps_its_connection() {
+    let body = format!("{}end", "x".repeat(PAUSED_ANSWER_BYTES - 3));
+    let upstream = ScriptedUpstream::start("one", vec![signed_response("200 OK", &body)]).await;
+    let (running, _) = start_gateway(&[&upstream]).await;
+    let mut caller = connect_slowly(running.caller_address()).await;
+    for number in 0..PAUSES {
+        let text = request("/once/a", &format!("r-{number}"), "x-deadline-ms: 2500\r\n");
+        let text = text.replace("connection: close\r\n", "");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        wait_for(async || upstream.count() == number + 1).await;
+        tokio::time::sleep(SHORT_PAUSE.duration()).await;
+        let answer = read_to(&mut caller, "end", FAST).await;
+        assert!(
+            answer.ends_with(&body),
+            "answer {number}: {} bytes",
+            answer.len()
+        );
+    }
+}
+
+/// Guards against a caller that never reads holding its connection, and what is kept for it, for good.
+#[tokio::test]
+async fn a_caller_that_does_not_read_for_longer_than_its_request_may_take_is_given_up() {
+    let body = "x".repeat(ANSWER_BYTES);
+    let upstream = ScriptedUpstream::start("one", vec![signed_response("200 OK", &body)]).await;
+    let (running, _) = start_gateway(&[&upstream]).await;
+    let mut caller = connect_slowly(running.caller_address()).await;
+    let text = request("/once/a", "r", "x-deadline-ms: 1500\r\n");
+    caller.write_all(text.as_bytes()).await.unwrap();
+    wait_for(async || upstream.count() == 1).await;
+    tokio::time::sleep(Millis(5_000).duration()).await;
+    let mut rest = Vec::new();
+    let end = caller.read_to_end(&mut rest).await;
+    assert!(
+        end.is_err() || rest.len() < ANSWER_BYTES,
+        "{} bytes",
+        rest.len()
+    );
+}
+
 /// A gateway on a runtime of its own, which ends with it as a process does.
 struct OwnRuntime {
     caller_address: SocketAddr,
--- a/crates/runtime/src/caller_stream.rs
+++ b/crates/runtime/src/caller_stream.rs
@@ -3,40 +3,76 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
-use sardinepin_common::Millis;
+use sardinepin_common::{Clock, Millis};
 
 use crate::sockets::set_user_timeout;
 
 /// A shared TCP stream: one task reads and writes, another waits for the caller to leave.
 ///
 /// An HTTP server does not look for the end of a connection while a further request on it is unread.
-#[derive(Debug, Clone)]
-pub struct CallerStream(Arc<TcpStream>);
+#[derive(Debug)]
+pub struct CallerStream {
+    shared: Arc<Shared>,
+    /// When the write that waits for the caller to read is given up; `None` while none waits.
+    stalls_at: Option<Pin<Box<Sleep>>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    stream: TcpStream,
+    clock: Clock,
+    accepted_at: Millis,
+    /// How long the caller may be silent, in milliseconds; 0 while that is not bounded.
+    silence_ms: AtomicU64,
+}
+
+impl Clone for CallerStream {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            stalls_at: None,
+        }
+    }
+}
 
 impl CallerStream {
     /// Wraps an accepted connection.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+    pub fn new(stream: TcpStream, clock: Clock) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                stream,
+                clock,
+                accepted_at: clock.now(),
+                silence_ms: AtomicU64::new(0),
+            }),
+            stalls_at: None,
+        }
     }
 
     /// Ends the connection if its caller neither reads nor acknowledges anything for so long.
     ///
-    /// The system does not tell a caller that lives and reads nothing from one that is gone.
+    /// The system does not tell a caller that lives and reads nothing from one that is gone. It may also count all the time since such a caller
+    /// read nothing for the first time, so that it is told the age of the connection on top; what waits to be written ends after `time`.
     pub fn allow_silence(&self, time: Millis) {
-        set_user_timeout(&*self.0, time);
+        let shared = &self.shared;
+        shared.silence_ms.store(time.0, Ordering::Relaxed);
+        let age = shared.clock.now().since(shared.accepted_at);
+        set_user_timeout(&shared.stream, age + time);
     }
 
     /// Waits until the caller has closed its side of the connection.
     pub async fn closed_by_caller(&self) {
         // This readiness comes with the end of the stream, but not with bytes to read. An error means
         // that the runtime shuts down.
-        let _ = self.0.ready(Interest::PRIORITY).await;
+        let _ = self.shared.stream.ready(Interest::PRIORITY).await;
     }
 }
 
@@ -47,8 +83,9 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            let stream = &self.shared.stream;
+            ready!(stream.poll_read_ready(context))?;
+            match stream.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
@@ -66,7 +103,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        poll_write_with(&self.0, context, |stream| stream.try_write(bytes))
+        self.get_mut()
+            .poll_write_with(context, |stream| stream.try_write(bytes))
     }
 
     fn poll_write_vectored(
@@ -74,7 +112,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        poll_write_with(&self.0, context, |stream| stream.try_write_vectored(slices))
+        self.get_mut()
+            .poll_write_with(context, |stream| stream.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -86,21 +125,41 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let socket = socket2::SockRef::from(&*self.0);
+        let socket = socket2::SockRef::from(&self.shared.stream);
         Poll::Ready(socket.shutdown(std::net::Shutdown::Write))
     }
 }
 
-fn poll_write_with(
-    stream: &TcpStream,
-    context: &mut Context<'_>,
-    write: impl Fn(&TcpStream) -> io::Result<usize>,
-) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(context))?;
-        match write(stream) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            result => return Poll::Ready(result),
+impl CallerStream {
+    fn poll_write_with(
+        &mut self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let stream = &self.shared.stream;
+        while stream.poll_write_ready(context)?.is_ready() {
+            match write(stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => {
+                    self.stalls_at = None;
+                    return Poll::Ready(result);
+                }
+            }
+        }
+        ready!(self.poll_stalled(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    /// Waits until a write has waited for as long as the caller may be silent.
+    fn poll_stalled(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let silence = Millis(self.shared.silence_ms.load(Ordering::Relaxed));
+        if silence == Millis::ZERO {
+            return Poll::Pending;
         }
+        let sleep = || Box::pin(tokio::time::sleep(silence.duration()));
+        self.stalls_at
+            .get_or_insert_with(sleep)
+            .as_mut()
+            .poll(context)
     }
 }
--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -332,7 +332,7 @@
             Ok::<_, std::convert::Infallible>(response)
         }
     });
-    let stream = CallerStream::new(stream);
+    let stream = CallerStream::new(stream, entry.clock);
     let connection = builder.serve_connection(TokioIo::new(stream.clone()), service);
     let watched = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
