A long request to an upstream that pauses in reading is not given up

Callers saw: 502 for a request with a long body whose upstream pauses for longer than 1.5 s. Cause: TCP_USER_TIMEOUT on connections to upstreams; the system does not tell an upstream that reads nothing from one that is gone. Evidence: the test failed before (502 after 1.5 s of 20 s); a short request is acknowledged by the upstream's system and was not affected. Change: a request with more than 8 KiB of body goes over a connection of its own whose timeout is the time that is left to the request. Test: an_upstream_that_pauses_in_reading_a_request_gets_all_of_it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use sardinepin_common::Millis;
 
 use crate::call::Call;
-use crate::connection::{Connection, SendError};
+use crate::connection::{Connection, ConnectionNeed, SendError};
 use crate::constants::STALL_CHECK_INTERVAL;
 use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
@@ -167,10 +167,14 @@
             last_event_id,
             can_move,
         } = options;
-        let force_new = !call.is_repeatable();
-        let pool = &self.dispatcher.pool;
-        let connecting = pool.get(self.clock, permit.id, permit.spec.address, force_new);
         let time_left = call.deadline.since(self.clock.now());
+        let need = match call.is_repeatable() {
+            _ if call.is_large() => ConnectionNeed::Patient(time_left),
+            true => ConnectionNeed::Any,
+            false => ConnectionNeed::New,
+        };
+        let pool = &self.dispatcher.pool;
+        let connecting = pool.get(self.clock, permit.id, permit.spec.address, need);
         let mut connection = tokio::time::timeout(time_left.duration(), connecting)
             .await
             .map_err(|_| AttemptFailure::Expired)?
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -20,6 +20,9 @@
 use sardinepin_decisions::direct::RequestNumber;
 use sardinepin_decisions::direct::UpstreamSpec;
 
+/// The length of a body that the system of an upstream takes though the upstream does not read it.
+const UNREAD_BYTES: usize = 8 * 1024;
+
 /// A validated request.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -224,6 +227,11 @@
         ])
     }
 
+    /// Returns whether an upstream that does not read may leave a part of the request unacknowledged.
+    pub(crate) fn is_large(&self) -> bool {
+        self.body.len() > UNREAD_BYTES
+    }
+
     /// Returns whether the request was let through to find out about a culprit.
     pub(crate) fn is_probe(&self) -> bool {
         !self.probed.is_empty()
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -41,6 +41,20 @@
     driver: AbortHandle,
     /// Whether a response has been read from it before.
     is_reused: bool,
+    /// Whether the upstream may be silent for longer than usual.
+    is_patient: bool,
+}
+
+/// What a request needs of its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionNeed {
+    /// Any will do.
+    Any,
+    /// A new one: on one that was used before, it may be unknown whether the request was sent.
+    New,
+    /// A new one whose upstream may take so long to read the request. The system does not tell an upstream that reads nothing from one
+    /// that is gone.
+    Patient(Millis),
 }
 
 impl Drop for Connection {
@@ -50,13 +64,16 @@
 }
 
 impl Connection {
-    async fn open(address: SocketAddr) -> Result<Self, SendError> {
+    async fn open(address: SocketAddr, need: ConnectionNeed) -> Result<Self, SendError> {
         let connecting = TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT.duration(), connecting)
             .await
             .map_err(|_| SendError::NotSent)?
             .map_err(|_| SendError::NotSent)?;
         set_socket_options(&stream);
+        if let ConnectionNeed::Patient(time) = need {
+            set_user_timeout(&stream, time.max(TCP_USER_TIMEOUT));
+        }
         reset_on_close(&stream);
         let allowance = ByteAllowance::default();
         let stream = BoundedStream::new(stream, allowance.clone());
@@ -75,6 +92,7 @@
             allowance,
             driver: driver.abort_handle(),
             is_reused: false,
+            is_patient: matches!(need, ConnectionNeed::Patient(_)),
         })
     }
 
@@ -127,19 +145,21 @@
 }
 
 impl ConnectionPool {
-    /// Returns an idle connection, or a new one if there is none or `force_new` is set.
+    /// Returns a connection: an idle one if that will do and there is one, otherwise a new one.
     pub(crate) async fn get(
         &self,
         clock: Clock,
         id: UpstreamId,
         address: SocketAddr,
-        force_new: bool,
+        need: ConnectionNeed,
     ) -> Result<Connection, SendError> {
-        if !force_new && let Some(connection) = self.reuse(clock.now(), id) {
+        if need == ConnectionNeed::Any
+            && let Some(connection) = self.reuse(clock.now(), id)
+        {
             return Ok(connection);
         }
         metrics::counter!("sardinepin_upstream_connections_total").increment(1);
-        Connection::open(address).await
+        Connection::open(address, need).await
     }
 
     fn reuse(&self, now: Millis, id: UpstreamId) -> Option<Connection> {
@@ -161,7 +181,7 @@
         mut connection: Connection,
         headers: &http::HeaderMap,
     ) {
-        let Some(time) = idle_time(headers) else {
+        let Some(time) = idle_time(headers).filter(|_| !connection.is_patient) else {
             return;
         };
         connection.is_reused = true;
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -15,6 +15,7 @@
 mod records;
 mod restores;
 mod slow_callers;
+mod slow_upstreams;
 mod stopping;
 mod streams;
 mod util;
