A gateway that stops takes only what surely ends, and answers whatever it has taken

Cause: each request got its whole time, though the process had less left; connections were closed without a word as soon as they were idle; what still ran at the end was dropped with the process. Ruled out: taking nothing after the signal (new connections come for two to three seconds); a shorter deadline (the caller waits for nothing). Change: StopPlan decides by the time left and the longest answer of the route lately, for new requests, those that wait, retries and resumed streams; the rest is refused as not run with connection: close. A connection is closed once it has been out of use for a second. Before the end, what still runs gets 502 stopped (a new row at the end of the table, so that messages stay readable) or 503 if it was never sent.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! carries out.
 
 mod affinity;
+mod answer_times;
 mod attempts;
 mod balancer;
 mod baseline;
@@ -31,6 +32,7 @@
 mod routing;
 mod scheduler;
 mod settings;
+mod stop_plan;
 mod suspects;
 mod token_bucket;
 mod upstream;
@@ -38,6 +40,7 @@
 
 pub mod direct;
 
+pub use answer_times::AnswerTimes;
 pub use attempts::{
     AttemptAdmission, AttemptEvent, AttemptMachine, AttemptSettings, AttemptState, AttemptTable,
 };
@@ -65,5 +68,6 @@
     ConcurrencySettings, EjectionSettings, Policy, QuarantineSettings, QueueSettings,
     RoutingSettings, Settings, UnknownPolicy,
 };
+pub use stop_plan::{RequestTime, StopPlan};
 pub use token_bucket::{BucketSize, TokenBucket};
 pub use withdrawal::Withdrawal;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,6 +45,8 @@
     Quarantined,
     /// The upstream did not respond in time; the request may have run.
     TimedOut,
+    /// This instance ended before the response had; the request may have run.
+    Stopped,
 }
 
 impl AttemptFailure {
@@ -90,6 +92,7 @@
             Self::Crashed => "crashed",
             Self::Quarantined => "quarantined",
             Self::TimedOut => "silent",
+            Self::Stopped => "stopped",
         }
     }
 }
@@ -139,7 +142,8 @@
                 | AttemptFailure::Expired
                 | AttemptFailure::Evacuated
                 | AttemptFailure::Withdrawn
-                | AttemptFailure::Quarantined,
+                | AttemptFailure::Quarantined
+                | AttemptFailure::Stopped,
             ) => {}
             Err(AttemptFailure::BrokenResponse | AttemptFailure::TimedOut) => {
                 permit.set_end(AttemptEnd::Failed)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::header_names::HeaderNames;
 use crate::route_table::RouteTable;
 use crate::settings::GatewaySettings;
+use crate::stopping::Stopping;
 use sardinepin_decisions::direct::{BalancerSettings, CallerTimeouts, CrashRecords, GroupMembers};
 use sardinepin_protocol::{AdmissionLevel, Digest, GroupDemand, GroupLoad};
 
@@ -30,7 +31,7 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     upstreams_known: AtomicBool,
     crashes_known: AtomicBool,
-    draining: AtomicBool,
+    pub(crate) stopping: Stopping,
     open_requests: AtomicUsize,
     /// The connections of callers that are being served, up to the last byte of their answers.
     open_connections: AtomicUsize,
@@ -61,7 +62,7 @@
             table: RwLock::default(),
             upstreams_known: AtomicBool::new(false),
             crashes_known: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            stopping: Stopping::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             outages: watch::Sender::default(),
@@ -176,19 +177,9 @@
         self.crashes_known.load(Ordering::Acquire)
     }
 
-    /// Marks this instance as shutting down.
-    pub(crate) fn start_draining(&self) {
-        self.draining.store(true, Ordering::Release);
-    }
-
-    /// Returns whether this instance is shutting down.
-    pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
-    }
-
     /// Returns whether this instance should receive traffic.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining()
+        !self.is_stopping()
             && self.upstreams_known.load(Ordering::Acquire)
             && self.crashes_known()
             && self.evacuations.are_known()
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -29,6 +29,10 @@
         let service = Arc::clone(&call.service);
         self.dispatcher
             .with_balancer(|balancer, now| balancer.record_request(now, &service));
+        if !self.may_begin(&call) {
+            let attempts = Attempts::default();
+            return self.fail_request(&call, &attempts, attempts.not_continued());
+        }
         let admitted = self.admit(&mut call).await;
         let call = Arc::new(call);
         if let Err(retry_after) = admitted {
@@ -37,12 +41,19 @@
         }
         let mut unanswered = UnansweredRequest::new(self, &call);
         let attempts = &mut unanswered.attempts;
-        let result = if call.is_stream() {
-            self.handle_stream(&call, attempts).await
-        } else {
-            self.handle_plain(&call, attempts).await
+        let handling = async {
+            match call.is_stream() {
+                true => self.handle_stream(&call, attempts).await,
+                false => self.handle_plain(&call, attempts).await,
+            }
+        };
+        let result = tokio::select! {
+            biased;
+            result = handling => Some(result),
+            () = self.wait_for_cut() => None,
         };
         let attempts = unanswered.disarm();
+        let result = result.unwrap_or_else(|| Err(attempts.stopped()));
         match result {
             Ok(response) => response,
             Err(error) => self.fail_request(&call, &attempts, error),
@@ -98,12 +109,12 @@
             };
             match complete {
                 Ok(complete) if !complete.parts.status.is_server_error() => {
-                    return Ok(self.forward_plain(call, complete));
+                    return Ok(self.forward_plain(call, attempts, complete));
                 }
                 Ok(complete) => {
                     attempts.maybe_ran = true;
                     if !self.try_retry(call, attempts, AttemptFailure::BrokenResponse) {
-                        return Ok(self.forward_plain(call, complete));
+                        return Ok(self.forward_plain(call, attempts, complete));
                     }
                 }
                 Err(failure) => self.record_failure(call, attempts, failure)?,
@@ -135,7 +146,7 @@
                         Ok(complete)
                             if !self.try_retry(call, attempts, AttemptFailure::BrokenResponse) =>
                         {
-                            return Ok(self.forward_plain(call, complete));
+                            return Ok(self.forward_plain(call, attempts, complete));
                         }
                         Ok(_) => {}
                         Err(failure) => self.record_failure(call, attempts, failure)?,
@@ -165,7 +176,12 @@
             organisation: call.organisation.as_ref().map(|one| Arc::clone(&one.name)),
             continues: !attempts.tried.is_empty() || call.last_event_id(&self.names).is_some(),
         };
-        let permit = self.dispatcher.acquire(request).await.map_err(|decision| {
+        let acquired = tokio::select! {
+            biased;
+            acquired = self.dispatcher.acquire(request) => acquired,
+            () = self.wait_too_late(call) => return Err(attempts.not_continued()),
+        };
+        let permit = acquired.map_err(|decision| {
             let mut error = match decision {
                 Decision::Refuse {
                     kind,
@@ -186,6 +202,9 @@
             }
             error
         })?;
+        if !self.may_begin(call) {
+            return Err(attempts.not_continued());
+        }
         // The wait may have been long, and a retry follows a crash.
         if let Some(retry_after) = self.quarantine_remaining(call) {
             let kind = match attempts.maybe_ran {
@@ -194,6 +213,7 @@
             };
             return Err(RequestFailure::new(kind, retry_after));
         }
+        attempts.first_at.get_or_insert(permit.sent_at);
         attempts.tried.push(permit.id);
         attempts.sent += 1;
         self.log_placement(call, attempts, &permit);
@@ -219,11 +239,17 @@
     }
 
     /// Forwards a non-streaming response.
-    fn forward_plain(&self, call: &Call, complete: CompleteResponse) -> Response<Body> {
+    fn forward_plain(
+        &self,
+        call: &Call,
+        attempts: &Attempts,
+        complete: CompleteResponse,
+    ) -> Response<Body> {
         let names = &self.names;
         let elapsed = self.clock.now().since(call.received_at);
         request_metrics::count_outcome(call, RequestOutcome::Answered);
         request_metrics::record_latency(call, Latency::Total, elapsed);
+        self.record_answer_time(call, attempts);
         log::info!(
             event = "answered", request = call.id_text(), service = &*call.service,
             route = &*call.route.name, status = complete.parts.status.as_u16(), after_ms = elapsed.0,
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Attempts {
     /// Upstreams that received the request or could not be reached.
     pub(crate) tried: Vec<UpstreamId>,
+    /// When it was given its first upstream.
+    pub(crate) first_at: Option<Millis>,
     /// The number of upstreams that the request was sent to.
     pub(crate) sent: u32,
     /// Whether an upstream may have run it.
@@ -28,6 +30,25 @@
     pub(crate) reserved: Option<ReservedRetry>,
 }
 
+impl Attempts {
+    /// Returns the error of a request that is not sent any more, as this instance stops.
+    pub(crate) fn not_continued(&self) -> RequestFailure {
+        let kind = match self.maybe_ran {
+            true => ErrorKind::Stopped,
+            false => ErrorKind::ShuttingDown,
+        };
+        RequestFailure::new(kind, Millis::ZERO)
+    }
+
+    /// Returns the error of a request that is ended wherever it is, as this instance stops.
+    pub(crate) fn stopped(&self) -> RequestFailure {
+        match self.sent {
+            0 => self.not_continued(),
+            _ => RequestFailure::new(ErrorKind::Stopped, Millis::ZERO),
+        }
+    }
+}
+
 /// The error that ends a request without an upstream's response.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestFailure {
@@ -116,6 +137,7 @@
             return Ok(());
         }
         let kind = match failure {
+            _ if !attempts.maybe_ran && !self.may_begin(call) => ErrorKind::ShuttingDown,
             AttemptFailure::Expired if !attempts.maybe_ran => ErrorKind::TooLate,
             AttemptFailure::Evacuated if !attempts.maybe_ran => ErrorKind::ZonesEvacuated,
             _ if !attempts.maybe_ran && failure == AttemptFailure::NotSent => {
@@ -125,6 +147,7 @@
             AttemptFailure::TimedOut => ErrorKind::DeadlinePassed,
             AttemptFailure::Crashed => ErrorKind::UpstreamCrashed,
             AttemptFailure::Stalled => ErrorKind::Stalled,
+            AttemptFailure::Stopped => ErrorKind::Stopped,
             _ => ErrorKind::UpstreamBroke,
         };
         let retry_after = self
@@ -145,6 +168,7 @@
         let allowed = allowed && self.quarantine_remaining(call).is_none();
         // A test that may have crashed an upstream is over.
         let allowed = allowed && (failure.not_run() || !call.is_probe());
+        let allowed = allowed && self.may_begin(call);
         if !allowed || time_left < RETRY_MIN_LEFT || attempts.sent >= call.route.max_attempts {
             return false;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod server;
 mod settings;
+mod stopping;
 mod store;
 mod sync;
 mod upstream_limits;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -110,6 +110,18 @@
     }
 
     async fn next_chunk(&mut self) -> Option<Result<Bytes, io::Error>> {
+        let gateway = Arc::clone(&self.gateway);
+        tokio::select! {
+            biased;
+            chunk = self.read_chunk() => chunk,
+            () = gateway.wait_for_cut() => {
+                self.response = None;
+                Some(Err(self.cut_off(AttemptFailure::Stopped)))
+            }
+        }
+    }
+
+    async fn read_chunk(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
             match self.read_events().await {
                 StreamStep::Events(bytes) => {
@@ -188,6 +200,7 @@
         request_metrics::record_latency(call, Latency::FirstEvent, first_event);
         request_metrics::record_latency(call, Latency::EventPause, self.timing.longest_pause);
         request_metrics::record_latency(call, Latency::Total, elapsed);
+        self.gateway.record_answer_time(call, &self.attempts);
     }
 
     fn cut_off(&self, failure: AttemptFailure) -> io::Error {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use sardinepin_common::Millis;
+use sardinepin_decisions::StopPlan;
 use sardinepin_runtime::PauseWatch;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -44,19 +45,19 @@
         self.readiness_address
     }
 
-    /// Shuts down: reports not ready, accepts connections for the drain delay, then waits until the last bytes of open requests have
-    /// been written, or for the shutdown timeout.
+    /// Shuts down: reports not ready and accepts connections for the drain delay. Takes what surely ends before the shutdown timeout
+    /// and refuses the rest. Ends once the last bytes of open requests have been written and no connection is in use any more.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         log::info!(event = "stopping", open = gateway.open_requests(); "shutting down");
-        let began = gateway.clock.now();
-        gateway.start_draining();
+        let ends_at = gateway.clock.now() + self.stop.shutdown_timeout;
+        gateway.begin_stop(StopPlan { ends_at });
         gateway.dispatcher.stop_holding();
         tokio::time::sleep(self.stop.drain_delay.duration()).await;
         self.closing.send_replace(true);
         // A request ends with the last part of its answer, which its caller may read much later.
         while gateway.open_requests() + gateway.open_connections() > 0
-            && gateway.clock.now().since(began) < self.stop.shutdown_timeout
+            && gateway.clock.now() < ends_at
         {
             tokio::time::sleep(STOP_POLL_INTERVAL.duration()).await;
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,22 +1,21 @@
 //! The HTTP server for callers.
 
 use std::convert::Infallible;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sardinepin_common::Millis;
 use sardinepin_protocol::ErrorKind;
-use sardinepin_runtime::CallerStream;
+use sardinepin_runtime::{Activity, CallerStream, GuardedBody, OpenExchange};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -34,36 +33,17 @@
 /// The retry delay sent by an instance that is not ready or is shutting down.
 const NOT_READY_RETRY: Millis = Millis(200);
 
+/// How long a connection has to be out of use until it is closed at a stop: a caller that sends one request after the other sends the
+/// next one sooner.
+const UNUSED_TIME: Millis = Millis(1_000);
+
 /// The minimum read buffer size that hyper accepts, in bytes.
 const READ_BUFFER_MIN: usize = 8 * 1024;
 
 /// A response body whose request counts as open until the body is dropped.
-struct CountedBody {
-    body: Body,
-    _open: OpenRequest,
-}
-
-impl HttpBody for CountedBody {
-    type Data = Bytes;
-    type Error = std::io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
+type CountedBody = GuardedBody<Body, (OpenRequest, OpenExchange)>;
 
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// Accepts connections until `closing` is true; open connections end by themselves.
+/// Accepts connections until `closing` is true. Those that were made before are still served.
 pub(crate) async fn serve(
     gateway: Arc<Gateway>,
     listener: TcpListener,
@@ -72,8 +52,9 @@
     let signal = closing.clone();
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = wait_for_close(&mut closing) => return,
+            () = wait_for_close(&mut closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -89,6 +70,22 @@
             }
         }
     }
+    // The runtime may not have been notified of the last ones; the system resets what is left when the listener closes.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            tokio::spawn(handle_connection(
+                Arc::clone(&gateway),
+                stream,
+                signal.clone(),
+            ));
+        }
+    }
 }
 
 /// Waits until connections have to be closed.
@@ -121,8 +118,9 @@
     let mut connection = pin!(connection);
     let serving = async {
         tokio::select! {
+            biased;
             result = connection.as_mut() => result,
-            () = wait_for_close(&mut closing) => {
+            () = wait_until_unused(&mut closing, stream.activity()) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -138,18 +136,26 @@
     }
 }
 
+/// Waits until connections have to be closed, and this one has not been in use for some time.
+///
+/// Its caller cannot be told that it is closed unless it sends a further request, whose response says so.
+async fn wait_until_unused(closing: &mut watch::Receiver<bool>, activity: &Activity) {
+    wait_for_close(closing).await;
+    activity.wait_until_idle(UNUSED_TIME).await;
+}
+
 async fn respond(
     gateway: &Arc<Gateway>,
     caller: &CallerStream,
     request: Request<Incoming>,
 ) -> Response<CountedBody> {
-    let open = gateway.open_request();
+    let open = (gateway.open_request(), caller.activity().begin());
     let mut response = handle(gateway, caller, request).await;
-    if gateway.is_draining() {
+    if gateway.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response.map(|body| CountedBody { body, _open: open })
+    response.map(|body| GuardedBody::new(body, open))
 }
 
 async fn handle(
--- a/crates/protocol/src/errors.rs
+++ b/crates/protocol/src/errors.rs
@@ -164,6 +164,8 @@
     RegionNotAllowed => 503, NotRun, Later, "region_not_allowed", "No upstream is in an allowed region";
     /// The rank group takes only a share of all requests at present, as its coordinator has decided, and this one is not in it.
     NotAdmitted => 503, NotRun, Later, "not_admitted", "The model takes only a part of all requests now";
+    /// This instance ended before the upstream had answered.
+    Stopped => 502, Unknown, Later, "stopped", "This instance ended before the answer";
 }
 
 impl fmt::Display for ErrorKind {
--- a/crates/runtime/src/caller_stream.rs
+++ b/crates/runtime/src/caller_stream.rs
@@ -12,6 +12,7 @@
 
 use sardinepin_common::{Clock, Millis};
 
+use crate::activity::Activity;
 use crate::sockets::set_user_timeout;
 
 /// A shared TCP stream: one task reads and writes, another waits for the caller to leave.
@@ -29,6 +30,7 @@
     stream: TcpStream,
     clock: Clock,
     accepted_at: Millis,
+    activity: Activity,
     /// How long the caller may be silent, in milliseconds; 0 while that is not bounded.
     silence_ms: AtomicU64,
 }
@@ -51,12 +53,19 @@
                 stream,
                 clock,
                 accepted_at: clock.now(),
+                activity: Activity::new(clock),
                 silence_ms: AtomicU64::new(0),
             }),
             stalls_at: None,
         }
     }
 
+    /// Returns whether the connection is in use.
+    #[must_use]
+    pub fn activity(&self) -> &Activity {
+        &self.shared.activity
+    }
+
     /// Ends the connection if its caller neither reads nor acknowledges anything for so long.
     ///
     /// The system does not tell a caller that lives and reads nothing from one that is gone. It may also count all the time since such a caller
@@ -87,6 +96,7 @@
             ready!(stream.poll_read_ready(context))?;
             match stream.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
+                    self.shared.activity.record();
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
@@ -141,6 +151,7 @@
             match write(stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
+                    self.shared.activity.record();
                     self.stalls_at = None;
                     return Poll::Ready(result);
                 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,14 +1,18 @@
 //! What every process needs of its runtime: pauses of the process, the connections of callers and to
 //! upstreams, and socket options.
 
+mod activity;
 mod bounded_stream;
 mod caller_stream;
+mod guarded_body;
 mod pause_detector;
 mod pauses;
 mod sockets;
 
+pub use activity::{Activity, OpenExchange};
 pub use bounded_stream::{BoundedStream, ByteAllowance};
 pub use caller_stream::CallerStream;
+pub use guarded_body::GuardedBody;
 pub use pause_detector::{PAUSE_MIN, PauseDetector};
 pub use pauses::PauseWatch;
 pub use sockets::{reset_on_close, set_user_timeout};
