One rule for what continues a stream, what is an event of it and what ends it

Cause: any response with 200 continued a stream, any bytes with an empty line were an event, any end between two events was its end; a caller's own resumption was not checked at all. Change: EventSequence in the decisions replaces the splitter: status, media type, one number an event, one higher than the last, no end without an event of the response that ends. A fault counts as a break after the last good event; it is logged as response_rejected and counted. The last_events test of slow callers numbers its events 1 to 33 instead of 1 each: events of one number were never one stream.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 mod concurrency_limit;
 mod culprits;
 mod estimate;
+mod event_sequence;
 mod events;
 mod fair_queue;
 mod fleet;
@@ -54,6 +55,7 @@
     Admission, CrashEvidence, Culprit, CulpritFinder, CulpritSettings, DoubtfulParts, ProbeClaim,
     Traits,
 };
+pub use event_sequence::{EventOrder, EventSequence, PushedEvents, StreamFault, StreamHead};
 pub use events::{
     Arrival, AttemptEnd, Effect, Event, RequestNumber, ServiceInfo, UpstreamId, UpstreamInfo,
 };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,8 @@
     Stalled,
     /// The connection broke, or the response is invalid; the request may have run.
     BrokenResponse,
+    /// The response is no part of the stream that the caller has received so far; the request may have run.
+    Discontinuous,
     /// The upstream crashed; the request may have run.
     Crashed,
     /// The request was put in quarantine while it was in flight; it may have run.
@@ -51,7 +53,7 @@
 
 impl AttemptFailure {
     /// The failures after which a request may be retried.
-    pub const RETRIED: [Self; 9] = [
+    pub const RETRIED: [Self; 10] = [
         Self::NotSent,
         Self::Evacuated,
         Self::Withdrawn,
@@ -59,6 +61,7 @@
         Self::GroupBroken,
         Self::Stalled,
         Self::BrokenResponse,
+        Self::Discontinuous,
         Self::Crashed,
         Self::TimedOut,
     ];
@@ -89,6 +92,7 @@
             Self::GroupBroken => "group_broken",
             Self::Stalled => "stalled",
             Self::BrokenResponse => "broken",
+            Self::Discontinuous => "discontinuous",
             Self::Crashed => "crashed",
             Self::Quarantined => "quarantined",
             Self::TimedOut => "silent",
@@ -145,9 +149,11 @@
                 | AttemptFailure::Quarantined
                 | AttemptFailure::Stopped,
             ) => {}
-            Err(AttemptFailure::BrokenResponse | AttemptFailure::TimedOut) => {
-                permit.set_end(AttemptEnd::Failed)
-            }
+            Err(
+                AttemptFailure::BrokenResponse
+                | AttemptFailure::Discontinuous
+                | AttemptFailure::TimedOut,
+            ) => permit.set_end(AttemptEnd::Failed),
             Ok(_) => {}
         }
         let (parts, body, connection) = result?;
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -16,11 +16,12 @@
 use crate::handler::attempts::UnansweredRequest;
 pub(crate) use crate::handler::attempts::{Attempts, RequestFailure, can_move};
 use crate::headers;
-use crate::relay::StreamRelay;
+use crate::relay::{self, StreamRelay};
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::{self, Body};
 use crate::upstream_response::{CompleteResponse, UpstreamResponse};
-use sardinepin_decisions::direct::{Decision, PlacementRequest};
+use sardinepin_decisions::EventSequence;
+use sardinepin_decisions::direct::{AttemptEnd, Decision, PlacementRequest};
 
 impl Gateway {
     /// Handles a request and returns the response for its caller.
@@ -135,9 +136,16 @@
                 last_event_id,
                 can_move: can_move(call, attempts),
             };
+            let mut events = relay::event_sequence(call, &self.names);
             match self.attempt(call, permit, options).await {
-                Ok(response) if response.parts.status == StatusCode::OK => {
-                    return Ok(self.forward_stream(call, attempts, response));
+                Ok(mut response) if response.parts.status == StatusCode::OK => {
+                    let Err(fault) = events.begin(response.stream_head()) else {
+                        return Ok(self.forward_stream(call, attempts, response, events));
+                    };
+                    relay::log_fault(call, &response.permit, fault, events.last());
+                    response.permit.set_end(AttemptEnd::Failed);
+                    drop(response);
+                    self.record_failure(call, attempts, AttemptFailure::Discontinuous)?;
                 }
                 Ok(response) => {
                     let complete = response.read_body(self, call, call.deadline).await;
@@ -279,10 +287,17 @@
         call: &Arc<Call>,
         attempts: &mut Attempts,
         response: UpstreamResponse,
+        events: EventSequence,
     ) -> Response<Body> {
         let headers = headers::to_caller(&self.names, &response.parts.headers);
         let attempts = std::mem::take(attempts);
-        let relay = StreamRelay::new(Arc::clone(self), Arc::clone(call), attempts, response);
+        let relay = StreamRelay::new(
+            Arc::clone(self),
+            Arc::clone(call),
+            attempts,
+            response,
+            events,
+        );
         let mut response = Response::new(relay.into_body());
         *response.headers_mut() = headers;
         response
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 mod crash_detection;
 mod dispatch;
 mod evacuations;
-mod events;
 mod gateway;
 mod group_loads;
 mod handler;
@@ -34,7 +33,6 @@
 
 pub use attempt::AttemptFailure;
 pub use bounds::{BoundExceeded, RecoveryBound, WatchBound};
-pub use events::{CompleteEvents, EventSplitter, EventTooLarge, events_after};
 pub use header_names::HeaderNames;
 pub use manifest::{
     CallerLimits, EngineSpec, Manifest, OrganisationSpec, RequestKind, Route, ServiceSpec, Target,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,20 +5,21 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::StatusCode;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use sardinepin_common::Millis;
 
 use crate::attempt::{AttemptFailure, AttemptOptions, WaitLimits};
 use crate::call::Call;
-use crate::events::{EventSplitter, events_after};
+use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
 use crate::handler::{Attempts, can_move};
+use crate::header_names::HeaderNames;
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::Body;
 use crate::upstream_response::UpstreamResponse;
 use sardinepin_decisions::direct::AttemptEnd;
+use sardinepin_decisions::{EventOrder, EventSequence, StreamFault};
 
 /// How long after its first bytes an upstream that crashes may have crashed because of the request.
 const ANSWER_BEGIN_TIME: Millis = Millis(1_000);
@@ -31,12 +32,9 @@
     attempts: Attempts,
     /// The response that the stream is read from; `None` once it has ended.
     response: Option<UpstreamResponse>,
-    splitter: EventSplitter,
-    /// The number of the last event that was forwarded to the caller.
-    last_event_id: Option<u64>,
-    /// The number of the last event before the stream was resumed; events up to it are dropped as
-    /// duplicates.
-    resumed_after: Option<u64>,
+    events: EventSequence,
+    /// A rule that the current response broke after the events that were read of it last.
+    fault: Option<StreamFault>,
     /// When the upstream of the current attempt sent the first bytes of its answer.
     attempt_began: Option<Millis>,
     timing: Timing,
@@ -81,16 +79,15 @@
         call: Arc<Call>,
         attempts: Attempts,
         response: UpstreamResponse,
+        events: EventSequence,
     ) -> Self {
-        let last = call.last_event_id(&gateway.names);
         Self {
             gateway,
             call,
             attempts,
             response: Some(response),
-            splitter: EventSplitter::default(),
-            last_event_id: last,
-            resumed_after: None,
+            events,
+            fault: None,
             attempt_began: None,
             timing: Timing::default(),
         }
@@ -207,7 +204,7 @@
         log::info!(
             event = "cut", request = self.call.id_text(), service = &*self.call.service,
             route = &*self.call.route.name, reason = failure.label(), sent = self.attempts.sent, chunks = self.timing.chunks,
-            last = self.last_event_id, after_ms = self.gateway.clock.now().since(self.call.received_at).0;
+            last = self.events.last(), after_ms = self.gateway.clock.now().since(self.call.received_at).0;
             "stream cut off"
         );
         request_metrics::count_outcome(&self.call, RequestOutcome::Cut);
@@ -218,12 +215,12 @@
     /// Reads until complete events have been received or the stream has ended.
     async fn read_events(&mut self) -> StreamStep {
         loop {
+            if let Some(fault) = self.fault.take() {
+                return self.reject(fault);
+            }
             let frame = match self.read_frame().await {
                 Ok(Some(frame)) => frame,
-                Ok(None) if self.splitter.is_partial() || self.may_be_cut().await => {
-                    return StreamStep::Broken(AttemptFailure::BrokenResponse);
-                }
-                Ok(None) => return StreamStep::End,
+                Ok(None) => return self.end_response().await,
                 Err(failure) => return StreamStep::Broken(failure),
             };
             let Ok(data) = frame.into_data() else {
@@ -231,34 +228,47 @@
             };
             let now = self.gateway.clock.now();
             self.attempt_began.get_or_insert(now);
-            match self.splitter.push(&data) {
-                Err(_) => return StreamStep::Broken(AttemptFailure::BrokenResponse),
-                Ok(None) => {}
-                Ok(Some(events)) => {
-                    let bytes = match self.resumed_after {
-                        Some(last) => events_after(&events, last),
-                        None => events.bytes,
-                    };
-                    self.last_event_id = events.last.max(self.last_event_id);
-                    if !bytes.is_empty() {
-                        return StreamStep::Events(bytes);
-                    }
-                }
+            let pushed = self.events.push(&data);
+            self.fault = pushed.fault;
+            if !pushed.forward.is_empty() {
+                return StreamStep::Events(pushed.forward);
             }
         }
     }
 
-    /// Returns whether a stream without length that has ended between two events is not complete: it has
-    /// no event, or its upstream crashed as it began to write.
+    /// Decides what the end of the current response is to the stream.
+    async fn end_response(&self) -> StreamStep {
+        match self.events.end() {
+            Ok(()) if self.may_be_cut().await => StreamStep::Broken(AttemptFailure::BrokenResponse),
+            Ok(()) => StreamStep::End,
+            // An upstream that crashes may end its response in order.
+            Err(StreamFault::CutEvent | StreamFault::NoEvent) => {
+                StreamStep::Broken(AttemptFailure::BrokenResponse)
+            }
+            Err(fault) => self.reject(fault),
+        }
+    }
+
+    /// Ends the current response, which is no part of the stream from here on.
+    fn reject(&self, fault: StreamFault) -> StreamStep {
+        if let Some(response) = &self.response {
+            log_fault(&self.call, &response.permit, fault, self.events.last());
+        }
+        StreamStep::Broken(AttemptFailure::Discontinuous)
+    }
+
+    /// Returns whether a stream without length that has ended between two events is not complete, as its upstream crashed as it
+    /// began to write.
     async fn may_be_cut(&self) -> bool {
         let Some(response) = &self.response else {
             return false;
         };
-        if !response.ends_with_connection() || !self.has_just_begun() {
-            return false;
-        }
-        let permit = &response.permit;
-        self.attempt_began.is_none() || self.gateway.confirm_crash(&self.call, permit).await
+        response.ends_with_connection()
+            && self.has_just_begun()
+            && self
+                .gateway
+                .confirm_crash(&self.call, &response.permit)
+                .await
     }
 
     async fn read_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptFailure> {
@@ -291,7 +301,6 @@
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         let gateway = Arc::clone(&self.gateway);
         let call = Arc::clone(&self.call);
-        self.splitter.clear();
         let mut failure = failure;
         while call.is_resumable() && gateway.try_retry(&call, &mut self.attempts, failure) {
             let Ok(permit) = gateway.acquire_upstream(&call, &mut self.attempts).await else {
@@ -299,17 +308,20 @@
             };
             let options = AttemptOptions {
                 deadline: call.deadline,
-                last_event_id: self.last_event_id,
+                last_event_id: self.events.last(),
                 can_move: can_move(&call, &self.attempts),
             };
             match gateway.attempt(&call, permit, options).await {
-                Ok(response) if response.parts.status == StatusCode::OK => {
-                    self.response = Some(response);
-                    self.attempt_began = None;
-                    self.resumed_after = self.last_event_id;
-                    return true;
+                Ok(mut response) => {
+                    let Err(fault) = self.events.begin(response.stream_head()) else {
+                        self.response = Some(response);
+                        self.attempt_began = None;
+                        return true;
+                    };
+                    log_fault(&call, &response.permit, fault, self.events.last());
+                    response.permit.set_end(AttemptEnd::Failed);
+                    failure = AttemptFailure::Discontinuous;
                 }
-                Ok(_) => failure = AttemptFailure::BrokenResponse,
                 Err(next_failure) => {
                     if next_failure.not_sent() {
                         self.attempts.sent -= 1;
@@ -322,6 +334,31 @@
     }
 }
 
+/// Returns the rules for the events of a request's stream.
+pub(crate) fn event_sequence(call: &Call, names: &HeaderNames) -> EventSequence {
+    let order = match call.is_resumable() {
+        true => EventOrder::Numbered,
+        false => EventOrder::AsFirst,
+    };
+    EventSequence::new(order, call.last_event_id(names))
+}
+
+/// Logs that a response of an upstream is no part of a stream, or not from some event on.
+pub(crate) fn log_fault(
+    call: &Call,
+    permit: &UpstreamPermit,
+    fault: StreamFault,
+    last: Option<u64>,
+) {
+    log::info!(
+        event = "response_rejected", request = call.id_text(), service = &*call.service,
+        upstream = &*permit.spec.id, rule = "stream", fault = fault.label(), last = last;
+        "a response is no part of the stream"
+    );
+    metrics::counter!("sardinepin_responses_rejected_total", "rule" => "stream", "fault" => fault.label())
+        .increment(1);
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if self.response.is_some() {
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -13,6 +13,8 @@
 use crate::constants::PLAIN_BODY_MAX;
 use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
+use crate::headers;
+use sardinepin_decisions::StreamHead;
 use sardinepin_decisions::direct::{AttemptEnd, LoadReport};
 
 /// An attempt whose response head has been received.
@@ -78,6 +80,14 @@
         }
     }
 
+    /// Returns what the head says about a stream of events.
+    pub(crate) fn stream_head(&self) -> StreamHead<'_> {
+        StreamHead {
+            status: self.parts.status.as_u16(),
+            content_type: headers::text(&self.parts.headers, &header::CONTENT_TYPE),
+        }
+    }
+
     /// Reads the next piece of a stream; fails if too many bytes come without one.
     pub(crate) fn next_frame(
         &mut self,
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -17,6 +17,7 @@
 mod slow_callers;
 mod slow_upstreams;
 mod stopping;
+mod stream_continuity;
 mod streams;
 mod util;
 mod withdrawals;
--- a/crates/gateway/tests/path/records.rs
+++ b/crates/gateway/tests/path/records.rs
@@ -220,6 +220,7 @@
         AttemptFailure::GroupBroken => vec![Step::Write(group_broken.to_owned())],
         AttemptFailure::Stalled | AttemptFailure::TimedOut => vec![Step::Hang],
         AttemptFailure::BrokenResponse => vec![Step::Close],
+        AttemptFailure::Discontinuous => vec![stream_head(), chunk("no event\n\n")],
         AttemptFailure::Crashed => vec![Step::Crash],
         AttemptFailure::Evacuated => return produce_evacuated_retry().await,
         AttemptFailure::Withdrawn => return produce_withdrawn_retry().await,
--- a/crates/gateway/tests/path/slow_callers.rs
+++ b/crates/gateway/tests/path/slow_callers.rs
@@ -219,10 +219,10 @@
 /// Guards against the same for the last events of a stream.
 #[tokio::test]
 async fn a_stopping_gateway_writes_the_last_events_of_a_caller_that_reads_slowly() {
-    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(4 * 1024));
-    let last = "id: 2\ndata: last\n\n";
+    let event = |number| format!("id: {number}\ndata: {}\n\n", "x".repeat(4 * 1024));
+    let last = "id: 33\ndata: last\n\n";
     let mut script = vec![stream_head()];
-    script.extend((0..32).map(|_| chunk(&event)));
+    script.extend((1..=32).map(|number| chunk(&event(number))));
     script.extend([chunk(last), last_chunk(), Step::Write(String::new())]);
     let upstream = ScriptedUpstream::start("one", vec![script]).await;
     let gateway = OwnRuntime::start(&upstream).await;
