Events may have fields that are not known, also without a colon

Change: a line without a colon is a field if it is a name; streams with an end event need data in each event, so that a word alone is none there. Measured: tests of decisions, gateway and platform pass.

--- a/crates/decisions/src/event_sequence.rs
+++ b/crates/decisions/src/event_sequence.rs
@@ -241,7 +241,8 @@
             return Err(StreamFault::AfterEnd);
         }
         if let EventOrder::EndEvent(data) = self.order {
-            self.part.ended = block.data == Some(data);
+            let found = block.data.ok_or(StreamFault::Malformed)?;
+            self.part.ended = found == data && block.data_lines == 1;
         }
         let is_new = match (
             *self.numbered.get_or_insert(block.number.is_some()),
--- a/crates/decisions/src/event_sequence/block.rs
+++ b/crates/decisions/src/event_sequence/block.rs
@@ -4,9 +4,6 @@
 
 use crate::event_sequence::StreamFault;
 
-/// The names of the fields that may stand on a line without a colon.
-const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
-
 /// The bytes of a stream that make no whole block yet.
 #[derive(Debug, Default)]
 pub(super) struct PartialBlock {
@@ -55,15 +52,15 @@
     pub(super) is_event: bool,
     /// The number of the event.
     pub(super) number: Option<u64>,
-    /// The data of the event, if it is one line.
+    /// The first line of its data, and how many there are.
     pub(super) data: Option<&'a [u8]>,
+    pub(super) data_lines: usize,
 }
 
 impl<'a> Block<'a> {
     /// Reads a block, its blank line included.
     pub(super) fn read(bytes: &'a [u8]) -> Result<Self, StreamFault> {
         let mut block = Self::default();
-        let mut data_lines = 0;
         for line in bytes.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if line.is_empty() || line.starts_with(b":") {
@@ -75,8 +72,8 @@
                 b"id" if block.number.is_some() => return Err(StreamFault::Number),
                 b"id" => block.number = Some(parse_number(value).ok_or(StreamFault::Number)?),
                 b"data" => {
-                    data_lines += 1;
-                    block.data = (data_lines == 1).then_some(value);
+                    block.data.get_or_insert(value);
+                    block.data_lines += 1;
                 }
                 _ => {}
             }
@@ -85,12 +82,13 @@
     }
 }
 
-/// Returns the name and the value of a field; `None` if the line is none.
+/// Returns the name and the value of a field; `None` if the line is none. A line without a colon is a name.
 fn split_field(line: &[u8]) -> Option<(&[u8], &[u8])> {
-    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
-        return FIELD_NAMES.contains(&line).then_some((line, b""));
+    let colon = line.iter().position(|byte| *byte == b':');
+    let (name, value) = match colon {
+        Some(at) => (&line[..at], &line[at + 1..]),
+        None => (line, &[][..]),
     };
-    let (name, value) = (&line[..colon], &line[colon + 1..]);
     let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
     let value = value.strip_prefix(b" ").unwrap_or(value);
     name.iter().all(is_name).then_some((name, value))
