An answer without a length is whole only if its process has outlived it

Cause: such an answer ends with its connection, which a system closes in order also for a killed process; the gateway framed whatever it had. The probe of the port within the first second races with the system. Change: EndedAnswer decides who vouches for an end; the process is asked at its health path after the end, and is told from another one at its address. What nobody vouches for is broken: retried, resumed or 502. A plain answer without length is passed on without one. Tests: whole_answers (seven; five of the six without health path failed before, the other one guards whole answers); answer_end.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! carries out.
 
 mod affinity;
+mod answer_end;
 mod answer_times;
 mod attempts;
 mod balancer;
@@ -41,6 +42,7 @@
 
 pub mod direct;
 
+pub use answer_end::{AnswerEnd, EndedAnswer, Framing, ProcessState};
 pub use answer_times::AnswerTimes;
 pub use attempts::{
     AttemptAdmission, AttemptEvent, AttemptMachine, AttemptSettings, AttemptState, AttemptTable,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -158,6 +158,7 @@
         }
         let (parts, body, connection) = result?;
         Ok(UpstreamResponse {
+            has_no_body: call.allows_no_body(parts.status),
             load: self.load_report(&parts.headers),
             permit,
             parts,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use rand::Rng as _;
 use sardinepin_common::Millis;
@@ -247,6 +247,12 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Returns whether a response of this status has no body, whatever its fields say.
+    pub(crate) fn allows_no_body(&self, status: StatusCode) -> bool {
+        let is_empty = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        self.method == Method::HEAD || is_empty
+    }
+
     /// Returns whether the response is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.kind.is_stream()
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -1,12 +1,10 @@
 //! Detects upstream crashes and the requests that caused them.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::StatusCode;
 use sardinepin_common::{Clock, Map, Millis};
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
 use crate::call::Call;
@@ -15,6 +13,7 @@
 use crate::gateway::Gateway;
 use sardinepin_decisions::Admission;
 use sardinepin_decisions::direct::{Crash, CrashedAttempt, UpstreamId};
+use sardinepin_runtime::Connecting;
 
 /// How long an upstream that refused connections counts as crashed for requests that break off there
 /// later.
@@ -213,6 +212,6 @@
 }
 
 async fn refuses_connections(address: SocketAddr) -> bool {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(address));
-    matches!(connecting.await, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    let connecting = Connecting::to(address, CONNECT_TIMEOUT).await;
+    matches!(connecting, Connecting::Refused)
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -20,8 +20,8 @@
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::{self, Body};
 use crate::upstream_response::{CompleteResponse, UpstreamResponse};
-use sardinepin_decisions::EventSequence;
 use sardinepin_decisions::direct::{AttemptEnd, Decision, PlacementRequest};
+use sardinepin_decisions::{EventSequence, Framing};
 
 impl Gateway {
     /// Handles a request and returns the response for its caller.
@@ -276,7 +276,10 @@
                 Some((&names.request_id, &call.id)),
             );
         }
-        let mut response = Response::new(response::full_body(complete.body));
+        let mut response = match complete.framing {
+            Framing::Marked => Response::new(response::full_body(complete.body)),
+            Framing::Connection => response::unframed(complete.body),
+        };
         *response.status_mut() = status;
         *response.headers_mut() = headers::to_caller(names, &complete.parts.headers);
         response
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -17,6 +17,8 @@
     pub organisation: HeaderName,
     /// The identifier of the upstream that a request is sent to.
     pub target_upstream: HeaderName,
+    /// The identifier of the upstream that responds about its health.
+    pub upstream: HeaderName,
     /// An upstream's load: the numbers of running and waiting requests, then its slots.
     pub load: HeaderName,
     /// The number of requests a second that an upstream takes from all gateways together, while it is in need.
@@ -47,6 +49,7 @@
             signature: HeaderName::from_static("x-signature"),
             organisation: HeaderName::from_static("x-organisation"),
             target_upstream: HeaderName::from_static("x-upstream"),
+            upstream: HeaderName::from_static("x-upstream-id"),
             load: HeaderName::from_static("x-load"),
             limit: HeaderName::from_static("x-limit"),
             leaving: HeaderName::from_static("x-leaving"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod handler;
 mod header_names;
 mod headers;
+mod liveness;
 mod manifest;
 mod rank_agents;
 mod readiness;
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -91,6 +91,8 @@
 pub struct ServiceSpec {
     /// The name that routes, logs and metrics use.
     pub name: Arc<str>,
+    /// The path at which an upstream tells whether it is healthy, if it has one.
+    pub health_path: Option<Arc<str>>,
     /// The model engine, if its upstreams are model engines in rank groups.
     pub engine: Option<EngineSpec>,
     /// The cold state of its upstreams, if it names one.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -239,8 +239,8 @@
     /// Decides what the end of the current response is to the stream.
     async fn end_response(&self) -> StreamStep {
         match self.events.end() {
-            Ok(()) if self.may_be_cut().await => StreamStep::Broken(AttemptFailure::BrokenResponse),
-            Ok(()) => StreamStep::End,
+            Ok(()) if self.is_whole().await => StreamStep::End,
+            Ok(()) => StreamStep::Broken(AttemptFailure::BrokenResponse),
             // An upstream that crashes may end its response in order.
             Err(StreamFault::CutEvent | StreamFault::NoEvent) => {
                 StreamStep::Broken(AttemptFailure::BrokenResponse)
@@ -257,18 +257,12 @@
         StreamStep::Broken(AttemptFailure::Discontinuous)
     }
 
-    /// Returns whether a stream without length that has ended between two events is not complete, as its upstream crashed as it
-    /// began to write.
-    async fn may_be_cut(&self) -> bool {
-        let Some(response) = &self.response else {
-            return false;
-        };
-        response.ends_with_connection()
-            && self.has_just_begun()
-            && self
-                .gateway
-                .confirm_crash(&self.call, &response.permit)
-                .await
+    /// Returns whether the current response, which has ended between two events, is whole.
+    async fn is_whole(&self) -> bool {
+        match &self.response {
+            Some(response) => response.is_whole(&self.gateway, &self.call, true).await,
+            None => false,
+        }
     }
 
     async fn read_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptFailure> {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -3,9 +3,12 @@
 use std::io;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use futures_util::future::ready;
+use futures_util::stream::once;
+use http::{HeaderName, HeaderValue, Response, StatusCode, Version, header};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
 use sardinepin_common::Millis;
 use sardinepin_protocol::{ErrorKind, RetryAdvice};
 
@@ -19,6 +22,16 @@
         .boxed_unsync()
 }
 
+/// Returns a response that ends with its connection, as the upstream's own did: its caller is told no more of its end than the gateway
+/// was.
+pub(crate) fn unframed(bytes: Bytes) -> Response<Body> {
+    let frames = once(ready(Ok(Frame::data(bytes))));
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    // The HTTP server frames whatever it sends as HTTP/1.1.
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 /// Returns the `application/problem+json` response for an error.
 pub(crate) fn error_response(
     kind: ErrorKind,
--- a/crates/gateway/src/route_table.rs
+++ b/crates/gateway/src/route_table.rs
@@ -76,6 +76,13 @@
         &self.services
     }
 
+    /// Returns the path at which the upstreams of a service tell whether they are healthy.
+    #[must_use]
+    pub fn health_path(&self, service: &str) -> Option<Arc<str>> {
+        let spec = self.services.iter().find(|spec| *spec.name == *service)?;
+        spec.health_path.clone()
+    }
+
     /// Returns whether routes that are not public require an API key.
     #[must_use]
     pub fn requires_key(&self) -> bool {
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -14,8 +14,8 @@
 use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
 use crate::headers;
-use sardinepin_decisions::StreamHead;
 use sardinepin_decisions::direct::{AttemptEnd, LoadReport};
+use sardinepin_decisions::{AnswerEnd, EndedAnswer, Framing, ProcessState, StreamHead};
 
 /// An attempt whose response head has been received.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     pub(crate) permit: UpstreamPermit,
     pub(crate) parts: Parts,
     pub(crate) body: Incoming,
+    /// Whether its request or its status allows no body.
+    pub(crate) has_no_body: bool,
     /// The load that the upstream reported in the response head.
     pub(crate) load: Option<LoadReport>,
     pub(crate) connection: Connection,
@@ -33,6 +35,7 @@
 pub(crate) struct CompleteResponse {
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    pub(crate) framing: Framing,
 }
 
 impl UpstreamResponse {
@@ -48,7 +51,7 @@
         let body = match tokio::time::timeout(left, collect).await {
             Err(_) => Err(AttemptFailure::TimedOut),
             Ok(Err(_)) => Err(self.end_broken(gateway, call).await),
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Ok(collected)) => self.check_end(gateway, call, collected.to_bytes()).await,
         };
         let body = match body {
             Ok(body) => body,
@@ -61,6 +64,7 @@
                 return Err(failure);
             }
         };
+        let framing = self.framing();
         let failed = self.parts.status.is_server_error();
         let end = if failed {
             AttemptEnd::Failed
@@ -68,7 +72,57 @@
             AttemptEnd::Served
         };
         let parts = self.finish(gateway, end);
-        Ok(CompleteResponse { parts, body })
+        Ok(CompleteResponse {
+            parts,
+            body,
+            framing,
+        })
+    }
+
+    /// Returns the body of a response that has ended, if it is whole.
+    async fn check_end(
+        &self,
+        gateway: &Gateway,
+        call: &Call,
+        body: Bytes,
+    ) -> Result<Bytes, AttemptFailure> {
+        match self.is_whole(gateway, call, !body.is_empty()).await {
+            true => Ok(body),
+            false => Err(self.end_broken(gateway, call).await),
+        }
+    }
+
+    /// Returns whether a response that has ended is whole; its process is asked if nothing else tells.
+    pub(crate) async fn is_whole(&self, gateway: &Gateway, call: &Call, has_body: bool) -> bool {
+        let ended = EndedAnswer {
+            framing: self.framing(),
+            is_success: self.parts.status.is_success(),
+            has_body,
+        };
+        let process = match ended.judge() {
+            AnswerEnd::NeedsProcess => gateway.process_state(call, &self.permit).await,
+            AnswerEnd::Whole | AnswerEnd::Doubtful => ProcessState::Unknown,
+        };
+        let is_whole = ended.is_whole(process);
+        if !is_whole {
+            self.log_doubtful_end(call, process, has_body);
+        }
+        is_whole
+    }
+
+    fn log_doubtful_end(&self, call: &Call, process: ProcessState, has_body: bool) {
+        let fault = match (has_body, process) {
+            (false, _) => "head_alone",
+            (true, ProcessState::Gone) => "process_gone",
+            (true, _) => "process_unknown",
+        };
+        log::info!(
+            event = "response_rejected", request = call.id_text(), service = &*call.service,
+            upstream = &*self.permit.spec.id, rule = "whole_answer", fault = fault;
+            "nothing vouches for the end of a response without length"
+        );
+        metrics::counter!("sardinepin_responses_rejected_total", "rule" => "whole_answer", "fault" => fault)
+            .increment(1);
     }
 
     /// Returns why a response broke off in its body, which counts against the request if its upstream has crashed.
@@ -96,11 +150,16 @@
         self.body.frame()
     }
 
-    /// Returns whether the response ends with its connection, as it has neither a length nor chunks.
-    pub(crate) fn ends_with_connection(&self) -> bool {
+    /// Returns how the response tells where it ends.
+    fn framing(&self) -> Framing {
         let headers = &self.parts.headers;
-        !headers.contains_key(header::CONTENT_LENGTH)
-            && !headers.contains_key(header::TRANSFER_ENCODING)
+        let is_marked = self.has_no_body
+            || headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        match is_marked {
+            true => Framing::Marked,
+            false => Framing::Connection,
+        }
     }
 
     /// Ends an attempt whose response was read to its end, and returns its connection to the pool.
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -20,4 +20,5 @@
 mod stream_continuity;
 mod streams;
 mod util;
+mod whole_answers;
 mod withdrawals;
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -32,6 +32,8 @@
     Reset,
     /// Closes the listener and the connection, as a crashed process does.
     Crash,
+    /// Closes the connection, and the listener only after this time.
+    CloseThenCrash(Millis),
     /// Crashes if the head of the request contains this text.
     CrashOn(String),
     /// Waits until the connection is closed.
@@ -178,6 +180,12 @@
                     until(&log, |log| log.closed).await;
                     return;
                 }
+                Step::CloseThenCrash(delay) => {
+                    drop(stream);
+                    tokio::time::sleep(delay.duration()).await;
+                    log.lock().unwrap().crashed = true;
+                    return;
+                }
                 Step::Endless(part) => {
                     let fields = format!("x-request-id: {id}\r\nx-signature: s\r\n");
                     write_endless(&mut stream, part, &fields).await;
