A stream that breaks off resets the connection of a caller without chunks

Cause: the HTTP server closes the connection in order after an error of the body. Change: an error of the body of such a caller resets its connection. Test: broken_stream_resets_the_connection_of_a_caller_without_chunks failed before.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::request::Parts;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
@@ -150,7 +150,16 @@
     request: Request<Incoming>,
 ) -> Response<CountedBody> {
     let open = (gateway.open_request(), caller.activity().begin());
+    let has_chunks = request.version() > Version::HTTP_10;
     let mut response = handle(gateway, caller, request).await;
+    if !has_chunks {
+        // The caller cannot tell an answer that breaks off from one that has ended, unless its connection is reset.
+        let caller = caller.clone();
+        response = response.map(|body| {
+            let body = body.inspect_err(move |_| caller.reset_on_close());
+            body.boxed_unsync()
+        });
+    }
     if gateway.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
--- a/crates/gateway/tests/path/stream_continuity.rs
+++ b/crates/gateway/tests/path/stream_continuity.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use crate::util::{
     ScriptedUpstream, Step, chunk, last_chunk, request, send_raw, signed_response, start_gateway,
     stream_head,
@@ -138,3 +141,25 @@
     let signed = answer([signed_response("200 OK", "text"), vec![Step::Close]], "").await;
     assert_eq!(body(&signed), (String::new(), false));
 }
+
+/// Guards against a break within a stream looking like its end to a caller of HTTP/1.0, whose answers have no chunks.
+#[tokio::test]
+async fn broken_stream_resets_the_connection_of_a_caller_without_chunks() {
+    let breaks = vec![stream_head(), events(1..=3), Step::Close];
+    let whole = vec![stream_head(), events(1..=3), last_chunk()];
+    for (script, is_whole) in [(breaks, false), (whole, true)] {
+        let upstream = ScriptedUpstream::start("one", vec![script]).await;
+        let (running, _) = start_gateway(&[&upstream]).await;
+        let mut caller = TcpStream::connect(running.caller_address()).await.unwrap();
+        let text = request("/stream/a", "r", "").replace("HTTP/1.1", "HTTP/1.0");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let end = caller.read_to_end(&mut answer).await;
+        assert_eq!(
+            end.is_ok(),
+            is_whole,
+            "{}",
+            String::from_utf8_lossy(&answer)
+        );
+    }
+}
--- a/crates/runtime/src/caller_stream.rs
+++ b/crates/runtime/src/caller_stream.rs
@@ -13,7 +13,7 @@
 use sardinepin_common::{Clock, Millis};
 
 use crate::activity::Activity;
-use crate::sockets::set_user_timeout;
+use crate::sockets::{reset_on_close, set_user_timeout};
 
 /// A shared TCP stream: one task reads and writes, another waits for the caller to leave.
 ///
@@ -77,6 +77,11 @@
         set_user_timeout(&shared.stream, age + time);
     }
 
+    /// Makes the connection be reset when it is closed, so that its caller can tell that an answer is not whole.
+    pub fn reset_on_close(&self) {
+        reset_on_close(&self.shared.stream);
+    }
+
     /// Waits until the caller has closed its side of the connection.
     pub async fn closed_by_caller(&self) {
         // This readiness comes with the end of the stream, but not with bytes to read. An error means
