Entries: only what belongs to a stream continues it

Callers saw: after a stream broke off, the text that the next upstream answered to the resumed request (JSON, an error, a head), as events. Cause: the head of a resumed response was ignored, and any bytes with an empty line were events. Change: entries use EventSequence, with an end event and events that need data; a response that is no part of the stream ends its attempt as broken, with response_rejected in the log. Test: whole_answer_is_not_continued_by_a_foreign_one (real processes, four kinds of answers) failed before; engines of the stand-ins can answer so.

--- a/crates/sardinepin/src/entry/follow.rs
+++ b/crates/sardinepin/src/entry/follow.rs
@@ -14,7 +14,7 @@
 use crate::entry::attempts::LinkEvent;
 use crate::entry::balancer::RequestCommand;
 use crate::entry::call::Call;
-use crate::entry::responses::CallerResponse;
+use crate::entry::responses::{CallerResponse, ForwardError};
 use crate::entry::server::Entry;
 
 /// The class that agents run before all others.
@@ -284,12 +284,12 @@
                     upstream,
                 });
                 let sent = self.response.set_head(status, headers);
-                sent.err().map(|_| self.unknown_end(ErrorKind::HungUp))
+                sent.err().map(|error| self.forward_end(attempt, error))
             }
             (FollowAction::ForwardChunk, Some(LinkEvent::Chunk { data, .. })) => {
                 let sent = self.response.push_chunk(data).await;
                 attempt.acknowledge(false);
-                sent.err().map(|_| self.unknown_end(ErrorKind::HungUp))
+                sent.err().map(|error| self.forward_end(attempt, error))
             }
             (FollowAction::AwaitLink, _) => {
                 let settle = Millis(self.entry.settings.entry.settle_ms);
@@ -325,6 +325,19 @@
         }
     }
 
+    /// Returns the end of an attempt whose response does not reach the caller.
+    fn forward_end(&self, attempt: &CurrentAttempt, error: ForwardError) -> AttemptEnd {
+        let ForwardError::Discontinuous(fault) = error else {
+            return self.unknown_end(ErrorKind::HungUp);
+        };
+        log::info!(
+            event = "response_rejected", request = self.request_id.as_str(), attempt:% = attempt.id,
+            rule = "stream", fault = fault.label(), tokens = self.response.tokens();
+            "a response is no part of the stream"
+        );
+        self.unknown_end(ErrorKind::UpstreamBroke)
+    }
+
     fn unknown_end(&self, kind: ErrorKind) -> AttemptEnd {
         AttemptEnd::Unknown {
             kind,
--- a/crates/sardinepin/src/entry/responses.rs
+++ b/crates/sardinepin/src/entry/responses.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use sardinepin_common::Millis;
+use sardinepin_decisions::{StreamFault, StreamHead};
 use sardinepin_protocol::{ErrorKind, HeaderField, Outcome, RetryAdvice};
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
@@ -56,9 +57,14 @@
     Ended,
 }
 
-/// The caller has hung up.
-#[derive(Debug)]
-pub(crate) struct CallerHungUp;
+/// Why a part of a response does not reach the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ForwardError {
+    /// The caller has hung up.
+    HungUp,
+    /// It is no part of the stream that the caller has received so far.
+    Discontinuous(StreamFault),
+}
 
 impl CallerResponse {
     /// Starts the response to a caller that waits on the receiver of `sender`.
@@ -94,9 +100,6 @@
     /// Prepares for the response of another attempt; an event stream that was started is kept.
     pub(crate) fn reset(&mut self) {
         self.buffered.clear();
-        if let Some(events) = &mut self.events {
-            events.discard_partial();
-        }
         if matches!(self.state, ResponseState::Pending(_)) {
             self.head = None;
             self.events = None;
@@ -104,30 +107,43 @@
     }
 
     /// Sets the head of the response and starts an event stream at once. The head of a resuming
-    /// attempt is ignored.
+    /// attempt is only checked.
     pub(crate) fn set_head(
         &mut self,
         status: u16,
         headers: Vec<HeaderField>,
-    ) -> Result<(), CallerHungUp> {
+    ) -> Result<(), ForwardError> {
+        let head = StreamHead {
+            status,
+            content_type: content_type(&headers),
+        };
+        if let Some(events) = &mut self.events {
+            return events.resume(head).map_err(ForwardError::Discontinuous);
+        }
         if self.head.is_some() {
             return Ok(());
         }
-        let is_stream = headers.iter().any(is_event_stream);
+        let is_stream = head.content_type.is_some_and(is_event_stream);
+        // An error is no stream, whatever its type.
+        self.events = is_stream.then(|| EventStream::begin(head).ok()).flatten();
         self.head = Some(ResponseHead { status, headers });
-        if is_stream {
-            self.events = Some(EventStream::default());
-            return self.start_stream();
+        match &self.events {
+            Some(_) => self.start_stream(),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// Buffers a chunk of the response or sends it to the caller.
-    pub(crate) async fn push_chunk(&mut self, data: Bytes) -> Result<(), CallerHungUp> {
-        let part = match &mut self.events {
-            Some(events) => events.push(&data),
-            None => data,
-        };
+    pub(crate) async fn push_chunk(&mut self, data: Bytes) -> Result<(), ForwardError> {
+        if let Some(events) = &mut self.events {
+            let pushed = events.push(&data);
+            if !pushed.forward.is_empty() {
+                self.send_part(pushed.forward).await?;
+            }
+            let fault = pushed.fault.map(ForwardError::Discontinuous);
+            return fault.map_or(Ok(()), Err);
+        }
+        let part = data;
         if part.is_empty() {
             return Ok(());
         }
@@ -193,25 +209,27 @@
     }
 
     /// Sends the head and starts a streamed body.
-    fn start_stream(&mut self) -> Result<(), CallerHungUp> {
+    fn start_stream(&mut self) -> Result<(), ForwardError> {
         let (sender, receiver) = mpsc::channel(QUEUED_PARTS_MAX);
         let parts = stream::unfold(receiver, async |mut receiver: mpsc::Receiver<_>| {
             receiver.recv().await.map(|part| (part, receiver))
         });
         let response = self.response(BodyExt::boxed(StreamBody::new(parts)));
         match std::mem::replace(&mut self.state, ResponseState::Streaming(sender)) {
-            ResponseState::Pending(sender) => sender.send(response).map_err(|_| CallerHungUp),
-            _ => Err(CallerHungUp),
+            ResponseState::Pending(sender) => {
+                sender.send(response).map_err(|_| ForwardError::HungUp)
+            }
+            _ => Err(ForwardError::HungUp),
         }
     }
 
-    async fn send_part(&mut self, part: Bytes) -> Result<(), CallerHungUp> {
+    async fn send_part(&mut self, part: Bytes) -> Result<(), ForwardError> {
         match &self.state {
             ResponseState::Streaming(parts) => parts
                 .send(Ok(Frame::data(part)))
                 .await
-                .map_err(|_| CallerHungUp),
-            _ => Err(CallerHungUp),
+                .map_err(|_| ForwardError::HungUp),
+            _ => Err(ForwardError::HungUp),
         }
     }
 
@@ -280,8 +298,14 @@
     }
 }
 
-fn is_event_stream(field: &HeaderField) -> bool {
-    field.name == header::CONTENT_TYPE.as_str() && field.value.starts_with(b"text/event-stream")
+fn content_type(headers: &[HeaderField]) -> Option<&str> {
+    let is_type = |field: &&HeaderField| field.name == header::CONTENT_TYPE.as_str();
+    let field = headers.iter().find(is_type)?;
+    std::str::from_utf8(&field.value).ok()
+}
+
+fn is_event_stream(content_type: &str) -> bool {
+    content_type.starts_with("text/event-stream")
 }
 
 /// Rounds up to whole seconds, at least one, because `retry-after` has no smaller unit.
--- a/crates/sardinepin/src/entry/sse.rs
+++ b/crates/sardinepin/src/entry/sse.rs
@@ -1,23 +1,20 @@
-//! Splits a model's response into complete server-sent events and counts their tokens.
+//! A model's response as a stream of events, whose tokens are counted.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use sardinepin_decisions::{EventOrder, EventSequence, PushedEvents, StreamFault, StreamHead};
 use serde::Deserialize;
 
-/// The blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
-
-/// The prefix of a line that carries an event's data.
+/// The prefix of a line that holds an event's data.
 const DATA_PREFIX: &[u8] = b"data: ";
 
 /// The data of the last event of a complete stream.
 const DONE_DATA: &[u8] = b"[DONE]";
 
-/// Assembles chunks of bytes into complete events; a partial event is kept until its end arrives.
-#[derive(Debug, Default)]
+/// The events of a stream over one or more attempts.
+#[derive(Debug)]
 pub(crate) struct EventStream {
-    partial: BytesMut,
+    sequence: EventSequence,
     tokens: u64,
-    done: bool,
 }
 
 /// The fields of a chat completion chunk that carry text.
@@ -39,20 +36,26 @@
 }
 
 impl EventStream {
-    /// Appends bytes and returns the events that are now complete.
-    pub(crate) fn push(&mut self, data: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.partial) else {
-            return Bytes::new();
+    /// Begins a stream with the response that has this head.
+    pub(crate) fn begin(head: StreamHead<'_>) -> Result<Self, StreamFault> {
+        let mut stream = Self {
+            sequence: EventSequence::new(EventOrder::EndEvent(DONE_DATA), None),
+            tokens: 0,
         };
-        let complete = self.partial.split_to(end).freeze();
-        self.scan(&complete);
-        complete
+        stream.resume(head)?;
+        Ok(stream)
+    }
+
+    /// Continues the stream with the response that has this head.
+    pub(crate) fn resume(&mut self, head: StreamHead<'_>) -> Result<(), StreamFault> {
+        self.sequence.begin(head)
     }
 
-    /// Discards a partial event before another upstream resumes the stream.
-    pub(crate) fn discard_partial(&mut self) {
-        self.partial.clear();
+    /// Appends bytes and returns the events that are complete now.
+    pub(crate) fn push(&mut self, data: &[u8]) -> PushedEvents {
+        let pushed = self.sequence.push(data);
+        self.tokens += count_tokens(&pushed.forward);
+        pushed
     }
 
     /// Returns the number of complete events that carry text, one token each.
@@ -60,23 +63,16 @@
         self.tokens
     }
 
-    /// Returns whether the event that ends the stream has arrived.
+    /// Returns whether the stream is complete.
     pub(crate) fn is_done(&self) -> bool {
-        self.done
+        self.sequence.end().is_ok()
     }
+}
 
-    fn scan(&mut self, events: &[u8]) {
-        for line in events.split(|byte| *byte == b'\n') {
-            let Some(data) = line.strip_prefix(DATA_PREFIX) else {
-                continue;
-            };
-            if data == DONE_DATA {
-                self.done = true;
-            } else if has_text(data) {
-                self.tokens += 1;
-            }
-        }
-    }
+fn count_tokens(events: &Bytes) -> u64 {
+    let lines = events.split(|byte| *byte == b'\n');
+    let data = lines.filter_map(|line| line.strip_prefix(DATA_PREFIX));
+    data.filter(|data| has_text(data)).count() as u64
 }
 
 fn has_text(data: &[u8]) -> bool {
@@ -91,11 +87,3 @@
             .is_some_and(|text| !text.is_empty())
     })
 }
-
-/// Returns the position after the last complete event; `None` if no event is complete.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    bytes
-        .windows(EVENT_END.len())
-        .rposition(|window| window == EVENT_END)
-        .map(|start| start + EVENT_END.len())
-}
--- a/crates/sardinepin/tests/outcomes/whole_answer.rs
+++ b/crates/sardinepin/tests/outcomes/whole_answer.rs
@@ -148,6 +148,33 @@
     Ok(())
 }
 
+/// Guards against what another upstream answers to a resumed stream reaching the caller though it is no part of the stream, or ending it.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_is_not_continued_by_a_foreign_one() -> Result<()> {
+    for foreign in ["json", "error", "empty", "head"] {
+        let mut fleet = start_fleet(llm(), 2, 1, json!({"entry": {"settle_ms": 300}})).await?;
+        let response = start_chat(&fleet, foreign).await?;
+        let text = read(response, async || {
+            let busy = find_busy_upstream(&fleet).await?;
+            let other = fleet.upstreams[1 - busy].address();
+            let faults = json!({"foreign": foreign});
+            fleet.client.post_json(other, "/faults", &faults).await?;
+            fleet.upstreams[busy].kill().await
+        })
+        .await?;
+        let (content, done) = content(&text);
+        assert!(!done, "{foreign}: {text}");
+        assert!(
+            expected_text(foreign).starts_with(&content),
+            "{foreign}: {text}"
+        );
+        assert!(text.contains("event: error"), "{foreign}: {text}");
+        assert!(!text.contains("overloaded"), "{foreign}: {text}");
+        assert!(!text.contains("HTTP/1.1"), "{foreign}: {text}");
+    }
+    Ok(())
+}
+
 /// Returns the index of an upstream whose engine is running a request.
 async fn find_busy_upstream(fleet: &Fleet) -> Result<usize> {
     for index in 0..fleet.upstreams.len() {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 pub use cache::{CacheEvent, CacheEventKind, CacheEvents};
-pub use faults::Faults;
+pub use faults::{Faults, ForeignAnswer};
 pub use lock_step::RankPeers;
 pub use map_switch::{FencedOrder, StepRange};
 pub use settings::Settings;
@@ -123,6 +123,10 @@
     }
 
     async fn chat_completion(&self, request: &Request<Bytes>) -> HandlerResult {
+        let foreign = self.faults.borrow().foreign;
+        if let Some(foreign) = foreign {
+            return foreign.response();
+        }
         let chat = match ChatRequest::parse(request) {
             Ok(chat) => chat,
             Err(error) => return text_response(StatusCode::BAD_REQUEST, &error.to_string()),
