Agents: an answer without a length is whole only if its upstream has outlived it

Callers saw: 200 with the part of a booking's answer that a crashed upstream had written, and the same part again for a repeat of the key. Cause: the agent took the end of the connection for the end of the answer, as gateways did. The stand-in for plain services can crash within an answer. Test: whole_answer_without_a_length_is_not_one_that_a_crash_has_cut failed before; whole answers without a length are forwarded as before.

--- a/crates/sardinepin/src/agent/runner.rs
+++ b/crates/sardinepin/src/agent/runner.rs
@@ -6,14 +6,14 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sardinepin_common::{AttemptId, Millis};
-use sardinepin_decisions::{AttemptEvent, CachedResponse};
+use sardinepin_decisions::{AnswerEnd, AttemptEvent, CachedResponse, EndedAnswer, ProcessState};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField};
 use tokio::time::timeout;
 
 use crate::agent::claims;
 use crate::agent::response::ResponseEnd;
 use crate::agent::state::{Agent, SharedAgent};
-use crate::agent::upstream::{CallError, named_limit, named_rest, response_headers};
+use crate::agent::upstream::{CallError, framing, named_limit, named_rest, response_headers};
 
 /// How a call to the upstream ended.
 enum CallEnd {
@@ -169,11 +169,17 @@
             }
             let status = response.status().as_u16();
             let headers = response_headers(&response);
+            let ended = EndedAnswer {
+                framing: framing(attempt, &response),
+                is_success: response.status().is_success(),
+                has_body: false,
+            };
             agent.with_response(id, |response| response.set_head(status, headers.clone()));
             return stream_response(
                 agent,
                 id,
                 response.into_body(),
+                ended,
                 CachedResponseBuilder::new(status, headers, cache_max),
             )
             .await;
@@ -199,6 +205,7 @@
     agent: &Agent,
     id: AttemptId,
     mut body: Incoming,
+    mut ended: EndedAnswer,
     mut cached: CachedResponseBuilder,
 ) -> CallEnd {
     while let Some(frame) = body.frame().await {
@@ -210,14 +217,33 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
+        ended.has_body |= !data.is_empty();
         cached.push(&data);
         wait_for_window(agent, id).await;
         agent.with_response(id, |response| response.push_chunk(data));
     }
+    if let Some(kind) = doubt(agent, ended).await {
+        log::info!(event = "response_rejected", attempt:% = id, rule = "whole_answer", fault:% = kind; "nothing vouches for the end of a response without length");
+        agent.end(id, AttemptEvent::Break(kind), ResponseEnd::Broken(kind));
+        return CallEnd::Broken;
+    }
     agent.end(id, AttemptEvent::Finish, ResponseEnd::Complete);
     CallEnd::Complete(cached.build())
 }
 
+/// Returns why a response that has ended may not be whole; `None` if it is.
+async fn doubt(agent: &Agent, ended: EndedAnswer) -> Option<ErrorKind> {
+    match ended.judge() {
+        AnswerEnd::Whole => None,
+        AnswerEnd::Doubtful => Some(ErrorKind::UpstreamBroke),
+        AnswerEnd::NeedsProcess => match agent.upstream.process_state().await {
+            ProcessState::Alive => None,
+            ProcessState::Gone => Some(ErrorKind::UpstreamCrashed),
+            ProcessState::Unknown => Some(ErrorKind::UpstreamBroke),
+        },
+    }
+}
+
 /// Waits until the window of unacknowledged chunks has room for one more.
 async fn wait_for_window(agent: &Agent, id: AttemptId) {
     let window = agent.settings.agent.window;
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -2,15 +2,16 @@
 
 use std::net::SocketAddr;
 
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use sardinepin_common::{Millis, Term};
-use sardinepin_decisions::LimitNotice;
+use sardinepin_decisions::{Framing, LimitNotice, ProcessState};
 use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField, UpstreamRequest};
+use sardinepin_runtime::Connecting;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use tokio::time::timeout;
@@ -30,6 +31,9 @@
     "content-length",
 ];
 
+/// How long a connection to the upstream, which is on the same instance, may take.
+const CONNECT_TIMEOUT: Millis = Millis(200);
+
 /// The largest reply to an order or a query of the load, in bytes.
 const REPLY_MAX_BYTES: usize = 64 * 1024;
 
@@ -117,6 +121,15 @@
         }
     }
 
+    /// Returns whether the upstream still runs after a response without length has ended.
+    pub(crate) async fn process_state(&self) -> ProcessState {
+        match Connecting::after_close(self.address, CONNECT_TIMEOUT).await {
+            Connecting::Open(_) => ProcessState::Alive,
+            Connecting::Refused => ProcessState::Gone,
+            Connecting::Failed => ProcessState::Unknown,
+        }
+    }
+
     fn request(&self, attempt: &Attempt) -> Result<Request<Full<Bytes>>, http::Error> {
         let call = &attempt.call;
         let uri = Uri::builder()
@@ -150,6 +163,22 @@
     serde_json::from_slice(&body).ok()
 }
 
+/// Returns how a response tells where it ends.
+pub(crate) fn framing(attempt: &Attempt, response: &Response<Incoming>) -> Framing {
+    let headers = response.headers();
+    let is_marked = attempt.call.method == Method::HEAD.as_str()
+        || matches!(
+            response.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        )
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    match is_marked {
+        true => Framing::Marked,
+        false => Framing::Connection,
+    }
+}
+
 /// Returns what a response says about the upstream's limit.
 pub(crate) fn named_limit(response: &Response<Incoming>) -> LimitNotice {
     let values = response.headers().get_all(LIMIT_HEADER).iter();
--- a/crates/sardinepin/tests/outcomes/whole_answer.rs
+++ b/crates/sardinepin/tests/outcomes/whole_answer.rs
@@ -148,6 +148,21 @@
     Ok(())
 }
 
+/// Guards against an answer without length that a crash has cut being passed on, or kept for repeats of its key, as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_without_a_length_is_not_one_that_a_crash_has_cut() -> Result<()> {
+    let mut fleet = start_fleet(app(), 1, 1, json!({})).await?;
+    let faults = json!({"without_length": true, "crash_after": 20});
+    set_upstream_faults(&fleet, faults).await?;
+    let response = book(&fleet, 0, "k", "seat").await?;
+    assert_eq!(outcome(&response), "unknown", "{:?}", response.body);
+    assert_eq!(response.status, 502);
+    fleet.restart_upstream(0).await?;
+    let repeat = book(&fleet, 0, "k", "seat").await?;
+    assert_ne!(outcome(&repeat), "answered", "{:?}", repeat.body);
+    Ok(())
+}
+
 /// Guards against what another upstream answers to a resumed stream reaching the caller though it is no part of the stream, or ending it.
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_answer_is_not_continued_by_a_foreign_one() -> Result<()> {
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
+use futures_util::stream::{self, Stream};
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Version};
 use sardinepin_common::{Clock, Millis};
@@ -30,6 +31,9 @@
 /// The exit code of a process that a call crashes.
 const CRASH_EXIT_CODE: i32 = 70;
 
+/// How long after a part of its answer a process crashes, so that the part is on its way.
+const CRASH_DELAY: Millis = Millis(50);
+
 /// The duration of a step that the report of a model worker implies.
 const STEP_TIME: Millis = Millis(10);
 
@@ -256,10 +260,12 @@
         let body = serde_json::to_vec(&call.echo).map_err(|_| CloseConnection)?;
         return streaming_response("application/json", truncated_body(&body.into(), bytes));
     }
-    if faults.without_length {
+    if faults.without_length || faults.crash_after.is_some() {
         let body = serde_json::to_vec(&call.echo).map_err(|_| CloseConnection)?;
-        let parts = futures_util::stream::iter([Ok(body.into())]);
-        let mut response = streaming_response("application/json", parts)?;
+        let mut response = streaming_response("application/json", body_parts(body, faults))?;
+        if !faults.without_length {
+            return Ok(response);
+        }
         // The HTTP library writes neither a length nor chunks for this version.
         *response.version_mut() = Version::HTTP_10;
         return Ok(response);
@@ -267,6 +273,23 @@
     json_response(StatusCode::OK, &call.echo)
 }
 
+/// Returns the parts of a body, up to the point at which the process crashes.
+fn body_parts(mut body: Vec<u8>, faults: &Faults) -> impl Stream<Item = io::Result<Bytes>> + use<> {
+    let crash_after = faults.crash_after;
+    body.truncate(crash_after.unwrap_or(usize::MAX));
+    stream::unfold(Some(Bytes::from(body)), move |rest| async move {
+        if let Some(part) = rest {
+            return Some((Ok(part), None));
+        }
+        if crash_after.is_some() {
+            // The part has been written by now.
+            pause(CRASH_DELAY).await;
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+        None
+    })
+}
+
 fn parse_call(request: Request<Bytes>) -> Call {
     let (head, body) = request.into_parts();
     let header = |name: &str| {
--- a/standins/src/plain/faults.rs
+++ b/standins/src/plain/faults.rs
@@ -38,6 +38,8 @@
     pub without_length: bool,
     /// The connection is broken after the response head and this number of bytes of the body.
     pub break_after: Option<usize>,
+    /// The process crashes after the response head and this number of bytes of the body.
+    pub crash_after: Option<usize>,
     /// The limit that every answer names, in thousandths of a request a second.
     pub limit_milli: Option<u32>,
     /// Every answer says that the service is leaving, as the users' platform does.
