An entry that stops closes a connection only once it has been out of use

Callers saw: the end of their connection instead of an answer to a call that follows one which outlasted the grace period. Cause: a connection was closed right after the call in progress, without a word, as at gateways. Change: entries close a connection that has been out of use for a second, and answer what comes before with connection: close; HTTP/2 says so itself. Test: shutdown_of_an_entry_answers_the_call_after_a_long_one_on_its_connection failed before (the connection ended).

--- a/crates/sardinepin/src/entry/server.rs
+++ b/crates/sardinepin/src/entry/server.rs
@@ -1,6 +1,8 @@
 //! The HTTP server for callers.
 
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
@@ -13,13 +15,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use sardinepin_common::{AttemptId, Clock, Millis, Revision};
 use sardinepin_config::Snapshot;
 use sardinepin_protocol::ErrorKind;
-use sardinepin_runtime::CallerStream;
+use sardinepin_runtime::{Activity, CallerStream, GuardedBody, OpenExchange};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::balancer::BalancerHandle;
@@ -38,6 +40,10 @@
 /// How long open connections may still send a request after the entry stops accepting connections.
 const CLOSE_DELAY: Millis = Millis(250);
 
+/// How long a connection has to be out of use until it is closed at a stop: a caller that sends one request after the other sends the
+/// next one sooner.
+const UNUSED_TIME: Millis = Millis(1_000);
+
 /// How long a caller may take to send the head of a request.
 const HEAD_TIMEOUT: Millis = Millis(10_000);
 
@@ -121,6 +127,17 @@
         self.closed.cancel();
     }
 
+    /// Waits until a connection has to be closed: the entry has closed, and no request comes over it any more.
+    ///
+    /// Callers that speak HTTP/2 are told by the connection itself.
+    async fn wait_until_unused(&self, is_http2: &AtomicBool, activity: &Activity) {
+        self.closed.cancelled().await;
+        tokio::time::sleep(CLOSE_DELAY.duration()).await;
+        if !is_http2.load(Ordering::Relaxed) {
+            activity.wait_until_idle(UNUSED_TIME).await;
+        }
+    }
+
     /// Returns the number of open requests.
     pub(crate) fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Acquire)
@@ -254,57 +271,45 @@
     }
 }
 
-/// Serves callers until the entry closes, then waits for the open requests.
+/// Serves callers until the entry closes, then waits until no connection is in use any more.
 pub(crate) async fn serve(entry: Arc<Entry>, listener: TcpListener) {
-    let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => serve_connection(&entry, &graceful, stream, peer),
+                Ok((stream, peer)) => {
+                    connections.spawn(serve_connection(Arc::clone(&entry), stream, peer));
+                }
                 Err(error) => {
                     log::warn!(event = "accept_failed", error:% = error; "cannot accept a caller's connection");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY.duration()).await;
                 }
             },
+            Some(_) = connections.join_next() => {}
             () = entry.closed.cancelled() => break,
         }
     }
-    // Callers that connected before the close are still served, one request each. The runtime may
-    // not have been notified of the last of them, so the remaining ones are accepted from the
-    // socket itself.
+    // Callers that connected before the close are still served. The runtime may not have been notified of the last of them, so
+    // the remaining ones are accepted from the socket itself.
     if let Ok(listener) = listener.into_std() {
         while let Ok((stream, peer)) = listener.accept() {
-            serve_accepted(&entry, &graceful, stream, peer);
-        }
-    }
-    tokio::time::sleep(CLOSE_DELAY.duration()).await;
-    graceful.shutdown().await;
-}
-
-/// Serves a connection that was accepted from the socket without the runtime.
-fn serve_accepted(
-    entry: &Arc<Entry>,
-    graceful: &GracefulShutdown,
-    stream: std::net::TcpStream,
-    peer: SocketAddr,
-) {
-    let stream = stream
-        .set_nonblocking(true)
-        .and_then(|()| TcpStream::from_std(stream));
-    match stream {
-        Ok(stream) => serve_connection(entry, graceful, stream, peer),
-        Err(error) => {
-            log::warn!(event = "accept_failed", error:% = error; "cannot accept a caller's connection");
+            let stream = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            match stream {
+                Ok(stream) => {
+                    connections.spawn(serve_connection(Arc::clone(&entry), stream, peer));
+                }
+                Err(error) => {
+                    log::warn!(event = "accept_failed", error:% = error; "cannot accept a caller's connection");
+                }
+            }
         }
     }
+    while connections.join_next().await.is_some() {}
 }
 
-fn serve_connection(
-    entry: &Arc<Entry>,
-    graceful: &GracefulShutdown,
-    stream: TcpStream,
-    peer: SocketAddr,
-) {
+async fn serve_connection(entry: Arc<Entry>, stream: TcpStream, peer: SocketAddr) {
     let _ = stream.set_nodelay(true);
     let mut builder = Builder::new(TokioExecutor::new());
     let headers_max = entry.settings.entry.headers_max;
@@ -317,32 +322,52 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(headers_max).unwrap_or(u32::MAX));
-    let shared = Arc::clone(entry);
-    let service = service_fn(move |request| {
-        let entry = Arc::clone(&shared);
-        let is_not_http11 = request.version() != Version::HTTP_11;
-        async move {
-            let mut response = Arc::clone(&entry).respond(peer.ip(), request).await;
-            // With `connection: close`, the caller sends its next request elsewhere and not on a
-            // connection that is being closed.
-            if entry.leaving.load(Ordering::Acquire) && !is_not_http11 {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            Ok::<_, std::convert::Infallible>(response)
-        }
-    });
     let stream = CallerStream::new(stream, entry.clock);
+    let is_http2 = Arc::new(AtomicBool::new(false));
+    let service = service_fn(|request| {
+        is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
+        respond(
+            Arc::clone(&entry),
+            stream.activity().begin(),
+            peer.ip(),
+            request,
+        )
+    });
     let connection = builder.serve_connection(TokioIo::new(stream.clone()), service);
-    let watched = graceful.watch(connection.into_owned());
-    tokio::spawn(async move {
+    let mut connection = pin!(connection);
+    let serving = async {
         tokio::select! {
             biased;
-            result = watched => if let Err(error) = result {
-                log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
-            },
-            // Ends the request in progress.
-            () = stream.closed_by_caller() => {}
+            result = connection.as_mut() => result,
+            () = entry.wait_until_unused(&is_http2, stream.activity()) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
-    });
+    };
+    tokio::select! {
+        biased;
+        result = serving => if let Err(error) = result {
+            log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+        },
+        // Ends the request in progress.
+        () = stream.closed_by_caller() => {}
+    }
+}
+
+async fn respond(
+    entry: Arc<Entry>,
+    open: OpenExchange,
+    peer: IpAddr,
+    request: Request<Incoming>,
+) -> Result<Response<GuardedBody<Body, OpenExchange>>, Infallible> {
+    let is_http11 = request.version() == Version::HTTP_11;
+    let mut response = Arc::clone(&entry).respond(peer, request).await;
+    // With `connection: close`, the caller sends its next request elsewhere and not on a
+    // connection that is being closed.
+    if entry.leaving.load(Ordering::Acquire) && is_http11 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response.map(|body| GuardedBody::new(body, open)))
 }
--- a/crates/sardinepin/tests/outcomes/shutdown.rs
+++ b/crates/sardinepin/tests/outcomes/shutdown.rs
@@ -1,12 +1,15 @@
 //! A graceful shutdown cuts off no request in flight; a second signal does, and logs it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use anyhow::Result;
+use anyhow::{Result, ensure};
 use bytes::Bytes;
 use http::Method;
 use sardinepin_standins::http::HttpClient;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::util::*;
 
@@ -78,6 +81,46 @@
     Ok(())
 }
 
+/// Guards against the end of a connection in place of an answer for a call that follows one which outlasts the grace period.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_of_an_entry_answers_the_call_after_a_long_one_on_its_connection() -> Result<()> {
+    let mut fleet = start_fleet(llm(), 1, 1, json!({"stop": {"grace_ms": 100}})).await?;
+    let faults = json!({"slow_micros": 2_000});
+    set_upstream_faults(&fleet, faults).await?;
+    let mut caller = TcpStream::connect(fleet.entries[0].address()).await?;
+    let body = json!({"model": "m", "messages": [{"role": "user", "content": "long"}],
+        "max_tokens": 400, "stream": true})
+    .to_string();
+    let text = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-organisation: o1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(text.as_bytes()).await?;
+    read_until(&mut caller, "data: ").await?;
+    fleet.entries[0].child.terminate()?;
+    let stream = read_until(&mut caller, "0\r\n\r\n").await?;
+    assert!(stream.contains("[DONE]"), "{stream}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    caller.write_all(text.as_bytes()).await?;
+    let next = read_until(&mut caller, "\r\n\r\n").await?;
+    assert!(next.to_lowercase().contains("connection: close"), "{next}");
+    drop(caller);
+    assert!(fleet.entries[0].child.wait_exit().await?.success());
+    Ok(())
+}
+
+/// Reads until a text has come; fails if the connection ends before.
+async fn read_until(caller: &mut TcpStream, end: &str) -> Result<String> {
+    let mut text = String::new();
+    let mut part = [0; 4_096];
+    while !text.contains(end) {
+        let count = caller.read(&mut part).await?;
+        ensure!(count > 0, "the connection ended: {text}");
+        text.push_str(&String::from_utf8_lossy(&part[..count]));
+    }
+    Ok(text)
+}
+
 /// Sends one call after another over persistent connections, and returns the first error.
 async fn call_until_refused(caller: HttpClient, entry: SocketAddr) -> anyhow::Error {
     loop {
