A place that a queued request is given is owned until its task takes it up

Cause: the decision for a queued request went through a channel, and the place was given back by a value that was made only when its task read the channel; a task dropped in between lost the place. Change: QueuedRequest owns the place from the decision on. Tests: dispatch::tests (two) failed before: a place too many after each drop.

--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -295,6 +295,15 @@
         self.upstreams.get(&id)
     }
 
+    /// Returns how many requests are counted as in flight at all upstreams.
+    #[must_use]
+    pub fn places_held(&self) -> u32 {
+        self.upstreams
+            .values()
+            .map(|upstream| upstream.in_flight)
+            .sum()
+    }
+
     /// Returns whether an upstream that was chosen for a request still takes it: it is listed, not leaving, and does not rest.
     #[must_use]
     pub fn takes_requests(&self, now: Millis, id: UpstreamId) -> bool {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,9 @@
 //! Shares the balancer between tasks, and wakes queued requests when it has decided on them.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+#[cfg(test)]
+mod tests;
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use sardinepin_common::{Clock, Map, Millis, Set};
@@ -26,6 +29,8 @@
     clock: Clock,
     state: Mutex<State>,
     next_number: AtomicU64,
+    /// How many permits there are.
+    permits: AtomicUsize,
     /// Notified when permits may be wanted.
     pub(crate) permits_wanted: Notify,
     pub(crate) pool: ConnectionPool,
@@ -58,6 +63,7 @@
 
 impl Drop for UpstreamPermit {
     fn drop(&mut self) {
+        self.dispatcher.permits.fetch_sub(1, Ordering::Relaxed);
         self.dispatcher.record_end(self.id, self.sent_at, self.end);
     }
 }
@@ -85,19 +91,22 @@
     }
 }
 
-/// A guard that removes a request from its queue when it is dropped.
-struct QueueGuard<'a> {
+/// A request in its queue. Dropping it removes it from the queue, or gives back the place that it has been given and has not taken up.
+struct QueuedRequest<'a> {
     dispatcher: &'a Dispatcher,
     service: Arc<str>,
     number: RequestNumber,
+    decision: oneshot::Receiver<Decision>,
 }
 
-impl Drop for QueueGuard<'_> {
+impl Drop for QueuedRequest<'_> {
     fn drop(&mut self) {
         let mut state = self.dispatcher.state();
+        let now = self.dispatcher.clock.now();
         if state.queued.remove(&self.number).is_some() {
-            let now = self.dispatcher.clock.now();
             state.balancer.withdraw(now, &self.service, self.number);
+        } else if let Ok(Decision::Send(id)) = self.decision.try_recv() {
+            state.end_unused(now, id);
         }
     }
 }
@@ -112,6 +121,7 @@
                 queued: Map::default(),
             }),
             next_number: AtomicU64::new(0),
+            permits: AtomicUsize::new(0),
             permits_wanted: Notify::new(),
             pool: ConnectionPool::default(),
             probes: CrashProbes::default(),
@@ -149,7 +159,7 @@
     ) -> Result<UpstreamPermit, Decision> {
         let number = request.number;
         let service = Arc::clone(&request.service);
-        let receiver = {
+        let decision = {
             let mut state = self.state();
             match state.balancer.place(self.clock.now(), request) {
                 Some(decision) => {
@@ -166,14 +176,13 @@
                 }
             }
         };
-        let queued = QueueGuard {
+        let mut queued = QueuedRequest {
             dispatcher: self,
             service,
             number,
+            decision,
         };
-        let decision = receiver.await;
-        drop(queued);
-        match decision {
+        match (&mut queued.decision).await {
             Ok(decision) => self.into_permit(decision),
             Err(_) => Err(Decision::Refuse {
                 kind: sardinepin_protocol::ErrorKind::Internal,
@@ -194,13 +203,16 @@
             .get(id)
             .map(|upstream| upstream.spec.clone());
         match spec {
-            Some(spec) => Ok(UpstreamPermit {
-                dispatcher: Arc::clone(self),
-                id,
-                spec,
-                sent_at: self.clock.now(),
-                end: AttemptEnd::Abandoned,
-            }),
+            Some(spec) => {
+                self.permits.fetch_add(1, Ordering::Relaxed);
+                Ok(UpstreamPermit {
+                    dispatcher: Arc::clone(self),
+                    id,
+                    spec,
+                    sent_at: self.clock.now(),
+                    end: AttemptEnd::Abandoned,
+                })
+            }
             None => Err(Decision::Refuse {
                 kind: sardinepin_protocol::ErrorKind::NoUpstream,
                 retry_after: Millis::ZERO,
@@ -307,6 +319,14 @@
         state.balancer.record_load(self.clock.now(), id, report);
     }
 
+    /// Reports how many places are counted as taken, and how many permits hold one. More of the former for long means that places are lost.
+    fn report_places(&self) {
+        let held = self.with_balancer(|balancer, _| balancer.upstreams().places_held());
+        let permits = self.permits.load(Ordering::Relaxed);
+        metrics::gauge!("sardinepin_places_held").set(f64::from(held));
+        metrics::gauge!("sardinepin_permits_in_use").set(permits as f64);
+    }
+
     /// Checks queued requests and closes idle connections at intervals, until the process ends.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(DISPATCH_INTERVAL.duration());
@@ -326,6 +346,7 @@
                 let exists = |id| self.state().balancer.upstreams().get(id).is_some();
                 self.pool.close_idle(now, exists);
                 self.probes.retain(exists);
+                self.report_places();
             }
         }
     }
@@ -364,10 +385,14 @@
                 && let Err(decision) = queued.send(entry.decision)
                 && let Decision::Send(id) = decision
             {
-                // The caller has just disconnected, so its permit is free again.
-                let further = self.balancer.record_end(now, id, AttemptEnd::Abandoned);
-                self.deliver(now, further);
+                self.end_unused(now, id);
             }
         }
     }
+
+    /// Gives back a place that the task of its request has not taken up, as its caller has left.
+    fn end_unused(&mut self, now: Millis, id: UpstreamId) {
+        let decisions = self.balancer.record_end(now, id, AttemptEnd::Abandoned);
+        self.deliver(now, decisions);
+    }
 }
