An entry of a restored store that is only read again does not bring its upstream back

Cause: the mark of a departed upstream was cleared whenever its entry was read again, also at the same revision; each full read does that. Change: only an entry of a higher revision clears the mark. Test: an_upstream_that_left_is_not_used_because_its_entry_is_read_again_after_the_restore failed before.

--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -136,11 +136,11 @@
             if revision < entry.revision {
                 return;
             }
-            if std::mem::take(&mut entry.outdated) {
+            // An entry that is only read again says nothing new: neither that its upstream is back, nor for how long it is cold.
+            let is_rewritten = revision > entry.revision;
+            if is_rewritten && std::mem::take(&mut entry.outdated) {
                 self.changed = true;
             }
-            // An entry that is only read again says how long its upstream was cold when it was written.
-            let is_rewritten = revision > entry.revision;
             entry.revision = revision;
             entry.expires_at = None;
             if !is_same_process(&entry.spec, &spec) {
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -141,6 +141,27 @@
     assert_eq!(draining(&mut list, 30), [("a".to_owned(), false)]);
 }
 
+/// Guards against an upstream that had left getting work again because its entry in the older copy is read more than once.
+#[test]
+fn an_upstream_that_left_is_not_used_because_its_entry_is_read_again_after_the_restore() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a", 1, Some(false))]);
+    list.apply_changes(Millis(10), vec![item("a", 3, None)]);
+    ids(&mut list, 10);
+    list.replace_after_restore(Millis(20), restored(vec![item("a", 1, Some(false))], 2));
+    assert_eq!(draining(&mut list, 20), [("a".to_owned(), true)]);
+    for read in 0..3 {
+        list.replace_all(Millis(30 + read), vec![item("a", 1, Some(false))]);
+        assert_eq!(draining(&mut list, 30 + read), [("a".to_owned(), true)]);
+        list.apply_changes(Millis(40 + read), vec![item("a", 1, Some(false))]);
+        assert_eq!(ids(&mut list, 40 + read), None);
+    }
+    list.replace_after_restore(Millis(50), restored(vec![item("a", 1, Some(false))], 2));
+    assert_eq!(draining(&mut list, 50), [("a".to_owned(), true)]);
+    list.apply_changes(Millis(60), vec![item("a", 4, Some(false))]);
+    assert_eq!(draining(&mut list, 60), [("a".to_owned(), false)]);
+}
+
 #[test]
 fn an_upstream_missing_after_a_restore_is_kept_for_the_grace_period() {
     let mut list = UpstreamList::new(GRACE);
