An entry without the start of its process is no other process at that address

Cause: an entry that leaves out the start counted as another process, so that nothing known of the old one held. Change: the start is taken from the entry that it replaces if the address is the same. Test: an_upstream_that_drains_stays_so_when_its_entry_is_rewritten_without_its_start failed before. Conclusion: a process that starts again names a new start, or has a new identifier.

--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -136,6 +136,10 @@
             if revision < entry.revision {
                 return;
             }
+            // Another writer may leave out when the process started, which is no sign of another process.
+            if spec.started_at == 0 && spec.address == entry.spec.address {
+                spec.started_at = entry.spec.started_at;
+            }
             // An entry that is only read again says nothing new: neither that its upstream is back, nor for how long it is cold.
             let is_rewritten = revision > entry.revision;
             if is_rewritten && std::mem::take(&mut entry.outdated) {
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -268,6 +268,24 @@
     assert_eq!(said(4_000, 5, 0), None);
 }
 
+/// Guards against an upstream that drains getting work again because another writer has left out when its process started.
+#[test]
+fn an_upstream_that_drains_stays_so_when_its_entry_is_rewritten_without_its_start() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a", 1, Some(true))]);
+    assert_eq!(draining(&mut list, 0), [("a".to_owned(), true)]);
+    let mut rewritten = item("a", 2, Some(false));
+    rewritten.value.as_mut().unwrap().started_at = 0;
+    list.apply_changes(Millis(10), vec![rewritten.clone()]);
+    assert_eq!(ids(&mut list, 10), None, "nothing has changed");
+    // At another address it is another process.
+    let spec = rewritten.value.as_mut().unwrap();
+    spec.address.set_port(9);
+    rewritten.revision = 3;
+    list.apply_changes(Millis(20), vec![rewritten]);
+    assert_eq!(draining(&mut list, 20), [("a".to_owned(), false)]);
+}
+
 /// Draining, a departure and the cold state belong to one process, not to its identifier.
 #[test]
 fn nothing_of_an_earlier_process_with_the_identifier_is_kept() {
