An evacuation that an older copy of the store lacks is not ended by other writes

Cause: the zone was kept until the store's revision had passed the one before, which is of another era and rises with every write of others. Change: after a restore a zone that is not listed stays evacuated until the store lists it again, or for a minute.

--- a/crates/decisions/tests/direct.rs
+++ b/crates/decisions/tests/direct.rs
@@ -602,3 +602,26 @@
         })
     );
 }
+
+/// Guards against a notice of leaving, or a rest, being lost that comes with the answer to a request which was sent before the entry of its
+/// upstream was missing for a moment.
+#[test]
+fn what_an_answer_says_holds_for_a_process_whose_entry_was_missing_meanwhile() {
+    let one = spec("one", "a", None);
+    for is_leaving in [true, false] {
+        let mut balancer = balancer(std::slice::from_ref(&one));
+        let decision = balancer.place(NOW, placement_request(1, 1));
+        let Some(Decision::Send(id)) = decision else {
+            panic!("{decision:?}");
+        };
+        balancer.replace_upstreams(NOW, &[]);
+        balancer.replace_upstreams(NOW, std::slice::from_ref(&one));
+        match is_leaving {
+            true => drop(balancer.record_leaving(NOW, id)),
+            false => balancer.record_rest(NOW, id, Millis(5_000)),
+        }
+        balancer.record_end(NOW, id, AttemptEnd::Rejected);
+        let next = balancer.place(NOW, placement_request(2, 1));
+        assert!(!matches!(next, Some(Decision::Send(_))), "{next:?}");
+    }
+}
--- a/crates/gateway/src/sync/evacuations.rs
+++ b/crates/gateway/src/sync/evacuations.rs
@@ -10,28 +10,67 @@
 use crate::sync::backoff::Backoff;
 use crate::sync::position::{BatchUse, Position};
 
+/// How long a zone stays evacuated whose object an older copy of the store lacks, unless it is written again or removed: its operator
+/// may have taken it back in the time that the store has lost, and nobody would ever say so.
+const RESTORE_RETENTION: Millis = Millis(60_000);
+
 /// The evacuated zones that a gateway knows, built from batches of the store.
 #[derive(Debug, Default)]
 pub struct EvacuationList {
-    /// The zones, each with the revision of the last read that contained it.
-    zones: Map<Arc<str>, u64>,
-    /// Whether the last full read lacked a zone that is kept, since it was not newer than the read before.
+    zones: Map<Arc<str>, Evacuation>,
+    /// The era of the last full read.
+    era: Option<u64>,
+    /// Whether the last full read lacked a zone that is kept.
     keeps_unlisted: bool,
 }
 
+/// What is known of the evacuation of a zone.
+#[derive(Debug, Clone, Copy)]
+struct Evacuation {
+    /// The revision of the last read that contained it.
+    revision: u64,
+    /// When the store came back from an older copy, if it has not listed the zone since. Revisions say nothing then: other objects
+    /// are written again, too.
+    restored_at: Option<Millis>,
+}
+
+impl Evacuation {
+    fn listed_at(revision: u64) -> Self {
+        Self {
+            revision,
+            restored_at: None,
+        }
+    }
+
+    /// Returns whether the zone stays evacuated although a full read of `revision` lacks it.
+    fn outlives(self, now: Millis, revision: u64) -> bool {
+        match self.restored_at {
+            Some(restored_at) => now.since(restored_at) < RESTORE_RETENTION,
+            None => revision <= self.revision,
+        }
+    }
+}
+
 impl EvacuationList {
     /// Replaces the list by a full read.
     ///
-    /// A zone that the read lacks is kept unless the read is newer than the last one that had it: a store that came back from an older
-    /// copy may have lost the object.
-    pub fn replace_all(&mut self, batch: ObjectBatch<()>) {
+    /// A zone that the read lacks is kept unless the read is newer than the last one that had it. After the store has come back from an
+    /// older copy, which may have lost the object, it is kept until the store lists the zone again, or for [`RESTORE_RETENTION`].
+    pub fn replace_all(&mut self, now: Millis, batch: ObjectBatch<()>) {
+        if self.era.is_some_and(|era| era < batch.era) {
+            for zone in self.zones.values_mut() {
+                zone.restored_at.get_or_insert(now);
+            }
+        }
+        self.era = Some(batch.era);
         let listed = batch.items.into_iter().filter(is_in_force);
         let listed: Set<Arc<str>> = listed.map(|item| item.name).collect();
         self.zones
-            .retain(|zone, seen_at| listed.contains(zone) || batch.revision <= *seen_at);
+            .retain(|zone, known| listed.contains(zone) || known.outlives(now, batch.revision));
         self.keeps_unlisted = self.zones.keys().any(|zone| !listed.contains(zone));
         for zone in listed {
-            self.zones.insert(zone, batch.revision);
+            self.zones
+                .insert(zone, Evacuation::listed_at(batch.revision));
         }
     }
 
@@ -39,9 +78,14 @@
     pub fn apply_changes(&mut self, batch: ObjectBatch<()>) {
         for item in batch.items {
             match is_in_force(&item) {
-                true => self.zones.insert(item.name, item.revision),
-                false => self.zones.remove(&item.name),
-            };
+                true => {
+                    let known = Evacuation::listed_at(item.revision);
+                    self.zones.insert(item.name, known);
+                }
+                false => {
+                    self.zones.remove(&item.name);
+                }
+            }
         }
     }
 
@@ -100,9 +144,9 @@
             BatchUse::Discard => continue,
             BatchUse::Replace | BatchUse::ReplaceAfterRestore => {
                 let kept_before = list.keeps_unlisted();
-                list.replace_all(batch);
+                list.replace_all(now, batch);
                 if list.keeps_unlisted() && !kept_before {
-                    log::warn!(event = "evacuations_kept", era = era, revision = revision; "the store came back from an older copy that lacks evacuations; they stay in force until it is newer than before");
+                    log::warn!(event = "evacuations_kept", era = era, revision = revision; "the store came back from an older copy that lacks evacuations; they stay in force until it lists them again or for a minute");
                 }
                 apply(&gateway, &list, revision);
                 recency.record_list(began);
