A process whose entry was missing for a moment keeps its identifier while requests are there

Upstreams would see (review, read and not tried there; DRAIN, BUDGET): further requests after an answer had said that they leave, or asked for rest, if their entry was missing and came back while the request was there. Cause: the entry that came back got a new identifier, and the answer counted for the old one. Change: an unlisted process with requests in flight is found again by name, start, address and service. Measured: tests of decisions and gateway pass.

--- a/crates/decisions/src/direct/upstream_set.rs
+++ b/crates/decisions/src/direct/upstream_set.rs
@@ -166,8 +166,9 @@
     pub fn replace_all(&mut self, now: Millis, specs: &[UpstreamSpec]) {
         let mut names = Map::default();
         let mut services: Map<Arc<str>, ServiceMembers> = Map::default();
+        let unlisted = self.unlisted();
         for spec in specs {
-            let id = self.insert_or_update(now, spec);
+            let id = self.insert_or_update(now, spec, &unlisted);
             names.insert(Arc::clone(&spec.id), id);
             let service = services.entry(Arc::clone(&spec.service)).or_default();
             service.all.push(id);
@@ -232,13 +233,20 @@
     }
 
     /// Returns the identifier of the upstream of `spec`, which is added unless it is known.
-    fn insert_or_update(&mut self, now: Millis, spec: &UpstreamSpec) -> UpstreamId {
-        let known = self.names.get(&spec.id).copied();
+    ///
+    /// A process whose entry was missing and is back keeps its identifier while requests are in flight there: what they bring back of it, such as that
+    /// it is leaving, holds for the process.
+    fn insert_or_update(
+        &mut self,
+        now: Millis,
+        spec: &UpstreamSpec,
+        unlisted: &[UpstreamId],
+    ) -> UpstreamId {
+        let listed = self.names.get(&spec.id);
+        let mut known = listed.into_iter().chain(unlisted);
+        let known = known.find(|id| self.is_process_of(**id, spec)).copied();
         if let Some(id) = known
             && let Some(upstream) = self.upstreams.get_mut(&id)
-            && upstream.spec.started_at == spec.started_at
-            && upstream.spec.address == spec.address
-            && upstream.spec.service == spec.service
         {
             upstream.spec = spec.clone();
             upstream.record_cold(now, spec.cold_remaining);
@@ -260,6 +268,23 @@
         id
     }
 
+    fn is_process_of(&self, id: UpstreamId, spec: &UpstreamSpec) -> bool {
+        self.upstreams.get(&id).is_some_and(|upstream| {
+            upstream.spec.id == spec.id
+                && upstream.spec.started_at == spec.started_at
+                && upstream.spec.address == spec.address
+                && upstream.spec.service == spec.service
+        })
+    }
+
+    /// Returns the upstreams that are not listed any more, at which requests are still in flight.
+    fn unlisted(&self) -> Vec<UpstreamId> {
+        let is_unlisted = |(id, upstream): (&UpstreamId, &UpstreamState)| {
+            (self.names.get(&upstream.spec.id) != Some(id)).then_some(*id)
+        };
+        self.upstreams.iter().filter_map(is_unlisted).collect()
+    }
+
     /// Sets the services that bound the requests to cold upstreams.
     pub(super) fn set_cold_services(&mut self, services: ColdServices) {
         self.cold_services = services;
