Long bodies share a part of the memory and wait for it

Cause: bodies were read as they came; nothing counted them together. Change: bodies of over 64 KiB reserve memory before they are read on, from 35% of the process's memory for requests and 20% for responses; what waits is not read.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,6 +11,7 @@
 use sardinepin_common::Millis;
 use sardinepin_protocol::{Digest, ErrorKind, PRIORITIES};
 
+use crate::body_reader::WholeBody;
 use crate::header_names::HeaderNames;
 use crate::headers;
 use crate::manifest::{RequestKind, Route, Target};
@@ -45,7 +46,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: WholeBody,
     /// The digest of the request, once it has been needed.
     digest: OnceLock<Digest>,
     /// The digests of the shared parts of its prompt.
@@ -110,7 +111,7 @@
         names: &HeaderNames,
         head: RequestHead,
         parts: Parts,
-        body: Bytes,
+        body: WholeBody,
         number: RequestNumber,
         received_at: Millis,
     ) -> Self {
@@ -164,7 +165,7 @@
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(path)
-            .body(Full::new(self.body.clone()))?;
+            .body(Full::new(self.body.bytes.clone()))?;
         let headers = request.headers_mut();
         headers.clone_from(&self.headers);
         if let Some(organisation) = &self.organisation {
@@ -223,13 +224,13 @@
             self.method.as_str().as_bytes(),
             self.route.host.as_bytes(),
             path.as_bytes(),
-            &self.body,
+            &self.body.bytes,
         ])
     }
 
     /// Returns whether an upstream that does not read may leave a part of the request unacknowledged.
     pub(crate) fn is_large(&self) -> bool {
-        self.body.len() > UNREAD_BYTES
+        self.body.bytes.len() > UNREAD_BYTES
     }
 
     /// Returns whether the request was let through to find out about a culprit.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 
+use crate::body_memory::BodyMemory;
 use crate::crash_detection::CrashEvent;
 use crate::dispatch::Dispatcher;
 use crate::evacuations::EvacuationRecency;
@@ -28,6 +29,7 @@
     pub(crate) clock: Clock,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) evacuations: EvacuationRecency,
+    pub(crate) memory: BodyMemory,
     table: RwLock<Option<Arc<RouteTable>>>,
     upstreams_known: AtomicBool,
     crashes_known: AtomicBool,
@@ -59,6 +61,7 @@
             clock,
             dispatcher: Dispatcher::new(clock, balancer),
             evacuations: EvacuationRecency::new(settings.sync.evacuations),
+            memory: BodyMemory::new(settings.memory_bytes),
             table: RwLock::default(),
             upstreams_known: AtomicBool::new(false),
             crashes_known: AtomicBool::new(false),
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 
 use http::{Response, StatusCode};
+use http_body_util::BodyExt;
 use sardinepin_common::Millis;
 use sardinepin_protocol::ErrorKind;
+use sardinepin_runtime::GuardedBody;
 
 use crate::admission_report;
 use crate::attempt::{AttemptFailure, AttemptOptions};
@@ -277,12 +279,14 @@
             );
         }
         let mut response = match complete.framing {
-            Framing::Marked => Response::new(response::full_body(complete.body)),
-            Framing::Connection => response::unframed(complete.body),
+            Framing::Marked => Response::new(response::full_body(complete.body.bytes)),
+            Framing::Connection => response::unframed(complete.body.bytes),
         };
         *response.status_mut() = status;
         *response.headers_mut() = headers::to_caller(names, &complete.parts.headers);
-        response
+        // The memory of the body is free once the body has been written.
+        let reserved = complete.body.reserved;
+        response.map(|body| GuardedBody::new(body, reserved).boxed_unsync())
     }
 
     fn forward_stream(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod admission_report;
 mod attempt;
+mod body_memory;
+mod body_reader;
 mod bounds;
 mod call;
 mod connection;
@@ -46,7 +48,9 @@
     AllowedRegions, BalancerSettings, ColdService, Crash, GroupMembership, Policy, UpstreamSpec,
 };
 pub use sardinepin_decisions::{BudgetSettings, ColdRule};
-pub use settings::{EvacuationSettings, GatewaySettings, StopSettings, SyncSettings};
+pub use settings::{
+    EvacuationSettings, GatewaySettings, MEMORY_BYTES_DEFAULT, StopSettings, SyncSettings,
+};
 pub use store::{
     ClaimFuture, GatewayStore, GatewayStoreError, ObjectBatch, ReadFuture, StoredObject,
     WriteFuture,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,11 +4,10 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, Version};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::body_reader::{self, BodyError, WholeBody};
 use crate::call::{Call, RequestHead};
 use crate::connection::set_socket_options;
 use crate::constants::TCP_USER_TIMEOUT;
@@ -37,6 +37,9 @@
 /// next one sooner.
 const UNUSED_TIME: Millis = Millis(1_000);
 
+/// The part of the time for reading a body, as a divisor, that it may wait for memory.
+const MEMORY_WAIT_DIVISOR: u64 = 2;
+
 /// The minimum read buffer size that hyper accepts, in bytes.
 const READ_BUFFER_MIN: usize = 8 * 1024;
 
@@ -207,30 +210,30 @@
     let names = &gateway.names;
     let head = RequestHead::read(names, &table, &parts)?;
     let deadline = received_at + head.timeout;
-    let body = read_body(body, table.limits(), deadline.since(gateway.clock.now())).await?;
+    let time_left = deadline.since(gateway.clock.now());
+    let body = read_body(gateway, body, table.limits(), time_left).await?;
     let number = gateway.dispatcher.next_request_number();
     Ok(Call::new(names, head, parts, body, number, received_at))
 }
 
 /// Reads a request's body; `time_left` is the time until the request's deadline.
 async fn read_body(
-    body: Incoming,
+    gateway: &Gateway,
+    mut body: Incoming,
     limits: &CallerLimits,
     time_left: Millis,
-) -> Result<Bytes, ErrorKind> {
+) -> Result<WholeBody, ErrorKind> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(WholeBody::default());
     }
-    if body.size_hint().lower() > limits.body_bytes as u64 {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    let collected = Limited::new(body, limits.body_bytes).collect();
+    let memory = &gateway.memory.requests;
     let timeout = limits.idle_timeout.min(time_left);
-    match tokio::time::timeout(timeout.duration(), collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ErrorKind::BodyTooLarge)
-        }
+    let patience = Millis(timeout.0 / MEMORY_WAIT_DIVISOR);
+    let reading = body_reader::read_whole(&mut body, limits.body_bytes, memory, patience);
+    match tokio::time::timeout(timeout.duration(), reading).await {
+        Ok(Ok(whole)) => Ok(whole),
+        Ok(Err(BodyError::TooLarge)) => Err(ErrorKind::BodyTooLarge),
+        Ok(Err(BodyError::NoMemory)) => Err(ErrorKind::QueueFull),
         Err(_) if time_left <= limits.idle_timeout => Err(ErrorKind::TooLate),
         _ => Err(ErrorKind::BadRequest),
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,8 +27,13 @@
     pub sync: SyncSettings,
     /// How the gateway shuts down.
     pub stop: StopSettings,
+    /// The memory that the process may take, in bytes. Long bodies get a part of it.
+    pub memory_bytes: usize,
 }
 
+/// The memory that a process may take if its settings do not say, in bytes.
+pub const MEMORY_BYTES_DEFAULT: usize = 256 * 1024 * 1024;
+
 /// How a gateway reads and watches the configuration and the list of upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct SyncSettings {
--- a/crates/gateway/src/sync/tests.rs
+++ b/crates/gateway/src/sync/tests.rs
@@ -65,6 +65,7 @@
             ..SyncSettings::default()
         },
         stop: StopSettings::default(),
+        memory_bytes: crate::settings::MEMORY_BYTES_DEFAULT,
     }
 }
 
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -3,11 +3,12 @@
 use bytes::Bytes;
 use http::header;
 use http::response::Parts;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use sardinepin_common::Millis;
 
 use crate::attempt::AttemptFailure;
+use crate::body_reader::{self, WholeBody};
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::constants::PLAIN_BODY_MAX;
@@ -34,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct CompleteResponse {
     pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: WholeBody,
     pub(crate) framing: Framing,
 }
 
@@ -46,12 +47,13 @@
         call: &Call,
         deadline: Millis,
     ) -> Result<CompleteResponse, AttemptFailure> {
-        let left = deadline.since(gateway.clock.now()).duration();
-        let collect = Limited::new(&mut self.body, PLAIN_BODY_MAX).collect();
-        let body = match tokio::time::timeout(left, collect).await {
+        let left = deadline.since(gateway.clock.now());
+        let memory = &gateway.memory.responses;
+        let reading = body_reader::read_whole(&mut self.body, PLAIN_BODY_MAX, memory, left);
+        let body = match tokio::time::timeout(left.duration(), reading).await {
             Err(_) => Err(AttemptFailure::TimedOut),
             Ok(Err(_)) => Err(self.end_broken(gateway, call).await),
-            Ok(Ok(collected)) => self.check_end(gateway, call, collected.to_bytes()).await,
+            Ok(Ok(whole)) => self.check_end(gateway, call, whole).await,
         };
         let body = match body {
             Ok(body) => body,
@@ -84,9 +86,10 @@
         &self,
         gateway: &Gateway,
         call: &Call,
-        body: Bytes,
-    ) -> Result<Bytes, AttemptFailure> {
-        match self.is_whole(gateway, call, !body.is_empty()).await {
+        body: WholeBody,
+    ) -> Result<WholeBody, AttemptFailure> {
+        let has_body = !body.bytes.is_empty();
+        match self.is_whole(gateway, call, has_body).await {
             true => Ok(body),
             false => Err(self.end_broken(gateway, call).await),
         }
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -7,9 +7,9 @@
 use sardinepin_common::Millis;
 use sardinepin_gateway::{
     AllowedRegions, ClaimFuture, Crash, EvacuationSettings, GatewaySettings, GatewayStore,
-    GatewayStoreError, HeaderNames, Manifest, ObjectBatch, OrganisationSpec, ReadFuture,
-    RequestKind, Route, RunningGateway, StopSettings, StoredObject, SyncSettings, Target,
-    UpstreamSpec, WatchBound, WriteFuture, start,
+    GatewayStoreError, HeaderNames, MEMORY_BYTES_DEFAULT, Manifest, ObjectBatch, OrganisationSpec,
+    ReadFuture, RequestKind, Route, RunningGateway, StopSettings, StoredObject, SyncSettings,
+    Target, UpstreamSpec, WatchBound, WriteFuture, start,
 };
 use sardinepin_standins::http::{Endless, write_endless};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -750,6 +750,7 @@
             drain_delay: Millis(300),
             shutdown_timeout: Millis(20_000),
         },
+        memory_bytes: MEMORY_BYTES_DEFAULT,
     }
 }
 
