Gateway logs: why a stream ended before its last event at a stop

Cause: the logs could not tell the three hypotheses of the incident apart: the end of an instance, a connection that the system ended, and a stream that was given up and not continued elsewhere. Change: not_retried says what kept a request from another upstream; cut and caller_left say how long the upstream sent nothing, how long the caller's connection had no room, what time was left and when the instance ends; a connection that breaks in the middle of an answer is logged at info with its cause. No decision changes.

--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -15,6 +15,36 @@
 /// The minimum time left before the deadline for a retry.
 const RETRY_MIN_LEFT: Millis = Millis(50);
 
+/// Why a request is not sent to another upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RetryBar {
+    /// It may have run, and must not run twice.
+    MayHaveRun,
+    /// It crashes upstreams.
+    Quarantined,
+    /// It tested whether it crashes upstreams.
+    TestOver,
+    /// This instance ends before the request surely does.
+    Stopping,
+    /// Its deadline is near.
+    NoTime,
+    /// It has had all attempts that its route allows.
+    NoAttempt,
+}
+
+impl RetryBar {
+    fn label(self) -> &'static str {
+        match self {
+            Self::MayHaveRun => "may_have_run",
+            Self::Quarantined => "quarantined",
+            Self::TestOver => "test_over",
+            Self::Stopping => "stopping",
+            Self::NoTime => "no_time",
+            Self::NoAttempt => "no_attempt",
+        }
+    }
+}
+
 /// The attempts made for one request.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
@@ -156,6 +186,27 @@
         Err(RequestFailure::new(kind, retry_after))
     }
 
+    /// Returns why a request is not sent again after a failure, whatever the retry budget says; `None` if it may be.
+    fn retry_bar(&self, call: &Call, sent: u32, failure: AttemptFailure) -> Option<RetryBar> {
+        let time_left = call.deadline.since(self.clock.now());
+        let bars = [
+            (
+                RetryBar::MayHaveRun,
+                !failure.not_run() && !call.is_repeatable(),
+            ),
+            (
+                RetryBar::Quarantined,
+                self.quarantine_remaining(call).is_some(),
+            ),
+            (RetryBar::TestOver, !failure.not_run() && call.is_probe()),
+            (RetryBar::Stopping, !self.may_begin(call)),
+            (RetryBar::NoTime, time_left < RETRY_MIN_LEFT),
+            (RetryBar::NoAttempt, sent >= call.route.max_attempts),
+        ];
+        let first = bars.into_iter().find(|(_, holds)| *holds);
+        first.map(|(bar, _)| bar)
+    }
+
     /// Returns whether a request is retried, and reserves the retry in the budget.
     pub(crate) fn try_retry(
         &self,
@@ -164,12 +215,14 @@
         failure: AttemptFailure,
     ) -> bool {
         let time_left = call.deadline.since(self.clock.now());
-        let allowed = failure.not_run() || call.is_repeatable();
-        let allowed = allowed && self.quarantine_remaining(call).is_none();
-        // A test that may have crashed an upstream is over.
-        let allowed = allowed && (failure.not_run() || !call.is_probe());
-        let allowed = allowed && self.may_begin(call);
-        if !allowed || time_left < RETRY_MIN_LEFT || attempts.sent >= call.route.max_attempts {
+        if let Some(bar) = self.retry_bar(call, attempts.sent, failure) {
+            log::info!(
+                event = "not_retried", request = call.id_text(), service = &*call.service,
+                upstream = self.last_upstream(attempts).as_deref(), reason = failure.label(),
+                barred = bar.label(), sent = attempts.sent, left_ms = time_left.0,
+                ends_ms = self.time_to_end().map(|time| time.0);
+                "request is not retried"
+            );
             return false;
         }
         // A request that never reached an upstream does not count against the retry budget.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -48,6 +48,8 @@
     last_at: Millis,
     /// The longest pause between two chunks.
     longest_pause: Millis,
+    /// Whether the caller's connection has room for a further chunk, so that the upstream is read.
+    is_wanted: bool,
 }
 
 impl Timing {
@@ -60,6 +62,15 @@
         self.last_at = now;
         self.chunks += 1;
     }
+
+    /// Returns the time since the last chunk, and how much of it the caller's connection has had no room for more.
+    fn silences(&self, now: Millis, received_at: Millis) -> (Millis, Millis) {
+        let silence = now.since(self.last_at.max(received_at));
+        match self.is_wanted {
+            true => (silence, Millis::ZERO),
+            false => (silence, silence),
+        }
+    }
 }
 
 /// The result of reading from an upstream.
@@ -108,14 +119,17 @@
 
     async fn next_chunk(&mut self) -> Option<Result<Bytes, io::Error>> {
         let gateway = Arc::clone(&self.gateway);
-        tokio::select! {
+        self.timing.is_wanted = true;
+        let chunk = tokio::select! {
             biased;
             chunk = self.read_chunk() => chunk,
             () = gateway.wait_for_cut() => {
                 self.response = None;
                 Some(Err(self.cut_off(AttemptFailure::Stopped)))
             }
-        }
+        };
+        self.timing.is_wanted = false;
+        chunk
     }
 
     async fn read_chunk(&mut self) -> Option<Result<Bytes, io::Error>> {
@@ -201,10 +215,13 @@
     }
 
     fn cut_off(&self, failure: AttemptFailure) -> io::Error {
+        let now = self.gateway.clock.now();
+        let (silence, _) = self.timing.silences(now, self.call.received_at);
         log::info!(
             event = "cut", request = self.call.id_text(), service = &*self.call.service,
             route = &*self.call.route.name, reason = failure.label(), sent = self.attempts.sent, chunks = self.timing.chunks,
-            last = self.events.last(), after_ms = self.gateway.clock.now().since(self.call.received_at).0;
+            last = self.events.last(), after_ms = now.since(self.call.received_at).0, silent_ms = silence.0,
+            left_ms = self.call.deadline.since(now).0, ends_ms = self.gateway.time_to_end().map(|time| time.0);
             "stream cut off"
         );
         request_metrics::count_outcome(&self.call, RequestOutcome::Cut);
@@ -362,13 +379,14 @@
                 .response
                 .as_ref()
                 .map(|response| &*response.permit.spec.id);
-            let silence = now.since(self.timing.last_at.max(self.call.received_at));
+            let (silence, unread) = self.timing.silences(now, self.call.received_at);
             request_metrics::count_outcome(&self.call, RequestOutcome::CallerLeft);
             log::info!(
                 event = "caller_left", request = self.call.id_text(), service = &*self.call.service,
                 route = &*self.call.route.name, upstream = upstream, chunks = self.timing.chunks, silent_ms = silence.0,
-                after_ms = elapsed.0;
-                "caller disconnected during its stream"
+                unread_ms = unread.0, after_ms = elapsed.0, left_ms = self.call.deadline.since(now).0,
+                ends_ms = self.gateway.time_to_end().map(|time| time.0);
+                "connection of a caller ended during its stream"
             );
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -132,13 +132,27 @@
     tokio::select! {
         biased;
         result = serving => if let Err(error) = result {
-            log::debug!(event = "caller_broke", error:% = error; "a caller's connection broke");
+            log_broken_connection(&gateway, &stream, &error);
         },
         // Ends the request in progress.
         () = stream.closed_by_caller() => {}
     }
 }
 
+/// Logs that a connection ended with an error; one that ended in the middle of an answer is worth an operator's notice.
+fn log_broken_connection(gateway: &Gateway, stream: &CallerStream, error: &hyper::Error) {
+    let level = match stream.activity().is_open() {
+        true => log::Level::Info,
+        false => log::Level::Debug,
+    };
+    let cause = std::error::Error::source(error).map(ToString::to_string);
+    log::log!(
+        level, event = "caller_broke", error:% = error, cause = cause,
+        ends_ms = gateway.time_to_end().map(|time| time.0);
+        "a caller's connection broke"
+    );
+}
+
 /// Waits until connections have to be closed, and this one has not been in use for some time.
 ///
 /// Its caller cannot be told that it is closed unless it sends a further request, whose response says so.
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -51,6 +51,12 @@
         self.stopping.plan().is_some()
     }
 
+    /// Returns the time until this instance ends, if it is stopping.
+    pub(crate) fn time_to_end(&self) -> Option<Millis> {
+        let plan = self.stopping.plan()?;
+        Some(plan.ends_at.since(self.clock.now()))
+    }
+
     /// Records how long a request took that has got its whole answer, since it was given its first upstream.
     pub(crate) fn record_answer_time(&self, call: &Call, attempts: &Attempts) {
         let now = self.clock.now();
--- a/crates/runtime/src/activity.rs
+++ b/crates/runtime/src/activity.rs
@@ -43,16 +43,20 @@
         OpenExchange(self.clone())
     }
 
+    /// Returns whether a request is open.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.state.open.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns how long the connection has not been in use: zero while a request is open.
     #[must_use]
     pub fn idle_time(&self) -> Millis {
-        match self.state.open.load(Ordering::Relaxed) {
-            0 => self
-                .clock
-                .now()
-                .since(Millis(self.state.last_ms.load(Ordering::Relaxed))),
-            _ => Millis::ZERO,
+        if self.is_open() {
+            return Millis::ZERO;
         }
+        let last = Millis(self.state.last_ms.load(Ordering::Relaxed));
+        self.clock.now().since(last)
     }
 
     /// Waits until the connection has not been in use for `time`.
