--- a/crates/gateway/tests/path/stopping.rs
+++ b/crates/gateway/tests/path/stopping.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use sardinepin_common::{Clock, Millis};
-use sardinepin_gateway::{GatewaySettings, RunningGateway, StopSettings, start};
+use sardinepin_gateway::{GatewaySettings, GroupMembership, RunningGateway, StopSettings, start};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -277,3 +277,36 @@
     assert_eq!((one.count(), two.count()), (1, 0));
     stopping.await.unwrap();
 }
+
+/// Guards against cutting a stream of a stalled group as its gateway stops, although the group continues a moment later: the stream
+/// could not move to another group any more.
+#[tokio::test]
+async fn stream_of_a_stalled_group_is_not_cut_as_its_gateway_stops() {
+    let stalls = vec![
+        stream_head(),
+        chunk("id: 1\ndata: a\n\n"),
+        Step::Pause(Millis(1_200)),
+        chunk("id: 2\ndata: b\n\n"),
+        last_chunk(),
+    ];
+    let mut one = ScriptedUpstream::start("one", vec![stalls]).await;
+    let mut two = ScriptedUpstream::start("two", vec![vec![Step::Hang]]).await;
+    for (upstream, group) in [(&mut one, "g0"), (&mut two, "g1")] {
+        upstream.spec.group = Some(GroupMembership {
+            name: group.into(),
+            rank: 0,
+            broken: false,
+        });
+    }
+    two.spec.zone = "zone-b".into();
+    let (running, address) = start_stoppable(&[&one, &two], Millis(4_000)).await;
+    let caller =
+        tokio::spawn(async move { send_raw(address, &request("/stream/a", "r", "")).await });
+    wait_for(async || one.count() == 1).await;
+    let stopping = tokio::spawn(running.stop());
+    let answer = caller.await.unwrap();
+    assert!(answer.contains("id: 2"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!((one.count(), two.count()), (1, 0));
+    stopping.await.unwrap();
+}
--- a/crates/gateway/tests/path/streams.rs
+++ b/crates/gateway/tests/path/streams.rs
@@ -7,8 +7,8 @@
 use sardinepin_gateway::GroupMembership;
 
 use crate::util::{
-    ScriptedUpstream, Step, chunk, header, last_chunk, request, send_raw, start_gateway,
-    stream_head, wait_for,
+    ScriptedUpstream, Step, chunk, header, last_chunk, not_run_response, request, send_raw,
+    start_gateway, stream_head, wait_for,
 };
 
 fn event(number: u64) -> String {
@@ -166,6 +166,32 @@
     assert_eq!(two.count(), 0);
 }
 
+/// Guards against giving up a stream of a stalled group although no other upstream takes it: the one that has room there was tried before.
+#[tokio::test]
+async fn stream_of_a_stalled_group_stays_if_no_other_upstream_takes_it() {
+    let stalls = vec![
+        stream_head(),
+        chunk(&event(1)),
+        Step::Pause(STALL_TIME),
+        chunk(&event(2)),
+        last_chunk(),
+    ];
+    let mut one = ScriptedUpstream::start("one", vec![stalls]).await;
+    let mut two = ScriptedUpstream::start("two", vec![not_run_response()]).await;
+    one.spec.group = membership("g0");
+    two.spec.group = membership("g1");
+    one.spec.zone = Arc::from("zone-b");
+    let (running, _) = start_gateway(&[&one, &two]).await;
+    let response = send_raw(
+        running.caller_address(),
+        &request("/stream/thrice/a", "r", ""),
+    )
+    .await;
+    assert_eq!(numbers(&response), [1, 2], "{response}");
+    assert!(is_complete(&response), "{response}");
+    assert_eq!((one.count(), two.count()), (1, 1));
+}
+
 /// A rank that hung kept each request until its caller left.
 #[tokio::test]
 async fn stream_moves_from_a_rank_that_does_not_answer_while_others_of_its_group_do() {
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -10,6 +10,7 @@
 mod maps;
 mod outcomes;
 mod overload;
+mod parts;
 mod path;
 mod placement;
 mod returns;
@@ -81,6 +82,10 @@
             command: outcomes::command(),
             run: outcomes::run,
         },
+        Trial {
+            command: parts::command(),
+            run: parts::run,
+        },
         Trial {
             command: path::command(),
             run: path::run,
--- a/trials/src/stops.rs
+++ b/trials/src/stops.rs
@@ -1,11 +1,18 @@
 //! Stops gateways one after the other under full load and counts what callers get: served, refused, cut or no answer.
 
 mod caller;
-mod fleet;
+mod content;
+pub(crate) mod fleet;
+mod groups;
 mod record;
 mod rotation;
+mod runs;
+#[cfg(test)]
+mod tests;
 mod worker;
+mod wrong;
 
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -17,7 +24,9 @@
 
 use crate::arguments::{block_on, integer_arg, integer_value};
 use caller::CallerSettings;
-use fleet::StopFleet;
+use content::Content;
+use fleet::{FleetSettings, StopFleet};
+use groups::Standstills;
 use record::{Records, Stop};
 use worker::WorkerSettings;
 
@@ -27,8 +36,11 @@
 /// How long after the signal a process of the users' platform is killed.
 const GRACE: Millis = Millis(8_000);
 
+/// The interval at which the trial looks whether a gateway has exited, and changes what runs.
+const CHANGE_INTERVAL: Millis = Millis(250);
+
 /// The options of a run.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Options {
     seed: u64,
     gateways: u64,
@@ -37,14 +49,28 @@
     events: u64,
     slots: u64,
     slow_percent: u64,
+    read_speed: u64,
     answer_bytes: u64,
+    event_bytes: u64,
+    body_bytes: u64,
+    chunked_percent: u64,
+    groups: u64,
+    still_ms: u64,
+    still_pause_ms: u64,
     pause_ms: u64,
-    /// Whether the configuration changes and SIGHUP is sent all the while.
+    /// The time between two stops, which then overlap; one follows the other if it is 0.
+    overlap_ms: u64,
+    wrong_percent: u64,
+    /// Whether the number of events differs from stream to stream.
+    varies: bool,
+    /// Whether the configuration changes, and SIGHUP and SIGTERM are sent again, all the while.
     changes: bool,
     /// Whether the store does not answer while gateways stop.
     store_away: bool,
     /// Whether the logs of the gateways are kept, and where is printed.
     keep_logs: bool,
+    /// The program of the gateways, if it is that of another build.
+    program: Option<PathBuf>,
 }
 
 /// Returns the command line of the trial.
@@ -80,6 +106,56 @@
             "10",
             "The share of callers that pause in reading",
         ))
+        .arg(integer_arg(
+            "read-speed",
+            "0",
+            "How many bytes a second they read; 0: they pause once in each answer",
+        ))
+        .arg(integer_arg(
+            "event-bytes",
+            "0",
+            "The length of what an event contains besides the identifier",
+        ))
+        .arg(integer_arg(
+            "body-bytes",
+            "0",
+            "The length of the body of a stream's request",
+        ))
+        .arg(integer_arg(
+            "chunked-percent",
+            "0",
+            "The share of these bodies that are sent in chunks",
+        ))
+        .arg(integer_arg(
+            "groups",
+            "0",
+            "The number of groups of the workers that stream",
+        ))
+        .arg(integer_arg(
+            "still-ms",
+            "0",
+            "How long a group stands still, one after the other",
+        ))
+        .arg(integer_arg(
+            "still-pause-ms",
+            "1500",
+            "The pause between two standstills",
+        ))
+        .arg(integer_arg(
+            "overlap-ms",
+            "0",
+            "The time between two stops, which then overlap; 0: one follows the other",
+        ))
+        .arg(flag(
+            "varies",
+            "The number of events differs from stream to stream",
+        ))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .help("The program of the gateways, if it is that of another build")
+                .value_parser(clap::value_parser!(PathBuf)),
+        )
         .arg(integer_arg(
             "answer-bytes",
             "800",
@@ -90,9 +166,14 @@
             "1000",
             "The pause between the exit of a gateway and the next stop",
         ))
+        .arg(integer_arg(
+            "wrong-percent",
+            "0",
+            "The share of answers of workers that are wrong",
+        ))
         .arg(flag(
             "changes",
-            "Change the configuration and send SIGHUP all the while",
+            "Change the configuration, and send SIGHUP and SIGTERM again, all the while",
         ))
         .arg(flag(
             "store-away",
@@ -116,8 +197,19 @@
         events: number("events"),
         slots: number("slots"),
         slow_percent: number("slow-percent"),
+        read_speed: number("read-speed"),
         answer_bytes: number("answer-bytes"),
+        event_bytes: number("event-bytes"),
+        body_bytes: number("body-bytes"),
+        chunked_percent: number("chunked-percent"),
+        groups: number("groups"),
+        still_ms: number("still-ms"),
+        still_pause_ms: number("still-pause-ms"),
+        overlap_ms: number("overlap-ms"),
+        varies: matches.get_flag("varies"),
+        program: matches.get_one("program").cloned(),
         pause_ms: number("pause-ms"),
+        wrong_percent: number("wrong-percent"),
         changes: matches.get_flag("changes"),
         store_away: matches.get_flag("store-away"),
         keep_logs: matches.get_flag("keep-logs"),
@@ -128,43 +220,68 @@
     Ok(())
 }
 
+impl Options {
+    fn content(&self) -> Result<Content> {
+        Ok(Content {
+            events: self.events,
+            varies: self.varies,
+            event_bytes: usize::try_from(self.event_bytes)?,
+            answer_bytes: usize::try_from(self.answer_bytes)?,
+        })
+    }
+
+    fn fleet(&self) -> Result<FleetSettings> {
+        Ok(FleetSettings {
+            gateways: usize::try_from(self.gateways)?,
+            worker: WorkerSettings {
+                content: self.content()?,
+                event_time: Millis(self.event_ms),
+                slots: usize::try_from(self.slots)?,
+                wrong_percent: self.wrong_percent,
+                seed: self.seed,
+            },
+            groups: usize::try_from(self.groups)?,
+            standstills: Standstills {
+                time: Millis(self.still_ms),
+                pause: Millis(self.still_pause_ms),
+            },
+            keeps_logs: self.keep_logs,
+            program: self.program.clone(),
+        })
+    }
+
+    fn caller(&self, number: u64) -> Result<CallerSettings> {
+        Ok(CallerSettings {
+            number,
+            seed: self.seed,
+            reads_slowly: number * 100 < self.callers * self.slow_percent,
+            read_speed: self.read_speed,
+            body_bytes: usize::try_from(self.body_bytes)?,
+            chunked_percent: self.chunked_percent,
+            content: self.content()?,
+        })
+    }
+}
+
 async fn play(options: Options) -> Result<Value> {
     let clock = Clock::start();
-    let worker = WorkerSettings {
-        events: options.events,
-        event_time: Millis(options.event_ms),
-        slots: usize::try_from(options.slots)?,
-        answer_bytes: usize::try_from(options.answer_bytes)?,
-    };
-    let mut fleet = StopFleet::start(
-        usize::try_from(options.gateways)?,
-        worker,
-        options.keep_logs,
-    )
-    .await?;
-    let rotation = rotation::start(
-        fleet
-            .gateways()
-            .iter()
-            .map(|one| (one.front, one.ready))
-            .collect(),
-    );
+    let mut fleet = StopFleet::start(options.fleet()?, clock).await?;
+    let gateways = fleet.gateways().iter();
+    let rotation = rotation::start(gateways.map(|one| (one.front, one.ready)).collect());
     let ended = Arc::new(AtomicBool::new(false));
     let records = Arc::new(Records::new(clock));
-    let callers: Vec<_> = (0..options.callers)
-        .map(|number| {
-            let settings = CallerSettings {
-                number,
-                seed: options.seed,
-                reads_slowly: number * 100 < options.callers * options.slow_percent,
-                events: options.events,
-            };
-            let (rotation, records) = (rotation.clone(), Arc::clone(&records));
-            tokio::spawn(caller::run(settings, rotation, records, Arc::clone(&ended)))
-        })
-        .collect();
+    let mut callers = Vec::new();
+    for number in 0..options.callers {
+        let (rotation, records) = (rotation.clone(), Arc::clone(&records));
+        callers.push(tokio::spawn(caller::run(
+            options.caller(number)?,
+            rotation,
+            records,
+            Arc::clone(&ended),
+        )));
+    }
     sleep(SETTLE_TIME).await;
-    stop_in_turn(options, &mut fleet, &records).await?;
+    stop_all(&options, &mut fleet, &records).await?;
     sleep(Millis(options.pause_ms)).await;
     ended.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -180,42 +297,79 @@
 }
 
 /// Stops and restarts each gateway once.
-async fn stop_in_turn(options: Options, fleet: &mut StopFleet, records: &Records) -> Result<()> {
+async fn stop_all(options: &Options, fleet: &mut StopFleet, records: &Records) -> Result<()> {
     let mut version = 1;
-    for number in 0..fleet.gateways().len() {
-        if options.store_away {
-            fleet
-                .control("/faults", Method::POST, &json!({"silent": true}))
-                .await?;
+    let mut waiting = 0..fleet.gateways().len();
+    let mut stopping: Vec<(usize, Stop)> = Vec::new();
+    let mut next_at = records.now();
+    while !waiting.is_empty() || !stopping.is_empty() {
+        let is_due = match options.overlap_ms {
+            0 => stopping.is_empty(),
+            _ => records.now() >= next_at,
+        };
+        if is_due && let Some(number) = waiting.next() {
+            set_store_away(fleet, options.store_away).await?;
+            stopping.push((number, begin_stop(fleet, number, records.now())?));
+            next_at = records.now() + Millis(options.overlap_ms);
         }
-        let stopping = fleet.terminate(number)?;
-        let began = records.now();
-        let mut exited = None;
-        while exited.is_none() {
-            if options.changes {
-                version += 1;
-                fleet.put_version(version).await?;
-                fleet.hang_up(number)?;
-            }
-            sleep(Millis(250)).await;
-            exited = fleet.has_exited(number)?.then(|| records.now());
-            if exited.is_none() && records.now().since(began) > GRACE {
-                fleet.kill(number).await?;
-                exited = Some(records.now());
+        if options.changes {
+            version += 1;
+            fleet.put_version(version).await?;
+            for (number, _) in &stopping {
+                fleet.hang_up(*number)?;
+                fleet.terminate(*number)?;
             }
         }
-        records.add_stop(Stop {
-            gateway: stopping,
-            began,
-            exited: exited.unwrap_or(began),
-        });
-        if options.store_away {
-            fleet.control("/faults", Method::POST, &json!({})).await?;
+        sleep(CHANGE_INTERVAL).await;
+        let ended = end_stops(fleet, &mut stopping, records).await?;
+        if ended.is_empty() || options.overlap_ms > 0 {
+            continue;
+        }
+        set_store_away(fleet, false).await?;
+        for number in ended {
+            fleet.wait_until_ready(number).await?;
         }
-        fleet.restart(number).await?;
         sleep(Millis(options.pause_ms)).await;
     }
-    Ok(())
+    set_store_away(fleet, false).await
+}
+
+async fn set_store_away(fleet: &StopFleet, away: bool) -> Result<()> {
+    let faults = json!({"silent": away});
+    fleet.control("/faults", Method::POST, &faults).await
+}
+
+fn begin_stop(fleet: &StopFleet, number: usize, now: Millis) -> Result<Stop> {
+    Ok(Stop {
+        gateway: fleet.terminate(number)?,
+        began: now,
+        exited: now,
+    })
+}
+
+/// Starts the gateways again that have exited, and returns them; those whose grace is over are killed.
+async fn end_stops(
+    fleet: &mut StopFleet,
+    stopping: &mut Vec<(usize, Stop)>,
+    records: &Records,
+) -> Result<Vec<usize>> {
+    let mut ended = Vec::new();
+    for (number, stop) in std::mem::take(stopping) {
+        let mut has_exited = fleet.has_exited(number)?;
+        if !has_exited && records.now().since(stop.began) > GRACE {
+            fleet.kill(number).await?;
+            has_exited = true;
+        }
+        if !has_exited {
+            stopping.push((number, stop));
+            continue;
+        }
+        let exited = records.now();
+        records.add_stop(Stop { exited, ..stop });
+        fleet.restart(number)?;
+        ended.push(number);
+    }
+    Ok(ended)
 }
 
 async fn sleep(time: Millis) {
--- a/trials/src/stops/caller.rs
+++ b/trials/src/stops/caller.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpSocket, TcpStream};
 
+use super::content::Content;
 use super::fleet::KEY;
 use super::record::{Attempt, Ending, Kind, Records, TIME_BUDGET};
 use super::rotation::Rotation;
@@ -23,6 +24,10 @@
 /// The longest pause between two requests of a caller.
 const THINK_MS_MAX: u64 = 60;
 
+/// How many parts a body in chunks has, and the pause between two of them.
+const BODY_PARTS: usize = 4;
+const PART_PAUSE: Millis = Millis(20);
+
 /// How many attempts a caller makes for one request.
 const ATTEMPTS_MAX: u32 = 2;
 
@@ -32,8 +37,13 @@
     pub(super) number: u64,
     pub(super) seed: u64,
     pub(super) reads_slowly: bool,
-    /// The number of events of a whole stream.
-    pub(super) events: u64,
+    /// How many bytes a second a caller reads that reads slowly; 0 if it pauses once in each answer instead.
+    pub(super) read_speed: u64,
+    /// The length of the body of a stream's request.
+    pub(super) body_bytes: usize,
+    /// The share of these that are sent in chunks.
+    pub(super) chunked_percent: u64,
+    pub(super) content: Content,
 }
 
 /// A kept connection.
@@ -82,7 +92,13 @@
                 continue;
             };
             let (sent_at, gateway, is_kept) = (records.now(), open.gateway, open.is_used);
-            let answer = exchange(settings, open, kind, &id).await;
+            let is_chunked = rng.random_range(0..100) < settings.chunked_percent;
+            let request = Request {
+                id: &id,
+                kind,
+                is_chunked,
+            };
+            let answer = exchange(settings, open, &request).await;
             records.add(Attempt {
                 id,
                 kind,
@@ -116,7 +132,7 @@
     match ending {
         Ending::Served => false,
         Ending::Refused => true,
-        Ending::Failed | Ending::Cut | Ending::Unanswered => kind != Kind::Book,
+        _ => kind != Kind::Book,
     }
 }
 
@@ -134,48 +150,101 @@
     })
 }
 
+/// A request that a caller sends.
+struct Request<'a> {
+    id: &'a str,
+    kind: Kind,
+    /// Whether its body is sent in chunks.
+    is_chunked: bool,
+}
+
 async fn exchange(
     settings: CallerSettings,
     connection: &mut Connection,
-    kind: Kind,
-    id: &str,
+    request: &Request<'_>,
 ) -> Answer {
     let unanswered = Answer {
         ending: Ending::Unanswered,
         keeps: false,
     };
-    let text = format!(
-        "POST /{}/1 HTTP/1.1\r\nhost: {PLATFORM_HOST}\r\nauthorization: Token {KEY}\r\n\
-         x-attempt-id: {id}\r\nx-deadline-ms: {}\r\ncontent-length: 0\r\n\r\n",
-        kind.label(),
-        TIME_BUDGET.0
-    );
-    if connection.stream.write_all(text.as_bytes()).await.is_err() {
-        return unanswered;
-    }
+    let Request { id, kind, .. } = *request;
+    // An answer may come before the whole request has been written.
+    let _ = settings
+        .write_request(&mut connection.stream, request)
+        .await;
     let Some(head) = read_head(&mut connection.stream).await else {
         return unanswered;
     };
-    if settings.reads_slowly {
+    if settings.reads_slowly && settings.read_speed == 0 {
         tokio::time::sleep(READ_PAUSE.duration()).await;
     }
-    let whole = match head.length {
-        Some(length) => connection
-            .stream
-            .read_exact(&mut vec![0; length])
-            .await
-            .is_ok(),
-        None => read_events(&mut connection.stream, id).await == Some(settings.events),
+    let mut body = Body {
+        speed: settings.read_speed * u64::from(settings.reads_slowly),
+        ..Body::default()
     };
-    let ending = match (head.status, whole) {
-        (200, true) => Ending::Served,
-        (200, false) => Ending::Cut,
-        (503 | 429, _) => Ending::Refused,
+    let is_complete = read_body(&mut connection.stream, &head, &mut body)
+        .await
+        .is_some();
+    let ending = match head.status {
+        200 => settings.judge(kind, id, &body.text, is_complete),
+        503 | 429 => Ending::Refused,
         _ => Ending::Failed,
     };
     Answer {
         ending,
-        keeps: whole && !head.closes,
+        keeps: is_complete && body.is_framed && !head.closes,
+    }
+}
+
+impl CallerSettings {
+    /// Writes a request; the request of a stream has a body.
+    async fn write_request(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        request: &Request<'_>,
+    ) -> std::io::Result<()> {
+        let length = match request.kind {
+            Kind::Ask => self.body_bytes,
+            Kind::Book | Kind::Status => 0,
+        };
+        let is_chunked = request.is_chunked && length > 0;
+        let framing = match is_chunked {
+            true => "transfer-encoding: chunked".to_owned(),
+            false => format!("content-length: {length}"),
+        };
+        let head = format!(
+            "POST /{}/1 HTTP/1.1\r\nhost: {PLATFORM_HOST}\r\nauthorization: Token {KEY}\r\n\
+             x-attempt-id: {}\r\nx-deadline-ms: {}\r\n{framing}\r\n\r\n",
+            request.kind.label(),
+            request.id,
+            TIME_BUDGET.0
+        );
+        let body = "b".repeat(length);
+        if !is_chunked {
+            return stream.write_all((head + &body).as_bytes()).await;
+        }
+        stream.write_all(head.as_bytes()).await?;
+        let part = &body[..length / BODY_PARTS];
+        for _ in 0..BODY_PARTS {
+            let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            tokio::time::sleep(PART_PAUSE.duration()).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await
+    }
+
+    /// Returns how a success ended, by its body and whether its framing says that it is complete.
+    fn judge(&self, kind: Kind, id: &str, text: &str, is_complete: bool) -> Ending {
+        let whole = match kind {
+            Kind::Ask => self.content.stream(id),
+            Kind::Book | Kind::Status => self.content.plain(id),
+        };
+        match (is_complete, text == whole) {
+            _ if !whole.starts_with(text) => Ending::Foreign,
+            (true, true) => Ending::Served,
+            (true, false) => Ending::LooksWhole,
+            (false, _) => Ending::Cut,
+        }
     }
 }
 
@@ -183,11 +252,22 @@
 #[derive(Debug, Default)]
 struct Head {
     status: u16,
-    /// The length of the body; `None` if it comes in chunks.
+    /// The length of the body, if it has one.
     length: Option<usize>,
+    is_chunked: bool,
     closes: bool,
 }
 
+/// The body of an answer.
+#[derive(Debug, Default)]
+struct Body {
+    text: String,
+    /// Whether it has a length or chunks.
+    is_framed: bool,
+    /// How many bytes a second are read; 0 if as many as come.
+    speed: u64,
+}
+
 async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<Head> {
     let mut head = Head::default();
     loop {
@@ -201,6 +281,7 @@
         }
         match line.split_once(": ") {
             Some(("content-length", value)) => head.length = value.parse().ok(),
+            Some(("transfer-encoding", value)) => head.is_chunked = value == "chunked",
             Some(("connection", value)) => head.closes = value == "close",
             Some(_) => {}
             None => head.status = line.split(' ').nth(1)?.parse().ok()?,
@@ -208,24 +289,50 @@
     }
 }
 
-/// Reads a stream in chunks; returns the number of the last event, or `None` if it is cut, out of order or another's.
-async fn read_events(stream: &mut BufReader<TcpStream>, id: &str) -> Option<u64> {
-    let mut last = 0;
+/// Reads a body into `body`; `None` if it ends before its framing says so.
+async fn read_body(stream: &mut BufReader<TcpStream>, head: &Head, body: &mut Body) -> Option<()> {
+    body.is_framed = head.is_chunked || head.length.is_some();
+    if let Some(length) = head.length {
+        return read_part(stream, length, body).await;
+    }
+    if !head.is_chunked {
+        let mut rest = Vec::new();
+        stream.read_to_end(&mut rest).await.ok()?;
+        body.text = String::from_utf8(rest).ok()?;
+        return Some(());
+    }
     loop {
         let mut line = String::new();
         stream.read_line(&mut line).await.ok()?;
         let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
-        let mut chunk = vec![0; size + 2];
-        stream.read_exact(&mut chunk).await.ok()?;
+        read_part(stream, size, body).await?;
+        stream.read_exact(&mut [0; 2]).await.ok()?;
         if size == 0 {
-            return Some(last);
+            return Some(());
         }
-        let text = String::from_utf8(chunk).ok()?;
-        for event in text.trim_end().split("\n\n") {
-            last += 1;
-            if event != format!("id: {last}\ndata: {id}") {
-                return None;
-            }
+    }
+}
+
+/// Appends `length` bytes to `body`, or as many as come.
+async fn read_part(
+    stream: &mut BufReader<TcpStream>,
+    length: usize,
+    body: &mut Body,
+) -> Option<()> {
+    let mut left = length;
+    let mut part = [0; 512];
+    while left > 0 {
+        let most = left.min(part.len());
+        let count = stream.read(&mut part[..most]).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        body.text
+            .push_str(std::str::from_utf8(&part[..count]).ok()?);
+        left -= count;
+        if let Some(time) = (count as u64 * 1_000).checked_div(body.speed) {
+            tokio::time::sleep(Millis(time).duration()).await;
         }
     }
+    Some(())
 }
--- a/trials/src/stops/fleet.rs
+++ b/trials/src/stops/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
@@ -18,10 +18,12 @@
 use serde_json::{Value, json};
 use tokio::process::{Child, Command};
 
-use super::worker::{self, Runs, WorkerSettings};
+use super::groups::{self, Group, Standstills};
+use super::runs::{RunLog, RunsById};
+use super::worker::{self, WorkerSettings};
 
 /// The key of all callers.
-pub(super) const KEY: &str = "school";
+pub(crate) const KEY: &str = "school";
 
 /// The workers of each service.
 const WORKERS: usize = 4;
@@ -34,20 +36,35 @@
 
 /// A gateway process.
 #[derive(Debug)]
-pub(super) struct Gateway {
-    pub(super) front: SocketAddr,
-    pub(super) ready: SocketAddr,
+pub(crate) struct Gateway {
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     process: Child,
 }
 
+/// What runs.
+#[derive(Debug, Clone)]
+pub(super) struct FleetSettings {
+    pub(super) gateways: usize,
+    pub(super) worker: WorkerSettings,
+    /// The number of groups of the workers that stream; none if it is 0.
+    pub(super) groups: usize,
+    pub(super) standstills: Standstills,
+    pub(super) keeps_logs: bool,
+    /// The program of the gateways; that of this build if it is not given.
+    pub(super) program: Option<PathBuf>,
+}
+
 /// The running processes; dropping them kills them.
 #[derive(Debug)]
-pub(super) struct StopFleet {
+pub(crate) struct StopFleet {
     store: ChildProcess,
     gateways: Vec<Gateway>,
-    runs: Arc<Mutex<Runs>>,
+    program: PathBuf,
+    clock: Clock,
+    runs: Arc<RunLog>,
     client: HttpClient,
     /// Where the logs are, if they are kept.
     kept: Option<PathBuf>,
@@ -55,12 +72,26 @@
 }
 
 impl StopFleet {
-    /// Starts all processes and waits until the gateways are ready.
-    pub(super) async fn start(
-        gateways: usize,
-        settings: WorkerSettings,
-        keep_logs: bool,
-    ) -> Result<Self> {
+    /// Starts all processes and waits until the gateways are ready. Times are those of `clock`.
+    pub(super) async fn start(settings: FleetSettings, clock: Clock) -> Result<Self> {
+        let mut fleet = Self::start_store(settings.keeps_logs, settings.program, clock).await?;
+        let groups: Vec<Group> = (0..settings.groups)
+            .map(|number| Group::new(format!("g{number}")))
+            .collect();
+        fleet.start_workers(settings.worker, &groups).await?;
+        fleet.start_gateways(settings.gateways).await?;
+        tokio::spawn(groups::stand_still_in_turn(groups, settings.standstills));
+        Ok(fleet)
+    }
+
+    /// Starts the store and gateways, for workers that are listed by somebody else.
+    pub(crate) async fn start_without_workers(gateways: usize) -> Result<Self> {
+        let mut fleet = Self::start_store(false, None, Clock::start()).await?;
+        fleet.start_gateways(gateways).await?;
+        Ok(fleet)
+    }
+
+    async fn start_store(keep_logs: bool, program: Option<PathBuf>, clock: Clock) -> Result<Self> {
         let directory = TempDirectory::create()?;
         let kept =
             keep_logs.then(|| std::env::temp_dir().join(format!("stops-{}", std::process::id())));
@@ -72,42 +103,74 @@
             &["objects".to_owned()],
         )
         .await?;
-        let runs: Arc<Mutex<Runs>> = Arc::default();
-        let mut fleet = Self {
+        let program = match program {
+            Some(program) => program,
+            None => binary_path("sardinepin")?,
+        };
+        let fleet = Self {
             store,
             gateways: Vec::new(),
-            runs,
+            program,
+            clock,
+            runs: Arc::new(RunLog::new(clock)),
             client: HttpClient::default(),
             kept,
             _directory: directory,
         };
         fleet.put_version(1).await?;
-        fleet.start_workers(settings).await?;
-        for number in 0..gateways {
-            let gateway = fleet.start_gateway(number)?;
-            fleet.gateways.push(gateway);
+        Ok(fleet)
+    }
+
+    async fn start_gateways(&mut self, count: usize) -> Result<()> {
+        for number in 0..count {
+            let gateway = self.start_gateway(number)?;
+            self.gateways.push(gateway);
         }
-        for gateway in &fleet.gateways {
-            fleet.wait_ready(gateway).await?;
+        for gateway in &self.gateways {
+            self.wait_ready(gateway).await?;
         }
-        Ok(fleet)
+        Ok(())
     }
 
-    async fn start_workers(&self, settings: WorkerSettings) -> Result<()> {
-        for service in ["llm", "app"] {
-            for number in 0..WORKERS {
-                let id = format!("i-{service}-{number}");
-                let runs = Arc::clone(&self.runs);
-                let address = worker::start(&id, settings, runs).await?;
-                let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
-                    "slots": settings.slots, "state": "ready", "seq": 1, "born": 1});
-                self.control(&format!("/control/servers/{id}"), Method::PUT, &entry)
-                    .await?;
-            }
+    /// Returns the address of the store.
+    pub(crate) fn store_address(&self) -> SocketAddr {
+        self.store.address()
+    }
+
+    async fn start_workers(&self, settings: WorkerSettings, groups: &[Group]) -> Result<()> {
+        for number in 0..WORKERS {
+            let group = match groups.len() {
+                0 => None,
+                count => Some(&groups[number % count]),
+            };
+            let rank = number.checked_div(groups.len()).unwrap_or_default();
+            let group_entry = group.map(
+                |group| json!({"name": group.name, "epoch": 1, "rank": rank, "state": "open"}),
+            );
+            self.start_worker(settings, "llm", number, (group.cloned(), group_entry))
+                .await?;
+            self.start_worker(settings, "app", number, (None, None))
+                .await?;
         }
         Ok(())
     }
 
+    async fn start_worker(
+        &self,
+        settings: WorkerSettings,
+        service: &str,
+        number: usize,
+        (group, group_entry): (Option<Group>, Option<Value>),
+    ) -> Result<()> {
+        let id = format!("i-{service}-{number}");
+        let runs = Arc::clone(&self.runs);
+        let address = worker::start(&id, settings, group, runs).await?;
+        let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
+            "slots": settings.slots, "state": "ready", "seq": 1, "born": 1, "group": group_entry});
+        self.control(&format!("/control/servers/{id}"), Method::PUT, &entry)
+            .await
+    }
+
     fn start_gateway(&self, number: usize) -> Result<Gateway> {
         let (front, ready) = (free_address()?, free_address()?);
         let port = free_address()?.port();
@@ -124,7 +187,7 @@
         let path = folder.join(format!("front-{number}.json"));
         std::fs::write(&path, settings.to_string())?;
         let log = folder.join(format!("front-{number}.log"));
-        let process = spawn(&path, &log)?;
+        let process = spawn(&self.program, &path, &log)?;
         Ok(Gateway {
             front,
             ready,
@@ -135,7 +198,7 @@
     }
 
     /// Returns the gateways, in the order in which they are stopped.
-    pub(super) fn gateways(&self) -> &[Gateway] {
+    pub(crate) fn gateways(&self) -> &[Gateway] {
         &self.gateways
     }
 
@@ -147,9 +210,8 @@
     }
 
     /// Returns what the workers have run.
-    pub(super) fn runs(&self) -> Runs {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.clone()
+    pub(super) fn runs(&self) -> RunsById {
+        self.runs.snapshot()
     }
 
     /// Tells a gateway to stop and returns its address for callers.
@@ -181,16 +243,21 @@
         Ok(self.gateways[number].process.kill().await?)
     }
 
-    /// Starts a gateway again that has exited, and waits until it is ready.
-    pub(super) async fn restart(&mut self, number: usize) -> Result<()> {
+    /// Starts a gateway again that has exited.
+    pub(super) fn restart(&mut self, number: usize) -> Result<()> {
         let gateway = &mut self.gateways[number];
-        gateway.process = spawn(&gateway.settings, &gateway.log)?;
+        gateway.process = spawn(&self.program, &gateway.settings, &gateway.log)?;
+        Ok(())
+    }
+
+    /// Waits until a gateway is ready.
+    pub(super) async fn wait_until_ready(&self, number: usize) -> Result<()> {
         self.wait_ready(&self.gateways[number]).await
     }
 
     async fn wait_ready(&self, gateway: &Gateway) -> Result<()> {
-        let clock = Clock::start();
-        while clock.now() < READY_TIMEOUT {
+        let began = self.clock.now();
+        while self.clock.now().since(began) < READY_TIMEOUT {
             let call =
                 self.client
                     .request(Method::GET, gateway.ready, "/readiness", &[], Bytes::new());
@@ -215,14 +282,14 @@
             route("status", "safe", "app", 8_000),
         ];
         let manifest = json!({"version": version, "routes": routes,
-            "services": [{"name": "app"}, {"name": "llm"}],
+            "services": [{"name": "app", "health-path": "/health"}, {"name": "llm", "health-path": "/health"}],
             "tenants": [{"name": KEY, "api-keys": [KEY]}], "limits": {}});
         self.control("/control/config/main", Method::PUT, &manifest)
             .await
     }
 
     /// Sends a control call to the store.
-    pub(super) async fn control(&self, path: &str, method: Method, body: &Value) -> Result<()> {
+    pub(crate) async fn control(&self, path: &str, method: Method, body: &Value) -> Result<()> {
         let address = self.store.address();
         let answer = self.client.send_json(method, address, path, body).await?;
         match answer.status.is_success() {
@@ -232,9 +299,9 @@
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Result<Child> {
+fn spawn(program: &Path, settings: &Path, log: &Path) -> Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
-    Command::new(binary_path("sardinepin")?)
+    Command::new(program)
         .args(["gateway", "--metrics-port", "0", "--settings"])
         .arg(settings)
         .stdin(Stdio::null())
--- a/trials/src/stops/record.rs
+++ b/trials/src/stops/record.rs
@@ -7,7 +7,7 @@
 use sardinepin_common::{Clock, Millis};
 use serde_json::{Value, json};
 
-use super::worker::Runs;
+use super::runs::{Runs, RunsById};
 
 /// How long after its last byte a request may end without an answer as it crossed the end of its connection.
 const CROSSING_TIME: Millis = Millis(200);
@@ -18,6 +18,9 @@
 /// The time budget of every request. One that has used it may end anyhow.
 pub(super) const TIME_BUDGET: Millis = Millis(8_000);
 
+/// How much of it may be left: caller and gateway each cut their times to whole milliseconds.
+const BUDGET_MARGIN: Millis = Millis(2);
+
 /// When after the signal such requests may be cut: the last sixth of the grace.
 const EXCUSED_FROM: Millis = Millis(6_667);
 
@@ -65,8 +68,12 @@
     Refused,
     /// An error that promises nothing.
     Failed,
-    /// A part of an answer.
+    /// A part of an answer, which its caller can tell from a whole one.
     Cut,
+    /// A part of an answer, or one of another request, that looks whole.
+    LooksWhole,
+    /// Bytes that are no part of the answer.
+    Foreign,
     /// The connection ended without a byte of an answer.
     Unanswered,
 }
@@ -144,9 +151,11 @@
     }
 
     /// Returns the figures and the broken rules.
-    pub(super) fn summary(&self, runs: &Runs) -> Value {
+    pub(super) fn summary(&self, runs: &RunsById) -> Value {
         let state = self.state();
         let mut at_stops: BTreeMap<String, u64> = BTreeMap::new();
+        let mut excused: BTreeMap<&'static str, u64> = BTreeMap::new();
+        let mut cut_by_second: BTreeMap<i64, u64> = BTreeMap::new();
         let mut violations = Vec::new();
         for attempt in &state.attempts {
             let stop = state.stops.iter().find(|stop| stop.covers(attempt));
@@ -154,6 +163,15 @@
                 let label = format!("{}_{:?}", attempt.kind.label(), attempt.ending);
                 *at_stops.entry(label.to_lowercase()).or_default() += 1;
             }
+            if matches!(attempt.ending, Ending::Cut | Ending::Unanswered) {
+                if let Some(excuse) = excuse(attempt, stop, runs_of(attempt, runs)) {
+                    *excused.entry(excuse.label()).or_default() += 1;
+                }
+                if let Some(stop) = stop {
+                    let sent = attempt.sent_at.0 as i64 - stop.began.0 as i64;
+                    *cut_by_second.entry(sent.div_euclid(1_000)).or_default() += 1;
+                }
+            }
             violations.extend(violation(attempt, stop, runs));
         }
         let finals: BTreeMap<String, u64> = state
@@ -174,7 +192,7 @@
         json!({
             "attempts": state.attempts.len(), "at_stops": at_stops, "finally": finals,
             "unconnected": state.unconnected.values().sum::<u64>(), "stop_ms": stop_times,
-            "violations": violations,
+            "excused": excused, "cut_by_second_sent": cut_by_second, "violations": violations,
         })
     }
 }
@@ -189,34 +207,71 @@
     }
 }
 
+fn runs_of(attempt: &Attempt, runs: &RunsById) -> Runs {
+    runs.get(&attempt.id).copied().unwrap_or_default()
+}
+
 /// Returns what is wrong with an attempt.
-fn violation(attempt: &Attempt, stop: Option<&Stop>, runs: &Runs) -> Option<Value> {
-    let ran = runs.get(&attempt.id).copied().unwrap_or_default();
+fn violation(attempt: &Attempt, stop: Option<&Stop>, runs: &RunsById) -> Option<Value> {
+    let runs = runs_of(attempt, runs);
+    let ran = runs.count;
     let rule = match attempt.ending {
         _ if attempt.kind == Kind::Book && ran > 1 => "twice",
         Ending::Refused if attempt.kind == Kind::Book && ran > 0 => "refused_but_ran",
-        Ending::Cut | Ending::Unanswered if !is_excused(attempt, stop, ran) => "lost",
+        Ending::LooksWhole => "looks_whole",
+        Ending::Foreign => "foreign",
+        Ending::Cut | Ending::Unanswered if excuse(attempt, stop, runs).is_none() => "lost",
         _ => return None,
     };
     let after = stop.map(|stop| attempt.sent_at.0 as i64 - stop.began.0 as i64);
     Some(json!({
         "rule": rule, "id": attempt.id, "kind": attempt.kind.label(), "ending": format!("{:?}", attempt.ending),
-        "kept": attempt.is_kept, "sent_after_signal_ms": after, "took_ms": attempt.ended_at.since(attempt.sent_at).0,
+        "kept": attempt.is_kept, "arrivals": runs.arrivals, "at_work": runs.at_work, "sent_after_signal_ms": after, "took_ms": attempt.ended_at.since(attempt.sent_at).0,
         "ran": ran, "ended_after_signal_ms": stop.map(|stop| attempt.ended_at.since(stop.began).0),
+        "worker_ended_after_signal_ms": stop.map(|stop| runs.ended_at.0 as i64 - stop.began.0 as i64),
     }))
 }
 
-/// Returns whether a request may end without its answer: it crossed the end of its connection, or its worker was still at work at the end of the
-/// grace.
-fn is_excused(attempt: &Attempt, stop: Option<&Stop>, ran: u64) -> bool {
+/// Why a request may end without a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Excuse {
+    /// It crossed the end of its connection, and no worker has read it.
+    Crossed,
+    /// Its time budget has been used.
+    TimeUsed,
+    /// Its worker broke off.
+    WorkerBroke,
+    /// It was sent early in the stop, and its worker was still at work near the end of the grace.
+    WorkerAtWork,
+}
+
+impl Excuse {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Crossed => "crossed",
+            Self::TimeUsed => "time_used",
+            Self::WorkerBroke => "worker_broke",
+            Self::WorkerAtWork => "worker_at_work",
+        }
+    }
+}
+
+/// Returns why an attempt may have ended without a whole answer; `None` if nothing excuses it.
+fn excuse(attempt: &Attempt, stop: Option<&Stop>, runs: Runs) -> Option<Excuse> {
     let took = attempt.ended_at.since(attempt.sent_at);
-    let crossed = attempt.ending == Ending::Unanswered && ran == 0 && took <= CROSSING_TIME;
-    if crossed || took >= TIME_BUDGET {
-        return true;
+    let unanswered = attempt.ending == Ending::Unanswered;
+    if unanswered && runs.arrivals == 0 && took <= CROSSING_TIME {
+        return Some(Excuse::Crossed);
+    }
+    if took + BUDGET_MARGIN >= TIME_BUDGET {
+        return Some(Excuse::TimeUsed);
+    }
+    if runs.is_spoiled {
+        return Some(Excuse::WorkerBroke);
     }
-    stop.is_some_and(|stop| {
-        attempt.sent_at < stop.began + EXCUSED_UNTIL
-            && attempt.ended_at >= stop.began + EXCUSED_FROM
-            && ran > 0
-    })
+    let at_work = stop.is_some_and(|stop| {
+        attempt.sent_at <= stop.began + EXCUSED_UNTIL
+            && runs.were_at_work(stop.began + EXCUSED_FROM)
+    });
+    at_work.then_some(Excuse::WorkerAtWork)
 }
