A stream leaves a silent upstream only once another one has answered it

Callers saw streams that ended without their last events, most of them as a gateway stopped, while the upstream went on a moment later. Cause: a stream whose group of ranks made no step for half a second was taken off its upstream if another group seemed to have room. Only then was it asked whether it may be sent once more (not as its gateway stops), whether there is a place, and whether the upstream there takes it; if one of these failed, the stream was cut. The same before the first event, where the caller got 502. Change: the silent attempt goes on while another upstream is tried. Whoever answers first goes on; if the silent one breaks off meanwhile, the other one is waited for. The choice of upstreams is a module of its own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,10 +1,12 @@
 //! Sends a request to one upstream and checks the response.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::response::Parts;
-use http::{HeaderMap, StatusCode, header};
-use hyper::body::Incoming;
+use http::{HeaderMap, Response, StatusCode, header};
+use hyper::body::{Frame, Incoming};
 use sardinepin_common::Millis;
 
 use crate::call::Call;
@@ -12,6 +14,7 @@
 use crate::constants::STALL_CHECK_INTERVAL;
 use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
+use crate::handler::{Attempts, can_move};
 use crate::header_names::HeaderNames;
 use crate::headers;
 use crate::upstream_limits;
@@ -108,8 +111,6 @@
     pub(crate) deadline: Millis,
     /// The number of the last event that the caller received.
     pub(crate) last_event_id: Option<u64>,
-    /// Whether the request may move to another upstream if the group of this one stalls.
-    pub(crate) can_move: bool,
 }
 
 /// What ends the wait for an upstream.
@@ -118,21 +119,74 @@
     pub(crate) call: &'a Call,
     /// The time by which the upstream has to send something.
     pub(crate) deadline: Millis,
-    /// Whether the request may move to another upstream if the group of this one stalls.
-    pub(crate) can_move: bool,
+    /// The number of the last event that the caller received.
+    pub(crate) last_event_id: Option<u64>,
     /// When the request was sent, until the upstream begins to write an answer.
     pub(crate) unanswered_since: Option<Millis>,
 }
 
+/// What an upstream sends: the head of a response, or a piece of its body.
+pub(crate) trait UpstreamProgress {
+    /// Returns whether it brings the request forward.
+    fn goes_on(&self) -> bool;
+}
+
+impl UpstreamProgress for Result<Response<Incoming>, SendError> {
+    fn goes_on(&self) -> bool {
+        self.as_ref()
+            .is_ok_and(|response| response.status().is_success())
+    }
+}
+
+impl UpstreamProgress for Option<hyper::Result<Frame<Bytes>>> {
+    fn goes_on(&self) -> bool {
+        !matches!(self, Some(Err(_)))
+    }
+}
+
+/// Which of two upstreams has answered.
+enum FirstAnswer<T> {
+    /// The current one, or both have failed.
+    Current(T),
+    /// The next one.
+    Next,
+    /// The next one has failed, and the current one is still silent.
+    Neither,
+}
+
+/// Waits for the current upstream and the `opening` of the next one. A failure of the current one waits for the next one, which may
+/// take the request over.
+async fn first_to_answer<T: UpstreamProgress>(
+    mut current: Pin<&mut impl Future<Output = T>>,
+    mut opening: BoxFuture<'_, bool>,
+) -> FirstAnswer<T> {
+    let failed = tokio::select! {
+        biased;
+        done = current.as_mut() => done,
+        opened = &mut opening => return match opened {
+            true => FirstAnswer::Next,
+            false => FirstAnswer::Neither,
+        },
+    };
+    if failed.goes_on() || !opening.await {
+        return FirstAnswer::Current(failed);
+    }
+    FirstAnswer::Next
+}
+
 impl Gateway {
-    /// Sends a request to the upstream of `permit` and waits for the response head.
+    /// Sends a request to the upstream of `permit` and waits for the response head. With its `attempts`, a stream may leave a silent
+    /// upstream for another one.
     pub(crate) async fn attempt(
         &self,
         call: &Call,
         mut permit: UpstreamPermit,
         options: AttemptOptions,
+        attempts: Option<&mut Attempts>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
-        let result = self.send_attempt(call, &mut permit, options).await;
+        let result = self
+            .send_attempt(call, &mut permit, options, attempts)
+            .await;
         match &result {
             Err(AttemptFailure::NotSent | AttemptFailure::Crashed) => {
                 permit.set_end(AttemptEnd::Unreachable)
@@ -172,11 +226,11 @@
         call: &Call,
         permit: &mut UpstreamPermit,
         options: AttemptOptions,
+        attempts: Option<&mut Attempts>,
     ) -> Result<(Parts, Incoming, Connection), AttemptFailure> {
         let AttemptOptions {
             deadline,
             last_event_id,
-            can_move,
         } = options;
         let time_left = call.deadline.since(self.clock.now());
         let need = match call.is_repeatable() {
@@ -211,10 +265,11 @@
         let limits = WaitLimits {
             call,
             deadline,
-            can_move,
+            last_event_id,
             unanswered_since: Some(now),
         };
-        let response = self.wait_for_upstream(permit.id, limits, connection.send(request));
+        let sending = connection.send(request);
+        let response = self.wait_for_upstream(permit.id, limits, attempts, sending);
         let response = match response.await {
             Err(failure) => return Err(failure),
             Ok(Err(SendError::NotSent)) => return Err(AttemptFailure::NotSent),
@@ -240,17 +295,19 @@
         Ok((parts, body, connection))
     }
 
-    /// Waits for `work` until it completes or one of the limits is reached.
-    pub(crate) async fn wait_for_upstream<T>(
+    /// Waits for `work` until it completes or one of the limits is reached. With its `attempts`, a stream ends the wait once another
+    /// upstream has answered it.
+    pub(crate) async fn wait_for_upstream<T: UpstreamProgress>(
         &self,
         id: UpstreamId,
         limits: WaitLimits<'_>,
+        mut attempts: Option<&mut Attempts>,
         work: impl Future<Output = T>,
     ) -> Result<T, AttemptFailure> {
         let WaitLimits {
             call,
             deadline,
-            can_move,
+            last_event_id,
             unanswered_since,
         } = limits;
         let mut work = pin!(work);
@@ -266,28 +323,44 @@
             if unanswered_since.is_some() && self.quarantine_remaining(call).is_some() {
                 return Err(AttemptFailure::Quarantined);
             }
-            let stalled = can_move
-                && self
-                    .dispatcher
-                    .with_balancer(|balancer, now| balancer.should_move(now, id, &call.regions));
-            if stalled {
-                return Err(AttemptFailure::Stalled);
-            }
-            if self.is_overtaken(id, &limits) {
-                return Err(AttemptFailure::TimedOut);
+            let Some(attempts) = attempts.as_deref_mut() else {
+                continue;
+            };
+            let Some(failure) = self.reason_to_move(id, limits, attempts) else {
+                continue;
+            };
+            let opening = self.open_next(call, attempts, failure, last_event_id);
+            match first_to_answer(work.as_mut(), opening).await {
+                FirstAnswer::Current(done) => return Ok(done),
+                FirstAnswer::Next => return Err(failure),
+                FirstAnswer::Neither => {}
             }
         }
     }
 
-    /// Returns whether a request that may move waits for its answer while later ones to the same rank group have got theirs.
-    fn is_overtaken(&self, id: UpstreamId, limits: &WaitLimits<'_>) -> bool {
-        let objective = limits.call.route.latency_objective;
-        limits.can_move
-            && limits.unanswered_since.is_some_and(|sent_at| {
-                self.dispatcher.with_balancer(|balancer, now| {
-                    balancer.is_overtaken(now, id, sent_at, objective)
-                })
-            })
+    /// Returns why a stream should leave its upstream, if it may: the group of the upstream has stalled, or answers later requests first.
+    fn reason_to_move(
+        &self,
+        id: UpstreamId,
+        limits: WaitLimits<'_>,
+        attempts: &Attempts,
+    ) -> Option<AttemptFailure> {
+        let call = limits.call;
+        if !can_move(call, attempts) {
+            return None;
+        }
+        let stalled = self
+            .dispatcher
+            .with_balancer(|balancer, now| balancer.should_move(now, id, &call.regions));
+        if stalled {
+            return Some(AttemptFailure::Stalled);
+        }
+        let objective = call.route.latency_objective;
+        let overtaken = limits.unanswered_since.is_some_and(|sent_at| {
+            self.dispatcher
+                .with_balancer(|balancer, now| balancer.is_overtaken(now, id, sent_at, objective))
+        });
+        overtaken.then_some(AttemptFailure::TimedOut)
     }
 
     /// Records that an upstream has sent data.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,6 +1,7 @@
 //! Handles a request from its arrival to its response, over one or more attempts.
 
 mod attempts;
+mod placing;
 
 use std::sync::Arc;
 
@@ -10,10 +11,8 @@
 use sardinepin_protocol::ErrorKind;
 use sardinepin_runtime::GuardedBody;
 
-use crate::admission_report;
 use crate::attempt::{AttemptFailure, AttemptOptions};
 use crate::call::Call;
-use crate::dispatch::{ReservedRetry, UpstreamPermit};
 use crate::gateway::Gateway;
 use crate::handler::attempts::UnansweredRequest;
 pub(crate) use crate::handler::attempts::{Attempts, RequestFailure, can_move};
@@ -22,7 +21,7 @@
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::{self, Body};
 use crate::upstream_response::{CompleteResponse, UpstreamResponse};
-use sardinepin_decisions::direct::{AttemptEnd, Decision, PlacementRequest};
+use sardinepin_decisions::direct::AttemptEnd;
 use sardinepin_decisions::{EventSequence, Framing};
 
 impl Gateway {
@@ -102,8 +101,8 @@
                     AttemptOptions {
                         deadline,
                         last_event_id: None,
-                        can_move: false,
                     },
+                    None,
                 )
                 .await;
             let complete = match response {
@@ -131,15 +130,20 @@
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, RequestFailure> {
         loop {
-            let permit = self.acquire_upstream(call, attempts).await?;
             let last_event_id = call.last_event_id(&self.names);
             let options = AttemptOptions {
                 deadline: call.deadline,
                 last_event_id,
-                can_move: can_move(call, attempts),
+            };
+            let attempted = match attempts.next.take() {
+                Some(response) => Ok(response),
+                None => {
+                    let permit = self.acquire_upstream(call, attempts).await?;
+                    self.attempt(call, permit, options, Some(attempts)).await
+                }
             };
             let mut events = relay::event_sequence(call, &self.names);
-            match self.attempt(call, permit, options).await {
+            match attempted {
                 Ok(mut response) if response.parts.status == StatusCode::OK => {
                     let Err(fault) = events.begin(response.stream_head()) else {
                         return Ok(self.forward_stream(call, attempts, response, events));
@@ -167,87 +171,6 @@
         }
     }
 
-    /// Waits for a permit for an upstream that has not been tried.
-    pub(crate) async fn acquire_upstream(
-        self: &Arc<Self>,
-        call: &Call,
-        attempts: &mut Attempts,
-    ) -> Result<UpstreamPermit, RequestFailure> {
-        let request = PlacementRequest {
-            number: call.number,
-            service: Arc::clone(&call.service),
-            priority: call.priority,
-            latency_objective: call.route.latency_objective,
-            deadline: call.deadline,
-            regions: call.regions.clone(),
-            tried: attempts.tried.clone(),
-            returning: call.returning,
-            is_retry: attempts.reserved.take().map(ReservedRetry::place).is_some(),
-            organisation: call.organisation.as_ref().map(|one| Arc::clone(&one.name)),
-            continues: !attempts.tried.is_empty() || call.last_event_id(&self.names).is_some(),
-        };
-        let acquired = tokio::select! {
-            biased;
-            acquired = self.dispatcher.acquire(request) => acquired,
-            () = self.wait_too_late(call) => return Err(attempts.not_continued()),
-        };
-        let permit = acquired.map_err(|decision| {
-            let mut error = match decision {
-                Decision::Refuse {
-                    kind,
-                    retry_after,
-                    counts,
-                } => RequestFailure {
-                    kind,
-                    retry_after,
-                    counts,
-                },
-                Decision::Send(_) => RequestFailure::new(ErrorKind::Internal, Millis::ZERO),
-            };
-            if error.kind == ErrorKind::NotAdmitted {
-                admission_report::count_refusal(call);
-            }
-            if attempts.maybe_ran {
-                error.kind = ErrorKind::UpstreamBroke;
-            }
-            error
-        })?;
-        if !self.may_begin(call) {
-            return Err(attempts.not_continued());
-        }
-        // The wait may have been long, and a retry follows a crash.
-        if let Some(retry_after) = self.quarantine_remaining(call) {
-            let kind = match attempts.maybe_ran {
-                true => ErrorKind::UpstreamBroke,
-                false => ErrorKind::Quarantined,
-            };
-            return Err(RequestFailure::new(kind, retry_after));
-        }
-        attempts.first_at.get_or_insert(permit.sent_at);
-        attempts.tried.push(permit.id);
-        attempts.sent += 1;
-        self.log_placement(call, attempts, &permit);
-        Ok(permit)
-    }
-
-    fn log_placement(&self, call: &Call, attempts: &Attempts, permit: &UpstreamPermit) {
-        let load = self.dispatcher.with_balancer(|balancer, now| {
-            let upstream = balancer.upstreams().get(permit.id);
-            upstream.map_or(0.0, |upstream| upstream.estimated_load(now))
-        });
-        let group = permit.spec.group.as_ref().map_or("", |group| &*group.name);
-        let wait_time = self.clock.now().since(call.received_at);
-        if attempts.sent == 1 {
-            request_metrics::record_latency(call, Latency::Wait, wait_time);
-        }
-        log::info!(
-            event = "placed", request = call.id_text(), service = &*call.service,
-            upstream = &*permit.spec.id, zone = &*permit.spec.zone, group = group, held = load,
-            sent = attempts.sent, waited_ms = wait_time.0;
-            "request assigned to an upstream"
-        );
-    }
-
     /// Forwards a non-streaming response.
     fn forward_plain(
         &self,
--- a/crates/gateway/src/handler/attempts.rs
+++ b/crates/gateway/src/handler/attempts.rs
@@ -10,6 +10,8 @@
 use crate::dispatch::ReservedRetry;
 use crate::gateway::Gateway;
 use crate::request_metrics::{self, RequestOutcome};
+use crate::upstream_response::UpstreamResponse;
+use sardinepin_decisions::BudgetStatus;
 use sardinepin_decisions::direct::{UpstreamCounts, UpstreamId};
 
 /// The minimum time left before the deadline for a retry.
@@ -58,6 +60,8 @@
     pub(crate) maybe_ran: bool,
     /// The retry that is reserved for its next attempt.
     pub(crate) reserved: Option<ReservedRetry>,
+    /// The response of another upstream, which has come while the upstream of the current attempt was silent.
+    pub(crate) next: Option<UpstreamResponse>,
 }
 
 impl Attempts {
@@ -187,7 +191,12 @@
     }
 
     /// Returns why a request is not sent again after a failure, whatever the retry budget says; `None` if it may be.
-    fn retry_bar(&self, call: &Call, sent: u32, failure: AttemptFailure) -> Option<RetryBar> {
+    pub(super) fn retry_bar(
+        &self,
+        call: &Call,
+        sent: u32,
+        failure: AttemptFailure,
+    ) -> Option<RetryBar> {
         let time_left = call.deadline.since(self.clock.now());
         let bars = [
             (
@@ -207,7 +216,7 @@
         first.map(|(bar, _)| bar)
     }
 
-    /// Returns whether a request is retried, and reserves the retry in the budget.
+    /// Returns whether a request is retried, and reserves the retry in the budget unless another upstream has answered already.
     pub(crate) fn try_retry(
         &self,
         call: &Call,
@@ -215,6 +224,9 @@
         failure: AttemptFailure,
     ) -> bool {
         let time_left = call.deadline.since(self.clock.now());
+        if attempts.next.is_some() {
+            return true;
+        }
         if let Some(bar) = self.retry_bar(call, attempts.sent, failure) {
             log::info!(
                 event = "not_retried", request = call.id_text(), service = &*call.service,
@@ -231,19 +243,10 @@
             attempts.reserved = self.dispatcher.reserve_retry(&call.service);
         }
         let granted = is_free || attempts.reserved.is_some();
-        let budget = self
-            .dispatcher
-            .with_balancer(|balancer, now| balancer.retry_budget(now, &call.service));
         if granted {
-            request_metrics::count_retry(failure);
-            log::info!(
-                event = "again", request = call.id_text(), service = &*call.service,
-                upstream = self.last_upstream(attempts).as_deref(), reason = failure.label(),
-                sent = attempts.sent, left_ms = time_left.0, budget = budget.remaining,
-                gateways = budget.nodes;
-                "request is retried at another upstream"
-            );
+            self.log_retry(call, attempts, failure);
         } else {
+            let budget = self.retry_budget(call);
             request_metrics::count_refused_retry(call);
             log::info!(
                 event = "retry_refused", request = call.id_text(), service = &*call.service,
@@ -262,6 +265,24 @@
         granted
     }
 
+    fn retry_budget(&self, call: &Call) -> BudgetStatus {
+        self.dispatcher
+            .with_balancer(|balancer, now| balancer.retry_budget(now, &call.service))
+    }
+
+    pub(super) fn log_retry(&self, call: &Call, attempts: &Attempts, failure: AttemptFailure) {
+        let budget = self.retry_budget(call);
+        let time_left = call.deadline.since(self.clock.now());
+        request_metrics::count_retry(failure);
+        log::info!(
+            event = "again", request = call.id_text(), service = &*call.service,
+            upstream = self.last_upstream(attempts).as_deref(), reason = failure.label(),
+            sent = attempts.sent, left_ms = time_left.0, budget = budget.remaining,
+            gateways = budget.nodes;
+            "request is retried at another upstream"
+        );
+    }
+
     /// Returns the identifier of the upstream that was tried last.
     pub(super) fn last_upstream(&self, attempts: &Attempts) -> Option<Arc<str>> {
         let last = *attempts.tried.last()?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::call::Call;
 use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
-use crate::handler::{Attempts, can_move};
+use crate::handler::Attempts;
 use crate::header_names::HeaderNames;
 use crate::request_metrics::{self, Latency, RequestOutcome};
 use crate::response::Body;
@@ -283,7 +283,6 @@
     }
 
     async fn read_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptFailure> {
-        let can_move = can_move(&self.call, &self.attempts);
         let Some(response) = &mut self.response else {
             return Err(AttemptFailure::BrokenResponse);
         };
@@ -291,14 +290,19 @@
         let limits = WaitLimits {
             call: &self.call,
             deadline: self.call.deadline,
-            can_move,
+            last_event_id: self.events.last(),
             unanswered_since: self
                 .attempt_began
                 .is_none()
                 .then_some(response.permit.sent_at),
         };
         let frame = response.next_frame();
-        match self.gateway.wait_for_upstream(id, limits, frame).await? {
+        let attempts = Some(&mut self.attempts);
+        match self
+            .gateway
+            .wait_for_upstream(id, limits, attempts, frame)
+            .await?
+        {
             None => Ok(None),
             Some(Ok(frame)) => {
                 self.gateway.record_progress(id);
@@ -308,21 +312,33 @@
         }
     }
 
+    /// Sends the stream to another upstream, unless one has answered already; `None` if there is no place for it.
+    async fn next_attempt(&mut self) -> Option<Result<UpstreamResponse, AttemptFailure>> {
+        if let Some(response) = self.attempts.next.take() {
+            return Some(Ok(response));
+        }
+        let gateway = Arc::clone(&self.gateway);
+        let acquired = gateway.acquire_upstream(&self.call, &mut self.attempts);
+        let permit = acquired.await.ok()?;
+        let options = AttemptOptions {
+            deadline: self.call.deadline,
+            last_event_id: self.events.last(),
+        };
+        let attempts = Some(&mut self.attempts);
+        let attempted = gateway.attempt(&self.call, permit, options, attempts);
+        Some(attempted.await)
+    }
+
     /// Resumes the stream at another upstream; returns whether that succeeded.
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         let gateway = Arc::clone(&self.gateway);
         let call = Arc::clone(&self.call);
         let mut failure = failure;
         while call.is_resumable() && gateway.try_retry(&call, &mut self.attempts, failure) {
-            let Ok(permit) = gateway.acquire_upstream(&call, &mut self.attempts).await else {
+            let Some(attempted) = self.next_attempt().await else {
                 return false;
             };
-            let options = AttemptOptions {
-                deadline: call.deadline,
-                last_event_id: self.events.last(),
-                can_move: can_move(&call, &self.attempts),
-            };
-            match gateway.attempt(&call, permit, options).await {
+            match attempted {
                 Ok(mut response) => {
                     let Err(fault) = self.events.begin(response.stream_head()) else {
                         self.response = Some(response);
--- a/crates/gateway/tests/path/streams.rs
+++ b/crates/gateway/tests/path/streams.rs
@@ -166,27 +166,50 @@
     assert_eq!(two.count(), 0);
 }
 
-/// Guards against giving up a stream of a stalled group although no other upstream takes it: the one that has room there was tried before.
+/// Guards against giving up a stream of a stalled group for an upstream that then turns it away, before or after its first event.
 #[tokio::test]
-async fn stream_of_a_stalled_group_stays_if_no_other_upstream_takes_it() {
-    let stalls = vec![
+async fn stream_of_a_stalled_group_stays_if_the_other_upstream_turns_it_away() {
+    let pause = Step::Pause(STALL_TIME);
+    let begun = vec![stream_head(), chunk(&event(1)), pause.clone()];
+    let rest = [chunk(&event(2)), last_chunk()];
+    let late = vec![pause, stream_head(), chunk(&event(1))];
+    for beginning in [begun, late] {
+        let script = [beginning, rest.to_vec()].concat();
+        let mut one = ScriptedUpstream::start("one", vec![script]).await;
+        let mut two = ScriptedUpstream::start("two", vec![not_run_response()]).await;
+        one.spec.group = membership("g0");
+        two.spec.group = membership("g1");
+        two.spec.zone = Arc::from("zone-b");
+        let (running, _) = start_gateway(&[&one, &two]).await;
+        let response = send_raw(running.caller_address(), &request("/stream/a", "r", "")).await;
+        assert_eq!(numbers(&response), [1, 2], "{response}");
+        assert!(is_complete(&response), "{response}");
+        assert_eq!((one.count(), two.count()), (1, 1));
+    }
+}
+
+/// Guards against losing the upstream that a stream moves to, when the stalled one breaks off before that one has answered.
+#[tokio::test]
+async fn stream_moves_although_its_stalled_upstream_breaks_off_meanwhile() {
+    let breaks = vec![
         stream_head(),
         chunk(&event(1)),
         Step::Pause(STALL_TIME),
+        Step::Reset,
+    ];
+    let answers = vec![
+        Step::Pause(STALL_TIME),
+        stream_head(),
         chunk(&event(2)),
         last_chunk(),
     ];
-    let mut one = ScriptedUpstream::start("one", vec![stalls]).await;
-    let mut two = ScriptedUpstream::start("two", vec![not_run_response()]).await;
+    let mut one = ScriptedUpstream::start("one", vec![breaks]).await;
+    let mut two = ScriptedUpstream::start("two", vec![answers]).await;
     one.spec.group = membership("g0");
     two.spec.group = membership("g1");
-    one.spec.zone = Arc::from("zone-b");
+    two.spec.zone = Arc::from("zone-b");
     let (running, _) = start_gateway(&[&one, &two]).await;
-    let response = send_raw(
-        running.caller_address(),
-        &request("/stream/thrice/a", "r", ""),
-    )
-    .await;
+    let response = send_raw(running.caller_address(), &request("/stream/a", "r", "")).await;
     assert_eq!(numbers(&response), [1, 2], "{response}");
     assert!(is_complete(&response), "{response}");
     assert_eq!((one.count(), two.count()), (1, 1));
--- a/crates/gateway/tests/path/util.rs
+++ b/crates/gateway/tests/path/util.rs
@@ -664,11 +664,6 @@
                 RequestKind::Stream { resumable: true },
                 1,
             ),
-            route(
-                "/stream/thrice/",
-                RequestKind::Stream { resumable: true },
-                3,
-            ),
         ],
         services: Vec::new(),
         organisations: vec![OrganisationSpec {
