Trial stops: groups stall, as everywhere else

Cause: the trial said 'stand still' for what the code and the field call a stall; the doc comment of the gateway did not name hedging. No behaviour.

--- a/crates/gateway/src/handler/placing.rs
+++ b/crates/gateway/src/handler/placing.rs
@@ -58,7 +58,7 @@
 }
 
 impl Gateway {
-    /// Sends a request whose upstream is silent to another one as well; returns whether that one answers.
+    /// Hedges a request whose upstream is silent: sends it to another one as well; returns whether that one answers.
     ///
     /// The silent upstream may go on, and the other one may turn the request away: neither is given up before the other has answered.
     pub(crate) fn open_next<'a>(
--- a/trials/src/stops.rs
+++ b/trials/src/stops.rs
@@ -26,7 +26,7 @@
 use caller::CallerSettings;
 use content::Content;
 use fleet::{FleetSettings, StopFleet};
-use groups::Standstills;
+use groups::Stalls;
 use record::{Records, Stop};
 use worker::WorkerSettings;
 
@@ -55,8 +55,8 @@
     body_bytes: u64,
     chunked_percent: u64,
     groups: u64,
-    still_ms: u64,
-    still_pause_ms: u64,
+    stall_ms: u64,
+    stall_pause_ms: u64,
     pause_ms: u64,
     /// The time between two stops, which then overlap; one follows the other if it is 0.
     overlap_ms: u64,
@@ -132,14 +132,14 @@
             "The number of groups of the workers that stream",
         ))
         .arg(integer_arg(
-            "still-ms",
+            "stall-ms",
             "0",
-            "How long a group stands still, one after the other",
+            "How long a group stalls, one after the other",
         ))
         .arg(integer_arg(
-            "still-pause-ms",
+            "stall-pause-ms",
             "1500",
-            "The pause between two standstills",
+            "The pause between two stalls",
         ))
         .arg(integer_arg(
             "overlap-ms",
@@ -203,8 +203,8 @@
         body_bytes: number("body-bytes"),
         chunked_percent: number("chunked-percent"),
         groups: number("groups"),
-        still_ms: number("still-ms"),
-        still_pause_ms: number("still-pause-ms"),
+        stall_ms: number("stall-ms"),
+        stall_pause_ms: number("stall-pause-ms"),
         overlap_ms: number("overlap-ms"),
         varies: matches.get_flag("varies"),
         program: matches.get_one("program").cloned(),
@@ -241,9 +241,9 @@
                 seed: self.seed,
             },
             groups: usize::try_from(self.groups)?,
-            standstills: Standstills {
-                time: Millis(self.still_ms),
-                pause: Millis(self.still_pause_ms),
+            stalls: Stalls {
+                time: Millis(self.stall_ms),
+                pause: Millis(self.stall_pause_ms),
             },
             keeps_logs: self.keep_logs,
             program: self.program.clone(),
--- a/trials/src/stops/fleet.rs
+++ b/trials/src/stops/fleet.rs
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 use tokio::process::{Child, Command};
 
-use super::groups::{self, Group, Standstills};
+use super::groups::{self, Group, Stalls};
 use super::runs::{RunLog, RunsById};
 use super::worker::{self, WorkerSettings};
 
@@ -51,7 +51,7 @@
     pub(super) worker: WorkerSettings,
     /// The number of groups of the workers that stream; none if it is 0.
     pub(super) groups: usize,
-    pub(super) standstills: Standstills,
+    pub(super) stalls: Stalls,
     pub(super) keeps_logs: bool,
     /// The program of the gateways; that of this build if it is not given.
     pub(super) program: Option<PathBuf>,
@@ -80,7 +80,7 @@
             .collect();
         fleet.start_workers(settings.worker, &groups).await?;
         fleet.start_gateways(settings.gateways).await?;
-        tokio::spawn(groups::stand_still_in_turn(groups, settings.standstills));
+        tokio::spawn(groups::stall_in_turn(groups, settings.stalls));
         Ok(fleet)
     }
 
--- a/trials/src/stops/groups.rs
+++ b/trials/src/stops/groups.rs
@@ -1,4 +1,4 @@
-//! Groups of workers that make steps together, and stand still together.
+//! Groups of workers that make steps together, and stall together.
 
 use std::sync::Arc;
 
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Group {
     pub(super) name: String,
-    stands_still: Arc<watch::Sender<bool>>,
+    is_stalled: Arc<watch::Sender<bool>>,
 }
 
 impl Group {
@@ -17,39 +17,39 @@
     pub(super) fn new(name: String) -> Self {
         Self {
             name,
-            stands_still: Arc::new(watch::Sender::new(false)),
+            is_stalled: Arc::new(watch::Sender::new(false)),
         }
     }
 
-    /// Waits while the group stands still.
+    /// Waits while the group is stalled.
     pub(super) async fn wait_for_step(&self) {
         // The sender lives as long as the group.
         let _ = self
-            .stands_still
+            .is_stalled
             .subscribe()
-            .wait_for(|stands_still| !stands_still)
+            .wait_for(|is_stalled| !is_stalled)
             .await;
     }
 }
 
-/// When groups stand still.
+/// When groups stall.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Standstills {
-    /// How long a group stands still; never if this is zero.
+pub(super) struct Stalls {
+    /// How long a group stalls; never if this is zero.
     pub(super) time: Millis,
-    /// The pause between two standstills, of one group after the other.
+    /// The pause between two stalls, of one group after the other.
     pub(super) pause: Millis,
 }
 
-/// Lets one group after the other stand still, until the task is aborted.
-pub(super) async fn stand_still_in_turn(groups: Vec<Group>, standstills: Standstills) {
-    if standstills.time == Millis::ZERO {
+/// Stalls one group after the other, until the task is aborted.
+pub(super) async fn stall_in_turn(groups: Vec<Group>, stalls: Stalls) {
+    if stalls.time == Millis::ZERO {
         return;
     }
     for group in groups.iter().cycle() {
-        tokio::time::sleep(standstills.pause.duration()).await;
-        group.stands_still.send_replace(true);
-        tokio::time::sleep(standstills.time.duration()).await;
-        group.stands_still.send_replace(false);
+        tokio::time::sleep(stalls.pause.duration()).await;
+        group.is_stalled.send_replace(true);
+        tokio::time::sleep(stalls.time.duration()).await;
+        group.is_stalled.send_replace(false);
     }
 }
--- a/trials/src/stops/tests.rs
+++ b/trials/src/stops/tests.rs
@@ -150,8 +150,8 @@
         body_bytes: 900,
         chunked_percent: 30,
         groups: 0,
-        still_ms: 0,
-        still_pause_ms: 0,
+        stall_ms: 0,
+        stall_pause_ms: 0,
         pause_ms: 500,
         overlap_ms: 0,
         wrong_percent: 0,
@@ -178,13 +178,13 @@
     });
 }
 
-/// Guards against streams that are cut as their group of workers stands still for a moment while their gateway stops.
+/// Guards against streams that are cut as their group of workers stalls for a moment while their gateway stops.
 #[test]
-fn stops_beside_groups_that_stand_still_lose_nothing() {
+fn stops_beside_stalled_groups_lose_nothing() {
     play_clean(Options {
         groups: 2,
-        still_ms: 800,
-        still_pause_ms: 700,
+        stall_ms: 800,
+        stall_pause_ms: 700,
         overlap_ms: 1_500,
         ..short()
     });
--- a/trials/src/stops/worker.rs
+++ b/trials/src/stops/worker.rs
@@ -211,7 +211,7 @@
         Wrong::draw(&mut rng, self.settings.wrong_percent, is_stream)
     }
 
-    /// Waits while the worker's group stands still.
+    /// Waits while the worker's group is stalled.
     async fn wait_for_step(&self) {
         if let Some(group) = &self.group {
             group.wait_for_step().await;
