--- a/review/kit-2/src/resume_case.rs
+++ b/review/kit-2/src/resume_case.rs
@@ -13,8 +13,9 @@
 use crate::store::Store;
 use crate::worker::Worker;
 
-/// How many streams are sent, and how many events each has.
-const STREAMS: u64 = 18;
+/// How many streams are sent at the same time, how often, and how many events each has.
+const STREAMS: u64 = 20;
+const ROUNDS: u64 = 2;
 const EVENTS: u64 = 5;
 
 /// One in so many streams breaks off.
@@ -31,6 +32,17 @@
 }
 
 impl Caller<'_> {
+    /// Sends streams that run at the same time, numbered from `first` on.
+    fn first_attempts(self, first: u64) -> Vec<io::Result<(u64, StreamAnswer)>> {
+        std::thread::scope(|scope| {
+            let clients: Vec<_> = (first..first + STREAMS)
+                .map(|number| scope.spawn(move || self.first_attempt(number)))
+                .collect();
+            let joined = clients.into_iter().map(|client| client.join());
+            joined.filter_map(Result::ok).collect()
+        })
+    }
+
     fn first_attempt(self, number: u64) -> io::Result<(u64, StreamAnswer)> {
         let mut channel = Connection::open(self.deployment.front(1))?;
         let answer = self.send(&mut channel, &format!("d{number:015x}"), None)?;
@@ -88,22 +100,19 @@
         record: &record,
     };
     if trouble {
+        let id = workers[0].id;
         note!(
             record,
-            "the workers begin to break off one in {BREAKS} answers"
+            "worker {id} begins to break off one in {BREAKS} answers"
         );
-        workers.iter().for_each(|worker| worker.break_off(BREAKS));
+        workers[0].break_off(BREAKS);
+    }
+    let mut ended = Vec::new();
+    for round in 0..ROUNDS {
+        ended.extend(caller.first_attempts(round * STREAMS));
     }
-    // All streams run at the same time, so that the workers are in trouble for half a second only.
-    let ended: Vec<io::Result<(u64, StreamAnswer)>> = std::thread::scope(|scope| {
-        let clients: Vec<_> = (0..STREAMS)
-            .map(|number| scope.spawn(move || caller.first_attempt(number)))
-            .collect();
-        let joined = clients.into_iter().map(|client| client.join());
-        joined.filter_map(Result::ok).collect()
-    });
-    workers.iter().for_each(|worker| worker.break_off(0));
-    note!(record, "the workers are sound from here on");
+    workers[0].break_off(0);
+    note!(record, "both workers are sound from here on");
     let (mut resumed, mut closed) = (0, 0);
     for one in ended {
         let (number, answer) = one?;
