--- a/review/kit-2/src/group.rs
+++ b/review/kit-2/src/group.rs
@@ -456,8 +456,7 @@
                 return 409;
             }
             rank.armed = Some((version, wanted));
-            rank.sequence += 1;
-            202
+            200
         }
         "disarm" if rank.active == version => 409,
         "disarm" => {
--- a/review/kit-2/src/route_case.rs
+++ b/review/kit-2/src/route_case.rs
@@ -52,8 +52,8 @@
     )
 }
 
-/// Returns what the other writer writes in place of a worker's entry: another service, and no `version`, `cold-remaining-ms`,
-/// `born` or `seq`.
+/// Returns what the other writer writes in place of a worker's entry: another service, and no `version`, `cold-remaining-ms` or
+/// `seq`.
 fn incomplete_entry(worker: &Worker) -> String {
     let address = worker.address;
     format!(
