Trial stops: callers say how many tokens their streams may have

Cause: requests of the users' platform name the tokens that their answers may have; those of the trial did not. Change: x-token-count in the requests of streams, from the length of the stream that the worker will write.

--- a/trials/src/stops/caller.rs
+++ b/trials/src/stops/caller.rs
@@ -31,6 +31,10 @@
 /// How many attempts a caller makes for one request.
 const ATTEMPTS_MAX: u32 = 2;
 
+/// The tokens of a prompt, and of an event of a stream.
+const PROMPT_TOKENS: u64 = 800;
+const EVENT_TOKENS: u64 = 6;
+
 /// One caller.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct CallerSettings {
@@ -214,10 +218,11 @@
         };
         let head = format!(
             "POST /{}/1 HTTP/1.1\r\nhost: {PLATFORM_HOST}\r\nauthorization: Token {KEY}\r\n\
-             x-attempt-id: {}\r\nx-deadline-ms: {}\r\n{framing}\r\n\r\n",
+             x-attempt-id: {}\r\nx-deadline-ms: {}\r\n{}{framing}\r\n\r\n",
             request.kind.label(),
             request.id,
-            TIME_BUDGET.0
+            TIME_BUDGET.0,
+            self.token_counts(request),
         );
         let body = "b".repeat(length);
         if !is_chunked {
@@ -233,6 +238,17 @@
         stream.write_all(b"0\r\n\r\n").await
     }
 
+    /// Returns the header field that tells how long a stream may be.
+    fn token_counts(&self, request: &Request<'_>) -> String {
+        match request.kind {
+            Kind::Ask => {
+                let tokens = self.content.events_of(request.id) * EVENT_TOKENS;
+                format!("x-token-count: {PROMPT_TOKENS},{tokens}\r\n")
+            }
+            Kind::Book | Kind::Status => String::new(),
+        }
+    }
+
     /// Returns how a success ended, by its body and whether its framing says that it is complete.
     fn judge(&self, kind: Kind, id: &str, text: &str, is_complete: bool) -> Ending {
         let whole = match kind {
