A stopping gateway takes late requests by their deadline only, not by an estimate

Cause: a stopping gateway took whatever one and a half times the longest answer of its route lately allowed, until its end. All ways to an upstream ask the same question: new requests, requests that wait, retries, resumed streams, the other answer of a hedge. Entries have no estimate at a stop. Ruled out: the deadline alone from the signal on, as callers that are refused then may come upon another stopping gateway with their last try; an estimate by tokens until the end, as an upstream may slow down. Change: once no new connections are accepted, only the deadline of a request counts. Until then the time of earlier answers does too, and what the tokens that the request allows take at the slowest pace of its route lately. Conclusion: no request that comes late is cut at the end.

--- a/crates/decisions/src/stop_plan.rs
+++ b/crates/decisions/src/stop_plan.rs
@@ -5,34 +5,26 @@
 /// How long before its end a process answers whatever still runs with an error, so that each caller gets an answer.
 const LAST_ANSWERS_TIME: Millis = Millis(200);
 
-/// How much longer than the longest of its kind lately a request may take, in percent of that.
+/// How much longer than expected a request may take, in percent of that.
 const LONGER_PERCENT: u64 = 50;
 
 /// How long a request may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestTime {
-    /// The time until its deadline.
-    pub left: Millis,
-    /// The longest time that an answer of its kind took lately, if there was one.
-    pub longest: Option<Millis>,
+    /// When its own time ends.
+    pub deadline: Millis,
+    /// How long its answer is expected to take after its upstream has been found, as far as earlier answers tell.
+    pub expected: Option<Millis>,
 }
 
-impl RequestTime {
-    /// Returns the time after which it has surely ended, as far as that is known.
-    #[must_use]
-    pub fn bound(self) -> Millis {
-        match self.longest {
-            Some(longest) => self
-                .left
-                .min(longest + Millis(longest.0 * LONGER_PERCENT / 100)),
-            None => self.left,
-        }
-    }
-}
-
-/// The plan of a stop: until its end, a process takes what surely ends before.
+/// The plan of a stop: what a process still takes, and when it ends.
+///
+/// Only the deadline of a request bounds how long it takes; what earlier answers tell is an estimate. A caller that is refused while new
+/// connections come may come upon another process that stops, so that until then a request is taken by its estimate as well.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopPlan {
+    /// Until when new connections are accepted.
+    pub accepts_until: Millis,
     /// When the process ends.
     pub ends_at: Millis,
 }
@@ -47,8 +39,14 @@
     /// Returns the last moment at which a request may be sent to an upstream; `None` if it may not be sent at all.
     #[must_use]
     pub fn latest_begin(self, time: RequestTime) -> Option<Millis> {
-        let latest = self.cut_at().0.checked_sub(time.bound().0);
-        latest.map(Millis)
+        let cut_at = self.cut_at();
+        if time.deadline <= cut_at {
+            return Some(time.deadline);
+        }
+        let expected = time.expected?;
+        let bound = expected.0 + expected.0 * LONGER_PERCENT / 100;
+        let latest = cut_at.0.checked_sub(bound).map(Millis)?;
+        Some(latest.min(self.accepts_until))
     }
 
     /// Returns whether a request may still be sent to an upstream, for the first time or once more.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -39,6 +39,8 @@
     pub(crate) received_at: Millis,
     /// When the caller's own timeout or the route's timeout passes, whichever is first.
     pub(crate) deadline: Millis,
+    /// The most tokens that its answer may have, if it says so.
+    pub(crate) answer_tokens: Option<u64>,
     /// Whether the caller seems to come back after a refusal.
     pub(crate) returning: bool,
     /// The traits that it runs to find out about, if it is a test of a culprit.
@@ -131,6 +133,7 @@
             organisation: head.organisation,
             received_at,
             deadline: received_at + head.timeout,
+            answer_tokens: answer_tokens(names, &parts.headers),
             returning: false,
             probed: Vec::new(),
             parts: parts_of_prompt.collect(),
@@ -153,6 +156,11 @@
         headers::number(&self.headers, &names.last_event_id)
     }
 
+    /// Returns whether the caller asks for the rest of an earlier stream.
+    pub(crate) fn is_resumed(&self, names: &HeaderNames) -> bool {
+        self.last_event_id(names).is_some()
+    }
+
     /// Builds the request that is sent to an upstream.
     pub(crate) fn to_upstream(
         &self,
@@ -265,6 +273,13 @@
     }
 }
 
+/// Returns the most tokens that the answer to a request may have.
+fn answer_tokens(names: &HeaderNames, headers: &HeaderMap) -> Option<u64> {
+    let counts = headers::text(headers, &names.token_counts)?;
+    let (_, answer) = counts.split_once(',')?;
+    answer.trim().parse().ok()
+}
+
 /// Returns the identifiers of all parts of a prompt but the last.
 fn shared_parts<'a>(
     names: &HeaderNames,
--- a/crates/gateway/src/handler/placing.rs
+++ b/crates/gateway/src/handler/placing.rs
@@ -136,7 +136,7 @@
         call: &Call,
         attempts: &mut Attempts,
     ) -> Result<UpstreamPermit, RequestFailure> {
-        let request = attempts.placement(call, call.last_event_id(&self.names).is_some());
+        let request = attempts.placement(call, call.is_resumed(&self.names));
         let acquired = tokio::select! {
             biased;
             acquired = self.dispatcher.acquire(request) => acquired,
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -36,6 +36,8 @@
     /// The parts of a request's prompt in order, as `ID:TOKENS` entries separated by commas. Requests
     /// share parts, except for the last one.
     pub prompt_parts: HeaderName,
+    /// The number of tokens of a request's prompt, and the most that its answer may have, separated by a comma.
+    pub token_counts: HeaderName,
     /// The authentication scheme that precedes the key in `authorization`.
     pub auth_scheme: String,
 }
@@ -58,6 +60,7 @@
             priority: HeaderName::from_static("x-priority"),
             weights_version: HeaderName::from_static("x-weights"),
             prompt_parts: HeaderName::from_static("x-prompt-parts"),
+            token_counts: HeaderName::from_static("x-tokens"),
             auth_scheme: "Bearer".to_owned(),
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -45,13 +45,17 @@
         self.readiness_address
     }
 
-    /// Shuts down: reports not ready and accepts connections for the drain delay. Takes what surely ends before the shutdown timeout
+    /// Shuts down: reports not ready and accepts connections for the drain delay. Takes what ends before the shutdown timeout
     /// and refuses the rest. Ends once the last bytes of open requests have been written and no connection is in use any more.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         log::info!(event = "stopping", open = gateway.open_requests(); "shutting down");
-        let ends_at = gateway.clock.now() + self.stop.shutdown_timeout;
-        gateway.begin_stop(StopPlan { ends_at });
+        let now = gateway.clock.now();
+        let ends_at = now + self.stop.shutdown_timeout;
+        gateway.begin_stop(StopPlan {
+            accepts_until: now + self.stop.drain_delay,
+            ends_at,
+        });
         gateway.dispatcher.stop_holding();
         tokio::time::sleep(self.stop.drain_delay.duration()).await;
         self.closing.send_replace(true);
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -61,17 +61,22 @@
     pub(crate) fn record_answer_time(&self, call: &Call, attempts: &Attempts) {
         let now = self.clock.now();
         let took = now.since(attempts.first_at.unwrap_or(call.received_at));
-        self.stopping.times().record(now, &call.route.name, took);
+        // The rest of a stream says nothing of the pace of whole ones.
+        let tokens = call.answer_tokens.filter(|_| !call.is_resumed(&self.names));
+        self.stopping
+            .times()
+            .record(now, &call.route.name, took, tokens);
     }
 
     fn request_time(&self, call: &Call, now: Millis) -> RequestTime {
+        let times = self.stopping.times();
         RequestTime {
-            left: call.deadline.since(now),
-            longest: self.stopping.times().longest(now, &call.route.name),
+            deadline: call.deadline,
+            expected: times.expected(now, &call.route.name, call.answer_tokens),
         }
     }
 
-    /// Returns whether a request may be sent to an upstream: it surely ends before this instance does.
+    /// Returns whether a request may be sent to an upstream, as far as a stop of this instance is concerned.
     pub(crate) fn may_begin(&self, call: &Call) -> bool {
         let now = self.clock.now();
         let plan = self.stopping.plan();
--- a/crates/gateway/tests/path/stopping.rs
+++ b/crates/gateway/tests/path/stopping.rs
@@ -310,3 +310,53 @@
     assert_eq!((one.count(), two.count()), (1, 0));
     stopping.await.unwrap();
 }
+
+/// Guards against a request on a kept connection being taken late in a stop, as earlier answers of its route were short, and cut when the
+/// gateway ends.
+#[tokio::test]
+async fn request_that_may_outlast_a_stop_is_refused_though_earlier_answers_were_short() {
+    let stream = vec![stream_head(), chunk("id: 1\ndata: a\n\n"), last_chunk()];
+    let plain = signed_response("200 OK", "whole");
+    for (path, short, end) in [
+        ("/stream/a", stream, "0\r\n\r\n"),
+        ("/once/a", plain.clone(), "whole"),
+        ("/safe/a", plain, "whole"),
+    ] {
+        let upstream = ScriptedUpstream::start("one", vec![short, vec![Step::Hang]]).await;
+        let (running, address) = start_stoppable(&[&upstream], Millis(3_000)).await;
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        exchange(&mut caller, &kept(&request(path, "r", "")), end).await;
+        let stopping = tokio::spawn(running.stop());
+        wait_for(async || TcpStream::connect(address).await.is_err()).await;
+        let text = kept(&request(path, "q", "x-deadline-ms: 6000\r\n"));
+        caller.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 503"), "{path}: {answer}");
+        assert!(answer.contains("shutting_down"), "{path}: {answer}");
+        assert_eq!(upstream.count(), 1, "{path}");
+        stopping.await.unwrap();
+    }
+}
+
+/// Guards against a long stream being taken early in a stop by the time of a short one, although its request says how long it may be.
+#[tokio::test]
+async fn stream_that_is_allowed_many_tokens_is_not_taken_by_the_time_of_a_short_one() {
+    let short = vec![
+        stream_head(),
+        chunk("id: 1\ndata: a\n\n"),
+        Step::Pause(Millis(100)),
+        last_chunk(),
+    ];
+    let upstream = ScriptedUpstream::start("one", vec![short]).await;
+    let (running, address) = start_stoppable(&[&upstream], Millis(3_000)).await;
+    let send = async |tokens: &str| {
+        let fields = format!("x-deadline-ms: 6000\r\nx-tokens: 800,{tokens}\r\n");
+        send_raw(address, &request("/stream/a", "r", &fields)).await
+    };
+    assert!(send("10").await.starts_with("HTTP/1.1 200"));
+    let stopping = tokio::spawn(running.stop());
+    wait_for(async || send("400").await.starts_with("HTTP/1.1 503")).await;
+    assert!(send("10").await.starts_with("HTTP/1.1 200"));
+    stopping.await.unwrap();
+}
