Coordinators order only engines that report to be the rank they are listed for

Cause: a coordinator took the list of members for the members. What an engine reports of itself, group, rank and size, was held against nothing. Two entries with one rank were settled by the order of their names, so that the earlier entry of a rank that had started again elsewhere kept its group from switching. Change: reports of other ranks count as no reports, on every way that they come; their counts are dropped, and the list is read again. Where a rank has several entries, or its engine reported to be another one, the engines are asked. Conclusion: a wrong list stops switches at worst.

--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod bypass;
+mod members;
 mod orders;
 mod poll;
 mod step_margin;
@@ -15,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sardinepin_common::{Clock, Millis};
+use sardinepin_common::{Clock, Millis, Set};
 use sardinepin_groups::{
     LayerMap, NextAction, Popularity, RankReport, RebalanceSettings, is_snapshot, next_action,
     plan_rebalance, version_above,
@@ -120,6 +121,8 @@
     members_read: Option<Millis>,
     /// Whether the members may have changed since that read.
     members_stale: bool,
+    /// The engines that did not report to be the ranks that they are listed for.
+    foreign: Set<SocketAddr>,
     /// When engines were last polled directly.
     direct_polled: Millis,
     rank: usize,
@@ -172,6 +175,7 @@
             neighbourhoods: Vec::new(),
             members_read: None,
             members_stale: false,
+            foreign: Set::default(),
             direct_polled: Millis::ZERO,
             rank: 0,
             size: 1,
--- a/crates/ranks/src/coordinator/bypass.rs
+++ b/crates/ranks/src/coordinator/bypass.rs
@@ -54,6 +54,7 @@
         };
         // To load the replacement may have raised the sequence number.
         let view = self.poll_member(holder, &look).await;
+        let view = view.filter(|view| self.is_of_member(holder, view));
         let holding = view.map(|view| view.report.rank);
         let is_unchanged = |report: &RankReport| {
             report.prepared == Some(version) && report.armed.is_none() && report.held == Some(step)
--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -1,4 +1,4 @@
-//! Reads the members of the group and polls their engines.
+//! Polls the engines of the members of the group.
 
 use std::net::SocketAddr;
 
@@ -6,9 +6,9 @@
 use sardinepin_common::Millis;
 use sardinepin_protocol::GroupSample;
 
-use super::{Coordinator, DIRECT_POLL_INTERVAL, DIRECT_TIMEOUT, GroupMember, MEMBERS_INTERVAL};
+use super::{Coordinator, DIRECT_POLL_INTERVAL, DIRECT_TIMEOUT, GroupMember};
 use crate::counts::{CountIncrements, sum_counts};
-use crate::engine::{EngineReport, Member};
+use crate::engine::Member;
 use crate::messages::{Call, EngineView, Look, Reply, ViewScope};
 use crate::peer::PeerClient;
 use crate::relay::{GroupViews, Neighbourhood, RELAY_TIMEOUT, neighbourhoods};
@@ -55,39 +55,7 @@
 }
 
 impl Coordinator {
-    /// Reads the member list if it may be out of date; returns whether every member is known.
-    pub(super) async fn refresh_members(&mut self, own: &EngineReport) -> bool {
-        let size = own.rank.size;
-        let now = self.clock.now();
-        if self.members.len() == size && !self.members_stale {
-            return true;
-        }
-        if let Some(at) = self.members_read
-            && now.since(at) < MEMBERS_INTERVAL
-        {
-            return self.members.len() == size;
-        }
-        self.members_read = Some(now);
-        let members = match self.directory.members().await {
-            Ok(members) => members,
-            Err(error) => {
-                log::debug!(event = "members_unknown", error:% = error; "cannot read the member list");
-                return self.members.len() == size;
-            }
-        };
-        let mut members: Vec<Member> = members
-            .into_iter()
-            // An entry of another writer may name any rank, and is no member then.
-            .filter(|member| member.group == own.group && member.rank < size)
-            .collect();
-        members.sort_by_key(|member| member.rank);
-        members.dedup_by_key(|member| member.rank);
-        self.members_stale = false;
-        self.set_members(members);
-        self.members.len() == size
-    }
-
-    fn set_members(&mut self, members: Vec<Member>) {
+    pub(super) fn set_members(&mut self, members: Vec<Member>) {
         let same = members
             .iter()
             .eq(self.members.iter().map(|target| &target.member));
@@ -136,6 +104,11 @@
         if views.iter().any(Option::is_none) && skipped.is_none() {
             self.poll_engines_directly(&mut views).await;
         }
+        if self.drop_foreign_views(&mut views) {
+            // They are summed with those of other members.
+            counts.clear();
+            self.members_stale = true;
+        }
         self.sample_loads(&views);
         let complete = views.iter().all(Option::is_some);
         let views: Vec<EngineView> = views.into_iter().flatten().collect();
--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -81,8 +81,14 @@
     terms: BTreeSet<u64>,
     /// How many times the list of members was read, which each coordinator does.
     member_reads: usize,
-    /// Entries of the list of members that are no members.
+    /// Entries of the list of members that are no members. They are listed first.
     odd_members: Vec<Member>,
+    /// The member that is not listed.
+    unlisted: Option<usize>,
+    /// Engines that are no ranks of the group, and what they report; `None` if they are out of reach.
+    foreign: Vec<(SocketAddr, Option<EngineReport>)>,
+    /// How many orders they were sent.
+    foreign_orders: usize,
     /// The ranks that were ordered to be disarmed, whether or not the order was carried out.
     disarms: Vec<usize>,
     /// How many of those orders named a version that no other rank had replaced by a newer one.
@@ -135,11 +141,21 @@
             terms: BTreeSet::new(),
             member_reads: 0,
             odd_members: Vec::new(),
+            unlisted: None,
+            foreign: Vec::new(),
+            foreign_orders: 0,
             disarms: Vec::new(),
             unsafe_disarms: 0,
         }
     }
 
+    /// Returns what an engine reports that is no rank of the group.
+    fn foreign_report(&self, engine: SocketAddr) -> Option<Option<EngineReport>> {
+        let mut foreign = self.foreign.iter();
+        let (_, report) = foreign.find(|(address, _)| *address == engine)?;
+        Some(report.clone())
+    }
+
     fn begin_step(&mut self) {
         let next = self.step + 1;
         if self.ranks.iter().any(|rank| rank.held == Some(next)) {
@@ -256,6 +272,10 @@
 impl EngineApi for SharedGroup {
     fn report(&self, engine: SocketAddr) -> EngineFuture<'_, EngineReport> {
         let group = self.0.lock().unwrap();
+        if let Some(foreign) = group.foreign_report(engine) {
+            let result = foreign.ok_or_else(|| EngineError("out of reach".to_owned()));
+            return Box::pin(async move { result });
+        }
         let report = group.report(rank_of(engine));
         let is_reachable = group.is_up && group.frozen != Some(rank_of(engine));
         let result = match is_reachable {
@@ -274,7 +294,7 @@
     }
 
     fn experts(&self, engine: SocketAddr) -> EngineFuture<'_, EngineExperts> {
-        let rank = self.0.lock().unwrap().ranks[rank_of(engine)].clone();
+        let rank = self.0.lock().unwrap().ranks[rank_of(engine) % RANKS].clone();
         Box::pin(async move {
             Ok(EngineExperts {
                 version: rank.active,
@@ -289,6 +309,10 @@
         order: &'a EngineOrder,
     ) -> EngineFuture<'a, EngineReply> {
         let mut group = self.0.lock().unwrap();
+        if group.foreign_report(engine).is_some() {
+            group.foreign_orders += 1;
+            return Box::pin(async { Ok(EngineReply::Done) });
+        }
         group.orders += 1;
         group.terms.insert(order.term);
         let at = rank_of(engine);
@@ -319,19 +343,59 @@
 impl Directory for SharedGroup {
     fn members(&self) -> BoxFuture<'_, anyhow::Result<Vec<Member>>> {
         self.0.lock().unwrap().member_reads += 1;
-        let members = (0..RANKS).map(|rank| Member {
-            group: Arc::from("g0"),
-            rank,
-            engine: address(rank),
-            zone: Arc::from("zone-a"),
-            slots: 10,
-        });
-        let odd = self.0.lock().unwrap().odd_members.clone();
+        let (odd, unlisted) = {
+            let group = self.0.lock().unwrap();
+            (group.odd_members.clone(), group.unlisted)
+        };
+        let ranks = (0..RANKS).filter(|rank| Some(*rank) != unlisted);
+        let members = ranks.map(|rank| member(rank, address(rank)));
         let members: Vec<Member> = odd.into_iter().chain(members).collect();
         Box::pin(async move { Ok(members) })
     }
 }
 
+fn member(rank: usize, engine: SocketAddr) -> Member {
+    Member {
+        group: Arc::from("g0"),
+        rank,
+        engine,
+        zone: Arc::from("zone-a"),
+        slots: 10,
+    }
+}
+
+/// Returns a group whose list of members names an engine for a rank that is none of its ranks, and what that engine reports.
+fn group_with_foreign_engine(rank: usize, report: Option<EngineReport>) -> SharedGroup {
+    let mut group = FakeGroup::new(0);
+    let engine = address(RANKS);
+    group.odd_members = vec![member(rank, engine)];
+    group.foreign = vec![(engine, report)];
+    SharedGroup(Arc::new(Mutex::new(group)))
+}
+
+/// Returns reports of engines that are not rank 2 of the group.
+fn foreign_reports() -> Vec<EngineReport> {
+    let own = FakeGroup::new(0).report(2);
+    let with_rank = |rank| EngineReport {
+        rank,
+        ..own.clone()
+    };
+    vec![
+        EngineReport {
+            group: Arc::from("g1"),
+            ..own.clone()
+        },
+        with_rank(RankReport {
+            rank: 3,
+            ..own.rank
+        }),
+        with_rank(RankReport {
+            size: RANKS + 1,
+            ..own.rank
+        }),
+    ]
+}
+
 /// Binds the same port on the address of every rank.
 async fn bind_listeners() -> (u16, Vec<TcpListener>) {
     'ports: loop {
@@ -453,15 +517,51 @@
 async fn an_odd_entry_among_the_members_does_not_block_the_group() {
     for (rank, engine) in [(RANKS, address(1)), (usize::MAX, address(2))] {
         let shared = SharedGroup(Arc::new(Mutex::new(FakeGroup::new(0))));
-        shared.0.lock().unwrap().odd_members = vec![Member {
-            group: Arc::from("g0"),
-            rank,
-            engine,
-            zone: Arc::from("zone-a"),
-            slots: 10,
-        }];
+        shared.0.lock().unwrap().odd_members = vec![member(rank, engine)];
+        start_agents(&shared).await;
+        wait_until_replicated(&shared).await;
+    }
+}
+
+/// Guards against orders to an engine that is listed for a rank which it is not, as an entry of another writer can have it, and against
+/// a group that such an entry keeps from switching its maps.
+#[tokio::test]
+async fn an_engine_that_does_not_report_to_be_a_rank_gets_no_orders_for_it() {
+    for report in foreign_reports() {
+        let shared = group_with_foreign_engine(2, Some(report));
+        start_agents(&shared).await;
+        wait_until_replicated(&shared).await;
+        assert_eq!(shared.0.lock().unwrap().foreign_orders, 0);
+    }
+}
+
+/// Guards against the same where the rank itself is not listed, or where members pass calls on.
+#[tokio::test]
+async fn a_group_with_an_unlisted_rank_sends_no_orders_to_the_engine_listed_for_it() {
+    for report in foreign_reports() {
+        let shared = group_with_foreign_engine(2, Some(report));
+        shared.0.lock().unwrap().unlisted = Some(2);
+        start_agents_with_relays(&shared).await;
+        wait_for(|| shared.0.lock().unwrap().member_reads >= 3).await;
+        let orders = {
+            let mut group = shared.0.lock().unwrap();
+            group.unlisted = None;
+            (group.foreign_orders, group.orders)
+        };
+        assert_eq!(orders, (0, 0));
+        wait_until_replicated(&shared).await;
+        assert_eq!(shared.0.lock().unwrap().foreign_orders, 0);
+    }
+}
+
+/// Guards against a group that stops switching its maps while the entry of a rank is still listed which has started again elsewhere.
+#[tokio::test]
+async fn an_earlier_entry_of_a_rank_does_not_block_the_group() {
+    for rank in [0, 1, 4] {
+        let shared = group_with_foreign_engine(rank, None);
         start_agents(&shared).await;
         wait_until_replicated(&shared).await;
+        assert_eq!(shared.0.lock().unwrap().foreign_orders, 0);
     }
 }
 
