--- a/trials/src/parts/worker.rs
+++ b/trials/src/parts/worker.rs
@@ -154,7 +154,7 @@
         let id = format!("i-{number}-{life}");
         let service = if self.settings.is_plain { "app" } else { "llm" };
         let entry = json!({"service": service, "address": listener.local_addr()?.to_string(), "zone": "a",
-            "slots": 12, "state": "ready", "seq": 1, "born": life + 1});
+            "slots": 12, "state": "ready", "version": "v1", "cold-remaining-ms": 0, "seq": 1, "born": life + 1});
         let path = format!("/control/servers/{id}");
         self.client
             .send_json(Method::PUT, self.store, &path, &entry)
--- a/trials/src/soak/gateways.rs
+++ b/trials/src/soak/gateways.rs
@@ -160,12 +160,14 @@
     pub(crate) async fn list_worker(&mut self, worker: usize) -> Result<()> {
         self.starts += 1;
         let is_rank = worker == PLAIN_WORKERS;
-        let group = json!({"name": "g", "rank": 0, "state": "open"});
-        let entry = json!({
+        let mut entry = json!({
             "service": if is_rank { "llm" } else { "app" }, "address": self.relays[worker].address().to_string(),
-            "zone": "a", "slots": 30, "state": "ready", "seq": 1, "born": self.starts,
-            "group": if is_rank { group } else { Value::Null },
+            "zone": "a", "slots": 30, "state": "ready", "version": "v1", "cold-remaining-ms": 0, "seq": 1, "born": self.starts,
         });
+        if is_rank {
+            entry["group"] = json!({"name": "g", "epoch": 1, "rank": 0, "state": "open"});
+            entry["size"] = json!(1);
+        }
         self.set_worker_faults(worker, json!({})).await?;
         self.control(&format!("/control/servers/i-{worker}"), Method::PUT, &entry)
             .await
--- a/trials/src/stops/fleet.rs
+++ b/trials/src/stops/fleet.rs
@@ -165,8 +165,13 @@
         let id = format!("i-{service}-{number}");
         let runs = Arc::clone(&self.runs);
         let address = worker::start(&id, settings, group, runs).await?;
-        let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
-            "slots": settings.slots, "state": "ready", "seq": 1, "born": 1, "group": group_entry});
+        let mut entry = json!({"service": service, "address": address.to_string(), "zone": "a",
+            "version": "v1", "slots": settings.slots, "state": "ready", "cold-remaining-ms": 0,
+            "seq": 1, "born": 1});
+        if let Some(group) = group_entry {
+            entry["group"] = group;
+            entry["size"] = json!(WORKERS);
+        }
         self.control(&format!("/control/servers/{id}"), Method::PUT, &entry)
             .await
     }
