An entry of a service that no configuration names displaces no upstream

Cause: of several entries with one address only the newest counts, whatever its service. An entry of another writer with an unnamed service made the real upstream at its address a leaving one, and its group's state counted for the group of that name. Change: once the configuration is known, entries of services that it has never named are not used; services stay named for the life of the process, so that a change of the configuration takes nobody's work. The routing table is watched, so that a service that is named later is used at once. Log event service_unnamed, once for each entry, with a counter. Measured: entry_of_an_unnamed_service_is_not_used_and_displaces_nobody passes (the function it needs did not exist before); the other tests of upstream_list, the path and sync pass.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The state that all requests of a gateway share.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use sardinepin_common::{Clock, Millis};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -30,7 +30,7 @@
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) evacuations: EvacuationRecency,
     pub(crate) memory: BodyMemory,
-    table: RwLock<Option<Arc<RouteTable>>>,
+    table: watch::Sender<Option<Arc<RouteTable>>>,
     upstreams_known: AtomicBool,
     crashes_known: AtomicBool,
     pub(crate) stopping: Stopping,
@@ -62,7 +62,7 @@
             dispatcher: Dispatcher::new(clock, balancer),
             evacuations: EvacuationRecency::new(settings.sync.evacuations),
             memory: BodyMemory::new(settings.memory_bytes),
-            table: RwLock::default(),
+            table: watch::Sender::default(),
             upstreams_known: AtomicBool::new(false),
             crashes_known: AtomicBool::new(false),
             stopping: Stopping::default(),
@@ -89,22 +89,25 @@
 
     /// Returns the current routing table, or `None` before the first configuration is read.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
-        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
-        table.clone()
+        self.table.borrow().clone()
+    }
+
+    /// Returns a receiver that is notified of each routing table.
+    pub(crate) fn tables(&self) -> watch::Receiver<Option<Arc<RouteTable>>> {
+        self.table.subscribe()
     }
 
     /// Replaces the routing table, unless `table` is not newer than the current version. Returns
     /// whether it was replaced.
     pub(crate) fn apply_table(&self, table: RouteTable) -> bool {
-        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
-        if current
-            .as_ref()
-            .is_some_and(|current| current.version() >= table.version())
-        {
-            return false;
-        }
-        *current = Some(Arc::new(table));
-        true
+        self.table.send_if_modified(|current| {
+            let known = current.as_ref().map(|current| current.version());
+            if known.is_some_and(|known| known >= table.version()) {
+                return false;
+            }
+            *current = Some(Arc::new(table));
+            true
+        })
     }
 
     /// Returns the rank groups of all services.
--- a/crates/gateway/src/route_table.rs
+++ b/crates/gateway/src/route_table.rs
@@ -76,6 +76,14 @@
         &self.services
     }
 
+    /// Returns the names of all services that the configuration has, some of them more than once.
+    pub(crate) fn service_names(&self) -> impl Iterator<Item = &Arc<str>> {
+        let routes = self.hosts.values().flat_map(Map::values);
+        let targets = routes.flat_map(|route| route.targets.iter().map(|target| &target.service));
+        let services = self.services.iter().map(|spec| &spec.name);
+        services.chain(targets)
+    }
+
     /// Returns the path at which the upstreams of a service tell whether they are healthy.
     #[must_use]
     pub fn health_path(&self, service: &str) -> Option<Arc<str>> {
--- a/crates/gateway/src/sync/follow_upstreams.rs
+++ b/crates/gateway/src/sync/follow_upstreams.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use sardinepin_common::Millis;
+use tokio::sync::watch;
 
 use crate::bounds::{WAIT_MIN, time_before};
 use crate::gateway::Gateway;
+use crate::route_table::RouteTable;
 use crate::settings::SyncSettings;
 use crate::store::{GatewayStore, ObjectBatch};
 use crate::sync::backoff::Backoff;
@@ -20,8 +22,12 @@
     store: Arc<dyn GatewayStore>,
     settings: SyncSettings,
 ) {
+    let mut tables = gateway.tables();
+    // The one that is there already, if there is one, is as good as a new one.
+    tables.mark_changed();
     let mut follower = Follower {
         gateway,
+        tables,
         list: UpstreamList::new(settings.recovery.grace),
         position: Position::default(),
     };
@@ -62,6 +68,8 @@
 #[derive(Debug)]
 struct Follower {
     gateway: Arc<Gateway>,
+    /// The routing tables, which name the services.
+    tables: watch::Receiver<Option<Arc<RouteTable>>>,
     list: UpstreamList,
     position: Position,
 }
@@ -105,22 +113,40 @@
         has_items
     }
 
-    /// Waits for `work`, while upstreams whose grace period ends are removed in time.
+    /// Waits for `work`, while upstreams whose grace period ends are removed in time, and services that the configuration names are taken
+    /// into account.
     async fn until_done<T>(&mut self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         loop {
-            let Some(expiry) = self.list.next_expiry() else {
-                return work.await;
+            let expiry = self.list.next_expiry();
+            let now = self.gateway.clock.now();
+            let expired = async {
+                match expiry {
+                    Some(expiry) => tokio::time::sleep(expiry.since(now).duration()).await,
+                    None => std::future::pending().await,
+                }
             };
-            let time_left = expiry.since(self.gateway.clock.now());
             tokio::select! {
                 biased;
-                () = tokio::time::sleep(time_left.duration()) => self.apply(Millis::ZERO),
+                () = expired => self.apply(Millis::ZERO),
+                Ok(()) = self.tables.changed() => self.apply_services(),
                 done = &mut work => return done,
             }
         }
     }
 
+    /// Takes the services of the current routing table into account.
+    fn apply_services(&mut self) {
+        let Some(table) = self.tables.borrow_and_update().clone() else {
+            return;
+        };
+        self.list.add_services(table.service_names());
+        // Before the first full read, the list must not be taken for complete.
+        if self.position.revision().is_some() {
+            self.apply(Millis::ZERO);
+        }
+    }
+
     /// Gives the balancer the list if it has changed. `unread` is the time for which it had not been known to be complete.
     fn apply(&mut self, unread: Millis) {
         let now = self.gateway.clock.now();
--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -47,6 +47,10 @@
     grace_until: Millis,
     /// When each upstream was removed from the list, and when its process had started.
     departed: Map<Arc<str>, (Millis, u64)>,
+    /// The services that the configuration has named since this list was created; empty before it is known.
+    services: Set<Arc<str>>,
+    /// The entries of services that it has not named.
+    unnamed: Set<Arc<str>>,
     changed: bool,
     /// The upstreams that are cold for another time than before.
     cold_changed: Set<Arc<str>>,
@@ -61,6 +65,8 @@
             grace,
             grace_until: Millis::ZERO,
             departed: Map::default(),
+            services: Set::default(),
+            unnamed: Set::default(),
             changed: false,
             cold_changed: Set::default(),
         }
@@ -71,6 +77,13 @@
         self.grace_until = grace_end;
     }
 
+    /// Adds services that the configuration names. From then on, entries of services that it has never named are not used.
+    pub fn add_services<'a>(&mut self, names: impl IntoIterator<Item = &'a Arc<str>>) {
+        let known = self.services.len();
+        self.services.extend(names.into_iter().map(Arc::clone));
+        self.changed |= self.services.len() != known;
+    }
+
     /// Replaces the list by a full read.
     pub fn replace_all(&mut self, now: Millis, items: Vec<StoredObject<UpstreamSpec>>) {
         self.changed = true;
@@ -235,6 +248,7 @@
             return None;
         }
         self.cold_changed.clear();
+        self.log_unnamed();
         Some(self.specs(now))
     }
 
@@ -245,18 +259,40 @@
         entries.map(|entry| entry.spec_at(now)).collect()
     }
 
-    /// Returns the entries. Of several with the same address, all but the newest are marked as
-    /// draining.
+    /// Returns whether an entry is of a service that the configuration has named.
+    fn is_named(&self, entry: &Entry) -> bool {
+        self.services.is_empty() || self.services.contains(&entry.spec.service)
+    }
+
+    /// Logs each entry once whose service the configuration has not named.
+    fn log_unnamed(&mut self) {
+        let entries = self.entries.iter();
+        let unnamed = entries.filter(|(_, entry)| !self.is_named(entry));
+        let unnamed: Set<Arc<str>> = unnamed.map(|(name, _)| Arc::clone(name)).collect();
+        for name in unnamed.difference(&self.unnamed) {
+            let service = self.entries.get(name).map(|entry| &*entry.spec.service);
+            metrics::counter!("sardinepin_unnamed_services_total").increment(1);
+            log::warn!(
+                event = "service_unnamed", upstream = &**name, service = service;
+                "the configuration does not name the service of an upstream; it is not used"
+            );
+        }
+        self.unnamed = unnamed;
+    }
+
+    /// Returns the entries of the services that the configuration names. Of several with the same address, all but the newest are marked
+    /// as draining.
     ///
     /// A process that restarts at the address of a crashed one is listed beside it until the old
     /// entry expires.
     fn specs(&self, now: Millis) -> Vec<UpstreamSpec> {
         let mut newest: Map<SocketAddr, u64> = Map::default();
-        for entry in self.entries.values() {
+        let used = || self.entries.values().filter(|entry| self.is_named(entry));
+        for entry in used() {
             let revision = newest.entry(entry.spec.address).or_default();
             *revision = entry.revision.max(*revision);
         }
-        let specs = self.entries.values().map(|entry| {
+        let specs = used().map(|entry| {
             let mut spec = entry.spec_at(now);
             let is_newest = newest.get(&spec.address) == Some(&entry.revision);
             spec.draining |= !is_newest || entry.outdated;
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -309,3 +309,38 @@
         "another process than the one that left"
     );
 }
+
+/// Guards against an entry of another writer with an unnamed service making the upstream at its address a leaving one.
+#[test]
+fn entry_of_an_unnamed_service_is_not_used_and_displaces_nobody() {
+    let service = |name: &str| Arc::from(name);
+    let of_service = |id: &str, revision, name: &str| {
+        let mut item = item(id, revision, Some(false));
+        if let Some(spec) = &mut item.value {
+            spec.service = service(name);
+        }
+        item
+    };
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(
+        Millis(0),
+        vec![
+            of_service("a-real", 1, "llm"),
+            of_service("a-odd", 2, "other"),
+        ],
+    );
+    list.add_services(&[service("llm")]);
+    let real = [("a-real".to_owned(), false)];
+    assert_eq!(draining(&mut list, 0), real);
+    list.apply_changes(Millis(10), vec![of_service("a-odd", 3, "another")]);
+    assert_eq!(draining(&mut list, 10), real);
+    assert!(list.take_changed(Millis(20)).is_none());
+    // Services that are named later are used from then on, and a service that is no longer named still is.
+    list.add_services(&[service("llm")]);
+    assert!(list.take_changed(Millis(30)).is_none());
+    list.add_services(&[service("another")]);
+    assert_eq!(
+        draining(&mut list, 30),
+        [("a-odd".to_owned(), false), ("a-real".to_owned(), true)]
+    );
+}
