Agents bound what an engine sends before a part of its answer, and end calls that are given up

Cause: agents called engines through a client that bounds the data of a body alone. Interim responses and the framing of chunks without end were read as fast as they came, in each poll until its timeout. Ruled out: a longer pause between polls, as one poll costs its whole timeout. Change: the gateway's connection, which has the bound, is the runtime's now and serves gateways, rank agents and the product's own agents; a pool makes short calls with it. Conclusion: no program that calls workers reads without a bound; the store's client is not a worker's and is as before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,37 +8,21 @@
 use http::{Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use sardinepin_common::{Clock, Map, Millis};
-use sardinepin_runtime::{BoundedStream, ByteAllowance, reset_on_close, set_user_timeout};
+use sardinepin_runtime::{HttpConnection, reset_on_close, set_user_timeout};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
-use crate::constants::{
-    CONNECT_TIMEOUT, IDLE_MARGIN, IDLE_TIMEOUT_DEFAULT, PART_MAX_BYTES, READ_BUFFER_BYTES,
-    TCP_USER_TIMEOUT,
-};
+use crate::constants::{CONNECT_TIMEOUT, IDLE_MARGIN, IDLE_TIMEOUT_DEFAULT, TCP_USER_TIMEOUT};
 use sardinepin_decisions::direct::UpstreamId;
+pub(crate) use sardinepin_runtime::SendError;
 
 /// The maximum number of idle connections kept to one upstream.
 const IDLE_PER_UPSTREAM: usize = 16;
 
-/// Why a request got no response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum SendError {
-    /// No byte of the request was sent.
-    NotSent,
-    /// The request may have reached the upstream.
-    MaybeSent,
-}
-
-/// An open connection, which is aborted when it is dropped.
+/// An open connection, which is closed when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    allowance: ByteAllowance,
-    driver: AbortHandle,
+    http: HttpConnection,
     /// Whether a response has been read from it before.
     is_reused: bool,
     /// Whether the upstream may be silent for longer than usual.
@@ -57,12 +41,6 @@
     Patient(Millis),
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 impl Connection {
     async fn open(address: SocketAddr, need: ConnectionNeed) -> Result<Self, SendError> {
         let connecting = TcpStream::connect(address);
@@ -75,22 +53,8 @@
             set_user_timeout(&stream, time.max(TCP_USER_TIMEOUT));
         }
         reset_on_close(&stream);
-        let allowance = ByteAllowance::default();
-        let stream = BoundedStream::new(stream, allowance.clone());
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| SendError::NotSent)?;
-        let driver = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(event = "connection_broke", error:% = error; "a connection to an upstream broke");
-            }
-        });
         Ok(Self {
-            sender,
-            allowance,
-            driver: driver.abort_handle(),
+            http: HttpConnection::new(stream).await?,
             is_reused: false,
             is_patient: matches!(need, ConnectionNeed::Patient(_)),
         })
@@ -103,7 +67,7 @@
 
     /// Bounds the bytes that may come before the next part of a response.
     pub(crate) fn expect_part(&self) {
-        self.allowance.set(PART_MAX_BYTES);
+        self.http.expect_part();
     }
 
     /// Sends a request and waits for the response head.
@@ -111,14 +75,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.ready().await.map_err(|_| SendError::NotSent)?;
-        self.expect_part();
-        let response = self.sender.try_send_request(request).await;
-        self.allowance.set(usize::MAX);
-        response.map_err(|error| match error.message() {
-            Some(_) => SendError::NotSent,
-            None => SendError::MaybeSent,
-        })
+        self.http.send(request).await
     }
 }
 
@@ -166,7 +123,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&id)?;
         while let Some(last) = connections.pop() {
-            if now < last.expires_at && !last.connection.sender.is_closed() {
+            if now < last.expires_at && !last.connection.http.is_closed() {
                 return Some(last.connection);
             }
         }
@@ -201,7 +158,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|id, connections| {
             connections.retain(|idle_connection| {
-                now < idle_connection.expires_at && !idle_connection.connection.sender.is_closed()
+                now < idle_connection.expires_at && !idle_connection.connection.http.is_closed()
             });
             !connections.is_empty() && exists(*id)
         });
--- a/crates/gateway/src/constants.rs
+++ b/crates/gateway/src/constants.rs
@@ -14,13 +14,6 @@
 /// How much earlier than the upstream's timeout the gateway closes an idle connection.
 pub(crate) const IDLE_MARGIN: Millis = Millis(700);
 
-/// The size limit of the read buffer of an upstream connection, in bytes.
-pub(crate) const READ_BUFFER_BYTES: usize = 16 * 1024;
-
-/// The most bytes that an upstream may send until the head of its response or the next piece of a stream is
-/// complete, interim responses and framing included.
-pub(crate) const PART_MAX_BYTES: usize = 64 * 1024;
-
 /// The largest non-streaming response body that is buffered, in bytes.
 pub(crate) const PLAIN_BODY_MAX: usize = 256 * 1024;
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,15 +5,16 @@
 mod bounded_stream;
 mod caller_stream;
 mod guarded_body;
+mod http_connection;
 mod listening;
 mod pause_detector;
 mod pauses;
 mod sockets;
 
 pub use activity::{Activity, OpenExchange};
-pub use bounded_stream::{BoundedStream, ByteAllowance};
 pub use caller_stream::CallerStream;
 pub use guarded_body::GuardedBody;
+pub use http_connection::{HttpConnection, HttpPool, SendError};
 pub use listening::Connecting;
 pub use pause_detector::{PAUSE_MIN, PauseDetector};
 pub use pauses::PauseWatch;
--- a/crates/sardinepin/src/agent/runner.rs
+++ b/crates/sardinepin/src/agent/runner.rs
@@ -4,16 +4,19 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use sardinepin_common::{AttemptId, Millis};
 use sardinepin_decisions::{AnswerEnd, AttemptEvent, CachedResponse, EndedAnswer, ProcessState};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField};
+use sardinepin_runtime::HttpConnection;
 use tokio::time::timeout;
 
 use crate::agent::claims;
 use crate::agent::response::ResponseEnd;
 use crate::agent::state::{Agent, SharedAgent};
-use crate::agent::upstream::{CallError, framing, named_limit, named_rest, response_headers};
+use crate::agent::upstream::{
+    CallError, UpstreamResponse, framing, named_limit, named_rest, response_headers,
+};
 
 /// How a call to the upstream ended.
 enum CallEnd {
@@ -162,7 +165,10 @@
     let id = attempt.id;
     let sent_at = agent.clock.now();
     let (event, end) = match agent.upstream.call(attempt).await {
-        Ok(response) => {
+        Ok(UpstreamResponse {
+            response,
+            connection,
+        }) => {
             agent.record_limit(sent_at, named_limit(&response));
             if let Some(time) = named_rest(&response) {
                 agent.record_rest(time);
@@ -178,7 +184,7 @@
             return stream_response(
                 agent,
                 id,
-                response.into_body(),
+                (response.into_body(), connection),
                 ended,
                 CachedResponseBuilder::new(status, headers, cache_max),
             )
@@ -204,11 +210,11 @@
 async fn stream_response(
     agent: &Agent,
     id: AttemptId,
-    mut body: Incoming,
+    (mut body, connection): (Incoming, HttpConnection),
     mut ended: EndedAnswer,
     mut cached: CachedResponseBuilder,
 ) -> CallEnd {
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = next_frame(&mut body, &connection).await {
         let Ok(frame) = frame else {
             let kind = agent.upstream.classify_interruption().await;
             agent.end(id, AttemptEvent::Break(kind), ResponseEnd::Broken(kind));
@@ -227,10 +233,20 @@
         agent.end(id, AttemptEvent::Break(kind), ResponseEnd::Broken(kind));
         return CallEnd::Broken;
     }
+    agent.upstream.keep(connection);
     agent.end(id, AttemptEvent::Finish, ResponseEnd::Complete);
     CallEnd::Complete(cached.build())
 }
 
+/// Reads the next piece of a body; fails if too many bytes come without one.
+async fn next_frame(
+    body: &mut Incoming,
+    connection: &HttpConnection,
+) -> Option<hyper::Result<Frame<Bytes>>> {
+    connection.expect_part();
+    body.frame().await
+}
+
 /// Returns why a response that has ended may not be whole; `None` if it is.
 async fn doubt(agent: &Agent, ended: EndedAnswer) -> Option<ErrorKind> {
     match ended.judge() {
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -1,17 +1,19 @@
 //! The HTTP client of the upstream.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 
-use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http::response::Parts;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use sardinepin_common::{Millis, Term};
 use sardinepin_decisions::{Framing, LimitNotice, ProcessState};
 use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField, UpstreamRequest};
-use sardinepin_runtime::Connecting;
+use sardinepin_runtime::{Connecting, HttpConnection, HttpPool, SendError};
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use tokio::time::timeout;
@@ -55,8 +57,14 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamClient {
     address: SocketAddr,
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    fresh: Client<HttpConnector, Full<Bytes>>,
+    pool: HttpPool,
+}
+
+/// A response whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct UpstreamResponse {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: HttpConnection,
 }
 
 impl UpstreamClient {
@@ -64,10 +72,7 @@
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            pooled: http_client(usize::MAX),
-            // A call that must not be repeated gets a connection of its own: a pooled one may be
-            // closed while the call is sent, and then it is unknown whether the call ran.
-            fresh: http_client(0),
+            pool: HttpPool::new(CONNECT_TIMEOUT),
         }
     }
 
@@ -76,40 +81,83 @@
     /// # Errors
     ///
     /// Returns an error that says whether the call may have run.
-    pub(crate) async fn call(&self, attempt: &Attempt) -> Result<Response<Incoming>, CallError> {
+    pub(crate) async fn call(&self, attempt: &Attempt) -> Result<UpstreamResponse, CallError> {
         let request = self.request(attempt).map_err(|_| CallError::Malformed)?;
-        let client = if attempt.idempotent {
-            &self.pooled
-        } else {
-            &self.fresh
+        let found = match attempt.idempotent {
+            true => self.send_over_any(request).await,
+            // A call that must not be repeated gets a connection of its own: a pooled one may be
+            // closed while the call is sent, and then it is unknown whether the call ran.
+            false => self.send_over_new(request).await,
         };
-        match client.request(request).await {
-            Ok(response) => Ok(response),
-            Err(error) if error.is_connect() => Err(CallError::Unreachable),
-            Err(_) => Err(CallError::Interrupted(self.classify_interruption().await)),
+        match found {
+            Ok(found) => Ok(found),
+            Err(SendError::NotSent) => Err(CallError::Unreachable),
+            Err(SendError::MaybeSent) => {
+                Err(CallError::Interrupted(self.classify_interruption().await))
+            }
+        }
+    }
+
+    async fn send_over_any(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<UpstreamResponse, SendError> {
+        if let Some(mut connection) = self.pool.reuse(self.address) {
+            match connection.send(request.clone()).await {
+                // The upstream had closed it.
+                Err(SendError::NotSent) => {}
+                sent => {
+                    return sent.map(|response| UpstreamResponse {
+                        response,
+                        connection,
+                    });
+                }
+            }
         }
+        self.send_over_new(request).await
+    }
+
+    async fn send_over_new(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<UpstreamResponse, SendError> {
+        let mut connection = self.pool.open(self.address).await?;
+        let response = connection.send(request).await?;
+        Ok(UpstreamResponse {
+            response,
+            connection,
+        })
+    }
+
+    /// Keeps the connection of a response that was read to its end.
+    pub(crate) fn keep(&self, connection: HttpConnection) {
+        self.pool.put(self.address, connection);
     }
 
     /// Sends the engine an order with its term as the fencing token; returns `None` if no reply can
     /// be read.
     pub(crate) async fn send_order(&self, term: Term, order: Order) -> Option<OrderReply> {
         let body = serde_json::to_vec(&json!({"term": term, "order": order})).ok()?;
-        let request = Request::post(format!("http://{}/orders", self.address))
-            .header("content-type", "application/json")
+        let request = Request::post("/orders")
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .ok()?;
-        // A fresh connection, since the pool would retry the order on its own if a reused one
-        // closed.
-        read_json(&self.fresh, request).await
+        // A fresh connection: on a reused one that closes, the order may be sent again.
+        let mut connection = self.pool.open(self.address).await.ok()?;
+        decode_reply(connection.exchange(request, REPLY_MAX_BYTES).await.ok()?)
     }
 
     /// Reads the load that the engine reports; returns `None` if no valid report arrives within
     /// `limit`.
     pub(crate) async fn read_load(&self, limit: Millis) -> Option<EngineLoad> {
-        let uri = format!("http://{}/load", self.address);
-        let request = Request::get(uri).body(Full::default()).ok()?;
-        let exchange = read_json(&self.pooled, request);
-        timeout(limit.duration(), exchange).await.ok()?
+        let request = Request::get("/load")
+            .header(header::HOST, self.address.to_string())
+            .body(Full::default())
+            .ok()?;
+        let exchange = self.pool.exchange(self.address, request, REPLY_MAX_BYTES);
+        let exchange = timeout(limit.duration(), exchange);
+        decode_reply(exchange.await.ok()?.ok()?)
     }
 
     /// Returns `UpstreamCrashed` if the upstream no longer accepts connections, else
@@ -132,12 +180,12 @@
 
     fn request(&self, attempt: &Attempt) -> Result<Request<Full<Bytes>>, http::Error> {
         let call = &attempt.call;
-        let uri = Uri::builder()
-            .scheme("http")
-            .authority(self.address.to_string())
-            .path_and_query(call.path.as_str())
-            .build()?;
-        let mut request = Request::builder().method(call.method.as_str()).uri(uri);
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(call.path.as_str());
+        if !call.headers.iter().any(|field| field.name == "host") {
+            request = request.header(header::HOST, self.address.to_string());
+        }
         for (name, value) in forwarded_headers(call) {
             request = request.header(name, value);
         }
@@ -152,14 +200,8 @@
     }
 }
 
-/// Sends a request and reads its response, which must not be longer than [`REPLY_MAX_BYTES`].
-async fn read_json<T: DeserializeOwned>(
-    client: &Client<HttpConnector, Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-) -> Option<T> {
-    let response = client.request(request).await.ok()?;
-    let body = Limited::new(response.into_body(), REPLY_MAX_BYTES);
-    let body = body.collect().await.ok()?.to_bytes();
+/// Decodes the reply to an order or a query of the load.
+fn decode_reply<T: DeserializeOwned>((_, body): (Parts, Bytes)) -> Option<T> {
     serde_json::from_slice(&body).ok()
 }
 
@@ -216,12 +258,3 @@
             Some((name, value))
         })
 }
-
-fn http_client(idle_max: usize) -> Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_max_idle_per_host(idle_max)
-        .build(connector)
-}
