A response whose status answers no request, or not this one, is no answer

Cause: gateways passed 101, 206 and 304 that nobody had asked for and 600 to 999 on as they came, at a single arrival; agents took such a status for the word that an order had been refused, and the product's own agents passed it to entries. 000 is no answer to the HTTP library and was not passed on before. Change: one function says which statuses are a final answer to a request (200 to 599; 206 for a range, 304 for a condition). Anything else counts as broken off, whatever its fields say, before its fields are read. Conclusion: the liveness check takes any answer as a sign of life, as before; nothing of it is passed on.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod affinity;
 mod answer_end;
+mod answer_status;
 mod answer_times;
 mod attempts;
 mod balancer;
@@ -43,6 +44,7 @@
 pub mod direct;
 
 pub use answer_end::{AnswerEnd, EndedAnswer, Framing, ProcessState};
+pub use answer_status::AskedAnswer;
 pub use answer_times::AnswerTimes;
 pub use attempts::{
     AttemptAdmission, AttemptEvent, AttemptMachine, AttemptSettings, AttemptState, AttemptTable,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -299,6 +299,10 @@
             Ok(Ok(response)) => response,
         };
         let (parts, body) = response.into_parts();
+        if !call.asked_answer().is_answered_by(parts.status.as_u16()) {
+            log_no_answer(call, permit, parts.status);
+            return Err(AttemptFailure::BrokenResponse);
+        }
         self.record_load(permit, &parts.headers);
         self.record_limit(call, permit, &parts);
         self.record_withdrawal(permit, &parts);
@@ -476,6 +480,17 @@
     }
 }
 
+/// Logs that a response cannot be the answer to its request.
+fn log_no_answer(call: &Call, permit: &UpstreamPermit, status: StatusCode) {
+    log::info!(
+        event = "response_rejected", request = call.id_text(), service = &*call.service,
+        upstream = &*permit.spec.id, rule = "status", fault = status.as_u16();
+        "a response has a status that does not answer its request"
+    );
+    metrics::counter!("sardinepin_responses_rejected_total", "rule" => "status", "fault" => "no_answer")
+        .increment(1);
+}
+
 /// Returns whether a response was not sent by the upstream in this form: a success lacks the
 /// signature, or the body is content-encoded.
 fn is_altered(names: &HeaderNames, parts: &Parts) -> bool {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,13 +13,13 @@
 
 use crate::body_reader::WholeBody;
 use crate::header_names::HeaderNames;
-use crate::headers;
+use crate::headers::{self, asked_answer};
 use crate::manifest::{RequestKind, Route, Target};
 use crate::route_table::{Organisation, RouteTable};
-use sardinepin_decisions::Traits;
 use sardinepin_decisions::direct::AllowedRegions;
 use sardinepin_decisions::direct::RequestNumber;
 use sardinepin_decisions::direct::UpstreamSpec;
+use sardinepin_decisions::{AskedAnswer, Traits};
 
 /// The length of a body that the system of an upstream takes though the upstream does not read it.
 const UNREAD_BYTES: usize = 8 * 1024;
@@ -256,6 +256,11 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Returns what the caller asks for besides the whole resource.
+    pub(crate) fn asked_answer(&self) -> AskedAnswer {
+        asked_answer(&self.headers)
+    }
+
     /// Returns whether a response of this status has no body, whatever its fields say.
     pub(crate) fn allows_no_body(&self, status: StatusCode) -> bool {
         let is_empty = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -3,6 +3,7 @@
 use http::header::{self, HeaderMap, HeaderName};
 
 use crate::header_names::HeaderNames;
+use sardinepin_decisions::AskedAnswer;
 
 /// Hop-by-hop header fields, which are never forwarded.
 const CONNECTION_FIELDS: [HeaderName; 9] = [
@@ -56,6 +57,16 @@
     forwarded
 }
 
+/// Returns what the header fields of a request ask for besides the whole resource.
+#[must_use]
+pub fn asked_answer(headers: &HeaderMap) -> AskedAnswer {
+    let is_there = |name: HeaderName| headers.contains_key(name);
+    AskedAnswer {
+        range: is_there(header::RANGE),
+        changed: is_there(header::IF_NONE_MATCH) || is_there(header::IF_MODIFIED_SINCE),
+    }
+}
+
 /// Returns a header field as text, or `None` if it is missing or not visible ASCII.
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub use attempt::AttemptFailure;
 pub use bounds::{BoundExceeded, RecoveryBound, WatchBound};
 pub use header_names::HeaderNames;
+pub use headers::asked_answer;
 pub use manifest::{
     CallerLimits, EngineSpec, Manifest, OrganisationSpec, RequestKind, Route, ServiceSpec, Target,
 };
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -16,6 +16,7 @@
 mod restores;
 mod slow_callers;
 mod slow_upstreams;
+mod statuses;
 mod stopping;
 mod stream_continuity;
 mod streams;
--- a/crates/sardinepin/src/agent/upstream.rs
+++ b/crates/sardinepin/src/agent/upstream.rs
@@ -10,7 +10,8 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use sardinepin_common::{Millis, Term};
-use sardinepin_decisions::{Framing, LimitNotice, ProcessState};
+use sardinepin_decisions::{AskedAnswer, Framing, LimitNotice, ProcessState};
+use sardinepin_gateway::asked_answer;
 use sardinepin_groups::{Order, OrderReply};
 use sardinepin_protocol::{Attempt, ErrorKind, HeaderField, UpstreamRequest};
 use sardinepin_runtime::{Connecting, HttpConnection, HttpPool, SendError};
@@ -83,6 +84,7 @@
     /// Returns an error that says whether the call may have run.
     pub(crate) async fn call(&self, attempt: &Attempt) -> Result<UpstreamResponse, CallError> {
         let request = self.request(attempt).map_err(|_| CallError::Malformed)?;
+        let asked = asked_answer(request.headers());
         let found = match attempt.idempotent {
             true => self.send_over_any(request).await,
             // A call that must not be repeated gets a connection of its own: a pooled one may be
@@ -90,7 +92,11 @@
             false => self.send_over_new(request).await,
         };
         match found {
-            Ok(found) => Ok(found),
+            Ok(found) if asked.is_answered_by(found.response.status().as_u16()) => Ok(found),
+            Ok(found) => {
+                log::info!(event = "response_rejected", attempt:% = attempt.id, rule = "status", fault = found.response.status().as_u16(); "a response has a status that does not answer its request");
+                Err(CallError::Interrupted(ErrorKind::UpstreamBroke))
+            }
             Err(SendError::NotSent) => Err(CallError::Unreachable),
             Err(SendError::MaybeSent) => {
                 Err(CallError::Interrupted(self.classify_interruption().await))
@@ -201,8 +207,11 @@
 }
 
 /// Decodes the reply to an order or a query of the load.
-fn decode_reply<T: DeserializeOwned>((_, body): (Parts, Bytes)) -> Option<T> {
-    serde_json::from_slice(&body).ok()
+fn decode_reply<T: DeserializeOwned>((parts, body): (Parts, Bytes)) -> Option<T> {
+    let is_answer = AskedAnswer::default().is_answered_by(parts.status.as_u16());
+    is_answer
+        .then(|| serde_json::from_slice(&body).ok())
+        .flatten()
 }
 
 /// Returns how a response tells where it ends.
--- a/crates/sardinepin/src/agent/upstream/tests.rs
+++ b/crates/sardinepin/src/agent/upstream/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of what an upstream in trouble answers: answers without end.
+//! Tests of what an upstream in trouble answers: statuses that answer no request, and answers without end.
 
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
@@ -7,7 +7,7 @@
 use sardinepin_protocol::{Attempt, Digest, UpstreamRequest};
 use sardinepin_standins::http::{Endless, OddAnswer, OddServer};
 
-use super::UpstreamClient;
+use super::{CallError, UpstreamClient};
 
 /// How long a call may take.
 const CALL_TIMEOUT: Millis = Millis(300);
@@ -39,6 +39,23 @@
     }
 }
 
+/// Guards against a status that answers no request reaching an entry, and with it a caller, as the answer.
+#[tokio::test]
+async fn status_that_does_not_answer_a_call_is_no_response() {
+    for status in ["000", "099", "101", "206", "304", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 0\r\n\r\n");
+        let (address, _) = OddServer::start(OddAnswer::Text(text)).await.unwrap();
+        let client = UpstreamClient::new(address);
+        for idempotent in [false, true] {
+            let called = client.call(&attempt(idempotent)).await;
+            assert!(
+                matches!(called, Err(CallError::Interrupted(_))),
+                "{status}: {called:?}"
+            );
+        }
+    }
+}
+
 /// Guards against an agent that reads an answer without end after its call has been given up.
 #[tokio::test]
 async fn call_without_an_end_of_its_answer_closes_its_connection() {
