Trial stops: a worker that has crashed accepts and answers nothing more

By reading: the connection ended at the signal of the crash, before the listener had been closed, and the listener might accept the gateway's question whether the process lives, and answer it: then half an answer is a whole one to any gateway. Change: connections of a worker that crashes end once its listener is closed, as its description says, and the listener looks for a crash first.

--- a/trials/src/stops/worker.rs
+++ b/trials/src/stops/worker.rs
@@ -100,16 +100,18 @@
             continue;
         };
         tokio::select! {
-            accepted = open.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve(Arc::clone(&worker), stream));
-                }
-            }
+            // A process that has crashed accepts nothing more.
+            biased;
             _ = crashes.changed() => {
                 listener = None;
                 let crashed = *crashes.borrow_and_update();
                 worker.closed.send_replace(crashed);
             }
+            accepted = open.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(serve(Arc::clone(&worker), stream));
+                }
+            }
         }
     }
 }
@@ -117,7 +119,7 @@
 async fn serve(worker: Arc<Worker>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut stream = BufReader::new(stream);
-    let mut crashes = worker.crashes.subscribe();
+    let mut closed = worker.closed.subscribe();
     let serving = async {
         while let Some(request) = read(&mut stream).await {
             if worker.answer(&mut stream, &request).await.is_err() {
@@ -125,10 +127,10 @@
             }
         }
     };
-    // All connections end when the worker crashes.
+    // All connections end when the worker crashes, once its listener has been closed.
     tokio::select! {
         () = serving => {}
-        _ = crashes.changed() => {}
+        _ = closed.changed() => {}
     }
 }
 
