A step is released only once all ranks report that they are armed for it

Cause: the answers to the orders to arm decided. Ruled out: a connection of its own for each order, as a status alone says nothing of what is armed, and channels to workers are priced. Change: after the orders to arm, the coordinator polls all ranks and releases the step only if each reports that it is armed for it. A report can be older than it seems, and then says less. Of the other orders' answers none is final: a poll follows each.

--- a/crates/ranks/src/coordinator/poll.rs
+++ b/crates/ranks/src/coordinator/poll.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::join_all;
 use sardinepin_common::Millis;
+use sardinepin_groups::RankReport;
 use sardinepin_protocol::GroupSample;
 
 use super::{Coordinator, DIRECT_POLL_INTERVAL, DIRECT_TIMEOUT, GroupMember};
@@ -89,10 +90,39 @@
                 .map(|sample| (began.since(self.sampled_at), sample)),
         };
         let skipped = self.skipped.take();
-        let polls = self
-            .neighbourhoods
-            .iter()
-            .map(|set| self.poll_neighbourhood(set, &look, skipped));
+        let (views, counts) = self.collect_views(&look, skipped).await;
+        self.sample_loads(&views);
+        let complete = views.iter().all(Option::is_some);
+        let views: Vec<EngineView> = views.into_iter().flatten().collect();
+        if look.scope.counts {
+            self.record_counts(began, &views, counts);
+        }
+        if complete {
+            self.update_active_maps(&views);
+        }
+        views
+    }
+
+    /// Polls all members concurrently for their reports alone; returns those that replied.
+    pub(super) async fn poll_reports(&mut self) -> Vec<RankReport> {
+        let look = Look {
+            term: self.term,
+            scope: ViewScope::default(),
+            sample: None,
+        };
+        let (views, _) = self.collect_views(&look, None).await;
+        let views = views.into_iter().flatten();
+        views.map(|view| view.report.rank).collect()
+    }
+
+    /// Polls all members but `skipped`, and the engines of agents that do not reply; returns the view of each member, and the counts.
+    async fn collect_views(
+        &mut self,
+        look: &Look,
+        skipped: Option<usize>,
+    ) -> (Vec<Option<EngineView>>, Vec<CountIncrements>) {
+        let sets = self.neighbourhoods.iter();
+        let polls = sets.map(|set| self.poll_neighbourhood(set, look, skipped));
         let mut views: Vec<Option<EngineView>> = vec![None; self.members.len()];
         let mut counts = Vec::new();
         for found in join_all(polls).await {
@@ -109,16 +139,7 @@
             counts.clear();
             self.members_stale = true;
         }
-        self.sample_loads(&views);
-        let complete = views.iter().all(Option::is_some);
-        let views: Vec<EngineView> = views.into_iter().flatten().collect();
-        if look.scope.counts {
-            self.record_counts(began, &views, counts);
-        }
-        if complete {
-            self.update_active_maps(&views);
-        }
-        views
+        (views, counts)
     }
 
     /// Polls the members of a neighbourhood but `skipped` through one of them, or each by itself if that one does not reply.
--- a/crates/ranks/src/coordinator/switch.rs
+++ b/crates/ranks/src/coordinator/switch.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::join_all;
 use sardinepin_common::Millis;
-use sardinepin_groups::{RankReport, planner_of, replacement_above};
+use sardinepin_groups::{ArmedVersion, RankReport, planner_of, replacement_above};
 
 use super::orders::GroupReply;
 use super::{Coordinator, HOLDER, PREPARE_RETRY_INTERVAL, PollDelay};
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Arms all ranks, the one that planned the version after all others, and, once all have confirmed, releases the step.
+    /// Arms all ranks, the one that planned the version after all others, and releases the step once all report that they are armed.
     pub(super) async fn arm(
         &mut self,
         version: u64,
@@ -101,30 +101,33 @@
         let planner = planner_of(version);
         let mut replies = self.send_to_each(reports, &action, planner).await;
         if GroupReply::of(&replies) == GroupReply::Accepted {
-            let reply = self.send_to_planner(reports, &action, planner).await;
-            let at = planner.unwrap_or(replies.len());
-            replies.insert(at.min(replies.len()), reply);
+            replies = vec![self.send_to_planner(reports, &action, planner).await];
         }
         match GroupReply::of(&replies) {
-            GroupReply::Accepted => {
-                let Some(holding) = reports.get(holder) else {
-                    return;
-                };
-                let begun = replies.get(holder) == Some(&Some(EngineReply::Begun));
-                let after_arm = RankReport {
-                    sequence: holding.sequence + u64::from(begun),
-                    ..*holding
-                };
-                self.release(&after_arm, step, version).await;
-            }
+            GroupReply::Accepted => self.release_armed(version, step, holder).await,
             GroupReply::Superseded => self.step_down("arm"),
-            GroupReply::Incomplete => {
-                self.poll_delay_next = PollDelay::Short;
-                log::info!(event = "arm_incomplete", version = version, step = step; "not all ranks are armed yet");
-            }
+            GroupReply::Incomplete => self.record_incomplete_arm(version, step),
         }
     }
 
+    /// Releases a step once all ranks report that they are armed for it. What an order was answered is no proof: an engine in trouble may
+    /// send a copy of an earlier answer, and carry the order out late or never.
+    async fn release_armed(&mut self, version: u64, step: u64, holder: usize) {
+        let reports = self.poll_reports().await;
+        let wanted = Some(ArmedVersion { version, step });
+        let is_armed = reports.iter().all(|report| report.armed == wanted);
+        let holding = reports.get(holder).copied();
+        match holding.filter(|_| is_armed && reports.len() == self.members.len()) {
+            Some(holding) => self.release(&holding, step, version).await,
+            None => self.record_incomplete_arm(version, step),
+        }
+    }
+
+    fn record_incomplete_arm(&mut self, version: u64, step: u64) {
+        self.poll_delay_next = PollDelay::Short;
+        log::info!(event = "arm_incomplete", version = version, step = step; "not all ranks are armed yet");
+    }
+
     /// Releases a step for which all ranks are armed, unless anything has begun at its holder.
     async fn release(&mut self, holding: &RankReport, step: u64, version: u64) {
         let order = self.new_order(holding, Action::Release { step });
--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -67,6 +67,8 @@
     loss_interval: u64,
     orders: u64,
     delayed: Vec<(usize, EngineOrder)>,
+    /// The rank whose next order to arm is answered as done, and carried out later.
+    copied_answer: Option<usize>,
     /// Whether orders of the first coordinator that holds a step get no reply afterwards.
     cut_after_hold: bool,
     /// The term of that coordinator, once it has held a step.
@@ -133,6 +135,7 @@
             loss_interval,
             orders: 0,
             delayed: Vec::new(),
+            copied_answer: None,
             cut_after_hold: false,
             cut_term: None,
             freeze_after_hold: false,
@@ -326,6 +329,11 @@
             group.delayed.push((at, order.clone()));
             return Box::pin(async { Err(EngineError("lost".to_owned())) });
         }
+        if matches!(order.action, Action::Arm { .. }) && group.copied_answer == Some(at) {
+            group.copied_answer = None;
+            group.delayed.push((at, order.clone()));
+            return Box::pin(async { Ok(EngineReply::Done) });
+        }
         let reply = group.apply_order(at, order);
         if group.freeze_after_hold && matches!(order.action, Action::Hold { .. }) {
             group.freeze_after_hold = false;
@@ -565,6 +573,20 @@
     }
 }
 
+/// Guards against the copy of an earlier answer being taken for the answer to an order to arm that is carried out late: the step would
+/// begin on two maps.
+#[tokio::test]
+async fn a_step_is_released_only_once_all_ranks_report_to_be_armed() {
+    for rank in 0..RANKS {
+        let shared = SharedGroup(Arc::new(Mutex::new(FakeGroup::new(0))));
+        shared.0.lock().unwrap().copied_answer = Some(rank);
+        start_agents(&shared).await;
+        wait_until_replicated(&shared).await;
+        let group = shared.0.lock().unwrap();
+        assert_eq!((group.copied_answer, group.maps_mixed), (None, false));
+    }
+}
+
 #[tokio::test]
 async fn lost_and_delayed_orders_do_not_block_the_group() {
     for loss_interval in [2, 3, 5, 7] {
