--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod request_metrics;
 mod response;
+mod response_head;
 mod route_table;
 mod run;
 mod server;
--- a/crates/gateway/tests/path/statuses.rs
+++ b/crates/gateway/tests/path/statuses.rs
@@ -22,10 +22,10 @@
     let upstream = ScriptedUpstream::start("one", scripts).await;
     let (running, _) = start_gateway(&[&upstream]).await;
     let mut answers = Vec::new();
-    for number in 0..statuses.len() {
+    for (number, status) in statuses.iter().enumerate() {
         let text = request(path, &format!("r-{number}"), fields);
         answers.push(send_raw(running.caller_address(), &text).await);
-        assert_eq!(upstream.count(), number + 1, "{path}, {}", statuses[number]);
+        assert_eq!(upstream.count(), number + 1, "{path}, {status}");
     }
     answers
 }
