--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -503,6 +503,7 @@
         let map: LayerMap = group.ranks.iter().map(|rank| rank.map.clone()).collect();
         assert!(!group.maps_mixed, "a step began on two different maps");
         assert_eq!(group.unsafe_disarms, 0);
+        assert_eq!(group.foreign_orders, 0, "orders to an engine of no rank");
         copies(&map, 0) == RANKS
     })
     .await;
@@ -550,7 +551,12 @@
         let shared = group_with_foreign_engine(2, Some(report));
         shared.0.lock().unwrap().unlisted = Some(2);
         start_agents_with_relays(&shared).await;
-        wait_for(|| shared.0.lock().unwrap().member_reads >= 3).await;
+        wait_for(|| {
+            let group = shared.0.lock().unwrap();
+            assert_eq!(group.foreign_orders, 0, "orders to an engine of no rank");
+            group.member_reads >= 3
+        })
+        .await;
         let orders = {
             let mut group = shared.0.lock().unwrap();
             group.unlisted = None;
