--- a/crates/ranks/src/tests.rs
+++ b/crates/ranks/src/tests.rs
@@ -404,13 +404,13 @@
     ]
 }
 
-/// Binds the same port on the address of every rank.
+/// Binds the same port on the address of every rank, and on that of an engine which is no rank.
 async fn bind_listeners() -> (u16, Vec<TcpListener>) {
     'ports: loop {
         let first = TcpListener::bind((address(0).ip(), 0)).await.unwrap();
         let port = first.local_addr().unwrap().port();
         let mut bound = vec![first];
-        for rank in 1..RANKS {
+        for rank in 1..=RANKS {
             match TcpListener::bind((address(rank).ip(), port)).await {
                 Ok(listener) => bound.push(listener),
                 Err(_) => continue 'ports,
@@ -441,7 +441,13 @@
     shared: &SharedGroup,
     policy: RankPolicy,
 ) -> (u16, Vec<Vec<AbortHandle>>) {
-    let (port, listeners) = bind_listeners().await;
+    let (port, mut listeners) = bind_listeners().await;
+    let beside_foreign = listeners.pop().unwrap();
+    if matches!(shared.0.lock().unwrap().foreign.first(), Some((_, Some(_)))) {
+        let engines: Arc<dyn EngineApi> = Arc::new(shared.clone());
+        let agent = Agent::new(Clock::start(), engines, address(RANKS));
+        tokio::spawn(peer::serve(Arc::new(agent), beside_foreign));
+    }
     let mut handles = Vec::new();
     for (rank, listener) in listeners.into_iter().enumerate() {
         let engines: Arc<dyn EngineApi> = Arc::new(shared.clone());
