--- a/review/kit-3/src/cases.rs
+++ b/review/kit-3/src/cases.rs
@@ -465,3 +465,103 @@
         "the route that was added later is served less than a quarter as often as the first",
     )
 }
+
+/// A group of ranks stalls for a moment in the middle of its streams, while the other group loses a third of its answers.
+pub fn stalled_group(record: &str) -> ExitCode {
+    const ROUNDS: usize = 4;
+    const STREAMS: usize = 16;
+    let mut deployment = Deployment::new(record);
+    let route = RouteText {
+        prefix: "/lohu930/",
+        kind: "streaming",
+        service: "veileder",
+        timeout_ms: 8_000,
+        objective_ms: 400,
+        attempts: 2,
+        more: ",\"resumable\":true,\"gap_aim_ms\":120",
+    };
+    deployment.put_manifest(7, &[route], &["veileder"]);
+    let ids = [
+        ("i-7f3a91c2", "g1", 0),
+        ("i-b2c07d11", "g1", 1),
+        ("i-91d3f06b", "g2", 0),
+        ("i-e4402b7d", "g2", 1),
+    ];
+    let mut workers = Vec::new();
+    for (id, group, rank) in ids {
+        let mut place = deployment.place_worker(id, "veileder", "bergen-a");
+        place.group = Some((group, rank));
+        place.stalls = group == "g1";
+        deployment.start_worker(&mut place);
+        workers.push(place);
+    }
+    let gateway = deployment.start_gateway("front-bergen-a-1");
+    let front = gateway.front;
+    let stall = if deployment.trouble { 1_200 } else { 0 };
+    let (mut whole, mut cut) = (0, 0);
+    for round in 0..ROUNDS {
+        let clients: Vec<_> = (0..STREAMS)
+            .map(|stream| {
+                let attempt = format!("3e71c07be2a3{round:02}{stream:02}");
+                std::thread::spawn(move || {
+                    let answer = kept_stream(front, &attempt, stall);
+                    (attempt, answer)
+                })
+            })
+            .collect();
+        for client in clients {
+            let Ok((attempt, Some(answer))) = client.join() else {
+                deployment.cannot_run("a client failed");
+            };
+            let events = String::from_utf8_lossy(&answer.body)
+                .matches("id: ")
+                .count();
+            deployment.note(&format!(
+                "{attempt}: {events} events of 26, {}",
+                describe(&answer)
+            ));
+            match (answer.is_complete_success() && events == 26, answer.end) {
+                (true, _) => whole += 1,
+                (false, End::Broken) => cut += 1,
+                (false, _) => {}
+            }
+        }
+        sleep(millis(1_000));
+    }
+    drop(gateway);
+    drop(workers);
+    deployment.note(&format!("{whole} streams whole, {cut} cut"));
+    if !deployment.trouble && whole < ROUNDS * STREAMS {
+        deployment.cannot_run("not all streams were whole without the disruption");
+    }
+    let is_broken = usize::from(cut > 3);
+    verdict(
+        deployment,
+        is_broken,
+        1,
+        "more than three kept channels are closed before the end of an answer that a sound worker goes on to write",
+    )
+}
+
+/// Sends a stream over a channel that has served one before, and returns its answer.
+fn kept_stream(front: SocketAddr, attempt: &str, stall: u64) -> Option<crate::http::Answer> {
+    let mut stream = crate::http::open(front).ok()?;
+    stream.set_read_timeout(Some(millis(9_000))).ok()?;
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let first = request("POST", "/lohu930/one", &format!("{attempt}f"), 8_000, "");
+    stream.write_all(first.as_bytes()).ok()?;
+    let by = Instant::now() + millis(9_000);
+    read_answer(&mut reader, None, by)
+        .is_complete_success()
+        .then_some(())?;
+    let target = format!("/lohu930/stream?events=26&step=60&stall={stall}");
+    let second = request(
+        "POST",
+        &target,
+        attempt,
+        8_000,
+        "X-Token-Count: 714,160\r\n",
+    );
+    stream.write_all(second.as_bytes()).ok()?;
+    Some(read_answer(&mut reader, None, by))
+}
--- a/review/kit-3/src/deployment.rs
+++ b/review/kit-3/src/deployment.rs
@@ -55,6 +55,10 @@
     pub id: String,
     pub service: String,
     zone: String,
+    /// Its group and its rank there, in groups of two; plain workers have none.
+    pub group: Option<(&'static str, usize)>,
+    /// Whether its group stalls.
+    pub stalls: bool,
     pub address: SocketAddr,
     pub process: Option<Process>,
     seq: u64,
@@ -186,6 +190,8 @@
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
+            group: None,
+            stalls: false,
             address: free_address(),
             process: None,
             seq: 0,
@@ -208,6 +214,9 @@
             ])
             .arg(log)
             .stdin(Stdio::null());
+        if place.stalls {
+            command.env("STALLS", "1");
+        }
         place.process = Some(Process::start(command));
         let by = Instant::now() + Duration::from_secs(5);
         while crate::http::open(place.address).is_err() && Instant::now() < by {
@@ -233,8 +242,12 @@
         0 => String::new(),
         born => format!(r#","born":{born}"#),
     };
+    let group = place.group.map(|(name, rank)| {
+        format!(r#","group":{{"name":"{name}","epoch":1,"rank":{rank},"state":"open"}},"size":2"#)
+    });
+    let group = group.unwrap_or_default();
     format!(
-        r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":12,"state":"{state}","cold-remaining-ms":0,"seq":{}{born}}}"#,
+        r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":12,"state":"{state}","cold-remaining-ms":0,"seq":{}{born}{group}}}"#,
         place.service, place.address, place.zone, place.seq
     )
 }
--- a/review/kit-3/src/main.rs
+++ b/review/kit-3/src/main.rs
@@ -25,6 +25,7 @@
                 "restarted-worker" => cases::restarted_worker,
                 "killed-gateway" => cases::killed_gateway,
                 "unread-metrics" => cases::unread_metrics,
+                "stalled-group" => cases::stalled_group,
                 "restored-store" => cases::restored_store,
                 "unreadable-entry" => cases::unreadable_entry,
                 _ => return ExitCode::from(2),
--- a/review/kit-3/src/system.rs
+++ b/review/kit-3/src/system.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::FromRawFd;
+use std::os::fd::{AsRawFd, FromRawFd};
 use std::os::unix::process::CommandExt;
 use std::process::{Child, Command};
 
@@ -23,6 +23,7 @@
 
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
+const SO_LINGER: i32 = 13;
 const IPPROTO_TCP: i32 = 6;
 const TCP_MAXSEG: i32 = 2;
 const AF_INET: i32 = 2;
@@ -128,6 +129,21 @@
     }
 }
 
+/// Has a channel be reset when it is closed.
+pub fn reset(stream: &TcpStream) {
+    let linger = [1_i32, 0];
+    // SAFETY: the descriptor is open, and the value is a `struct linger` of two `int`.
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            linger.as_ptr(),
+            8,
+        )
+    };
+}
+
 /// Returns a free loopback address.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/review/kit-3/src/worker.rs
+++ b/review/kit-3/src/worker.rs
@@ -4,12 +4,17 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::http::{Fields, field, read_head, read_request_body};
 
 pub struct Worker {
     id: String,
+    /// Whether its group stalls once in each stream, for as long as the request says.
+    stalls: bool,
+    /// How many streams it has continued that another worker began.
+    continued: AtomicU64,
     /// Unix milliseconds of this lifetime's start.
     born: u64,
     log: String,
@@ -30,6 +35,8 @@
     let listener = TcpListener::bind(address).expect("the worker's address");
     let worker = Arc::new(Worker {
         id: id.to_owned(),
+        stalls: std::env::var("STALLS").is_ok(),
+        continued: AtomicU64::new(0),
         born,
         log: log.to_owned(),
     });
@@ -43,7 +50,8 @@
     fn record(&self, text: &str) {
         let file = OpenOptions::new().create(true).append(true).open(&self.log);
         if let Ok(mut file) = file {
-            let _ = writeln!(file, "{text}");
+            // One write a line, as several workers write to the file.
+            let _ = file.write_all(format!("{text}\n").as_bytes());
         }
     }
 
@@ -75,6 +83,54 @@
         }
     }
 
+    /// Answers with a stream of events. One answer in three to a stream that another worker began is lost, if the request says so.
+    fn send_events(
+        &self,
+        stream: &mut TcpStream,
+        target: &str,
+        attempt: &str,
+        fields: &Fields,
+    ) -> Option<()> {
+        let number = |name: &str| {
+            let pairs = target
+                .split(['?', '&'])
+                .filter_map(|pair| pair.split_once('='));
+            let mut values = pairs.filter(|(key, _)| *key == name);
+            values
+                .find_map(|(_, value)| value.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
+        let (events, step, stall) = (number("events"), number("step"), number("stall"));
+        let after = field(fields, "last-event-id").and_then(|text| text.parse().ok());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: mac.{attempt}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).ok()?;
+        if stall > 0 && after.is_some() && self.continued.fetch_add(1, Ordering::Relaxed) % 3 == 0 {
+            self.record(&format!("{} loses its answer to {attempt}", self.id));
+            std::thread::sleep(Duration::from_millis(20));
+            crate::system::reset(stream);
+            return None;
+        }
+        for event in after.unwrap_or(0) + 1..=events {
+            let is_stalled = self.stalls && event == events / 3;
+            let pause = if is_stalled { stall.max(step) } else { step };
+            std::thread::sleep(Duration::from_millis(pause));
+            let text = format!("id: {event}\ndata: {attempt}\n\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            if stream.write_all(chunk.as_bytes()).is_err() {
+                self.record(&format!(
+                    "{} is left by {attempt} before event {event}",
+                    self.id
+                ));
+                return None;
+            }
+        }
+        self.record(&format!("{} has sent {attempt} to its end", self.id));
+        stream.write_all(b"0\r\n\r\n").ok()
+    }
+
     /// Answers with a stream of one event.
     fn send_one_event(&self, stream: &mut TcpStream, attempt: &str) -> Option<()> {
         let event = format!("id: 1\ndata: {attempt}\n\n");
@@ -99,6 +155,9 @@
             return self.send_one_event(stream, &attempt);
         }
         self.record(&format!("run {attempt} born {} {start}", self.born));
+        if target.contains("/stream?") {
+            return self.send_events(stream, target, &attempt, fields);
+        }
         let query = target.split_once('?').map_or("", |(_, query)| query);
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
