Gateway: an upstream whose entry lapsed and came back is used after a restore

Cause: a departure was remembered for 120 s and forgotten by nothing else, so that an entry which had been listed again before the drill was taken for one of an upstream that had left. Only an entry of a higher revision ended that, and a report that changes nothing raises no revision. The log of the case shows it: upstream_gone for both in the cut, upstream for both after it, store_restored, and no usable upstream from then on.

Change: Departures holds the processes that were removed and have not been listed since; being listed again ends a departure. What is doubted after a restore stays so through a second one, however much later. An entry of the copy that does not say when its process started is no sign of another process at the same address.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod cold_entry;
 mod crashes;
+mod departures;
 mod evacuations;
 mod follow_upstreams;
 mod position;
--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -7,6 +7,7 @@
 
 use crate::store::{ObjectBatch, StoredObject};
 use crate::sync::cold_entry::ColdEntry;
+use crate::sync::departures::Departures;
 use sardinepin_decisions::direct::UpstreamSpec;
 
 /// One entry of the list.
@@ -32,9 +33,6 @@
     }
 }
 
-/// How long the identifiers of removed upstreams are remembered.
-const DEPARTED_RETENTION: Millis = Millis(120_000);
-
 /// The list of upstreams that a gateway uses.
 ///
 /// Entries may expire while the store is unavailable, so entries that are missing soon after it
@@ -45,8 +43,8 @@
     grace: Millis,
     /// The end of the grace period, in which missing entries are kept.
     grace_until: Millis,
-    /// When each upstream was removed from the list, and when its process had started.
-    departed: Map<Arc<str>, (Millis, u64)>,
+    /// The processes that were removed from the list and have not been listed since.
+    departures: Departures,
     /// The services that the configuration has named since this list was created; empty before it is known.
     services: Set<Arc<str>>,
     /// The entries of services that it has not named.
@@ -64,7 +62,7 @@
             entries: Map::default(),
             grace,
             grace_until: Millis::ZERO,
-            departed: Map::default(),
+            departures: Departures::default(),
             services: Set::default(),
             unnamed: Set::default(),
             changed: false,
@@ -107,31 +105,39 @@
     ///
     /// Revisions start again. Entries may be missing until their upstreams write them again, and
     /// entries of upstreams that have left may be back: these get no requests unless they are
-    /// written after the restore.
+    /// written after the restore. An upstream whose entry had lapsed and was listed again before the
+    /// restore has not left: it writes what the copy holds, which changes no revision.
     pub fn replace_after_restore(&mut self, now: Millis, batch: ObjectBatch<UpstreamSpec>) {
         log::info!(event = "store_restored", era = batch.era, revision = batch.revision; "the store came back from an older copy");
         self.keep_missing_until(now + self.grace);
         for entry in self.entries.values_mut() {
             entry.revision = 0;
         }
-        let departed: Vec<Arc<str>> = batch
+        let outdated: Vec<Arc<str>> = batch
             .items
             .iter()
-            .filter(|item| {
-                let departed = self.departed.get(&item.name);
-                let listed = item.value.as_ref().map(|spec| spec.started_at);
-                departed.is_some_and(|(_, started_at)| Some(*started_at) == listed)
-            })
+            .filter(|item| self.has_departed(item))
             .map(|item| Arc::clone(&item.name))
             .collect();
         self.replace_all(now, batch.items);
-        for name in departed {
+        for name in outdated {
             if let Some(entry) = self.entries.get_mut(&name) {
                 entry.outdated = true;
             }
         }
     }
 
+    /// Returns whether an entry of an older copy is of a process that had left, as far as this gateway knows.
+    fn has_departed(&self, item: &StoredObject<UpstreamSpec>) -> bool {
+        let Some(spec) = &item.value else {
+            return false;
+        };
+        match self.entries.get(&item.name) {
+            Some(entry) => entry.outdated && is_same_lifetime(&entry.spec, spec),
+            None => self.departures.contains(&item.name, spec),
+        }
+    }
+
     /// Applies the changes of a watch.
     pub fn apply_changes(&mut self, now: Millis, items: Vec<StoredObject<UpstreamSpec>>) {
         for item in items {
@@ -180,6 +186,7 @@
         }
         log_change(&spec);
         self.changed = true;
+        self.departures.remove(&name);
         let entry = Entry {
             spec,
             cold: ColdEntry::new(now, cold_remaining),
@@ -207,8 +214,7 @@
     fn remove(&mut self, now: Millis, name: &Arc<str>) {
         if now >= self.grace_until {
             if let Some(entry) = self.entries.remove(name) {
-                let departure = (now, entry.spec.started_at);
-                self.departed.insert(Arc::clone(name), departure);
+                self.departures.insert(now, name, &entry.spec);
                 self.changed = true;
                 log::info!(event = "upstream_gone", upstream = &**name; "upstream removed from the list");
             }
@@ -233,16 +239,16 @@
     /// Returns the list if it has changed since the last call.
     pub fn take_changed(&mut self, now: Millis) -> Option<Vec<UpstreamSpec>> {
         let before = self.entries.len();
-        let departed = &mut self.departed;
+        let departures = &mut self.departures;
         self.entries.retain(|name, entry| {
             let kept = entry.expires_at.is_none_or(|at| now < at);
             if !kept {
-                departed.insert(Arc::clone(name), (now, entry.spec.started_at));
+                departures.insert(now, name, &entry.spec);
                 log::info!(event = "upstream_gone", upstream = &**name; "upstream removed from the list after the grace period");
             }
             kept
         });
-        departed.retain(|_, (at, _)| now.since(*at) < DEPARTED_RETENTION);
+        departures.remove_old(now);
         self.changed |= self.entries.len() != before;
         if !std::mem::take(&mut self.changed) {
             return None;
@@ -302,6 +308,13 @@
     }
 }
 
+/// Returns whether two entries of a name are of one lifetime of its process. An entry that does not say when the process started is no
+/// sign of another one at the same address.
+pub(super) fn is_same_lifetime(one: &UpstreamSpec, other: &UpstreamSpec) -> bool {
+    let is_unsaid = one.started_at == 0 || other.started_at == 0;
+    one.started_at == other.started_at || is_unsaid && one.address == other.address
+}
+
 fn is_same_process(one: &UpstreamSpec, other: &UpstreamSpec) -> bool {
     one.started_at == other.started_at && one.address == other.address
 }
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -162,6 +162,78 @@
     assert_eq!(draining(&mut list, 60), [("a".to_owned(), false)]);
 }
 
+/// Guards against an upstream without requests for good: its entry lapsed while it was cut off from the store, was listed again, and the
+/// copy that the store later came back from holds that entry, so that its reports change nothing.
+#[test]
+fn an_upstream_that_was_listed_again_before_the_restore_is_used_after_it() {
+    let mut list = UpstreamList::new(GRACE);
+    let all = || vec![item("a", 1, Some(false)), item("b", 2, Some(false))];
+    list.replace_all(Millis(0), all());
+    list.apply_changes(Millis(10), vec![item("a", 3, None), item("b", 4, None)]);
+    ids(&mut list, 10);
+    let back = vec![item("a", 5, Some(false)), item("b", 6, Some(false))];
+    list.apply_changes(Millis(20), back.clone());
+    ids(&mut list, 20);
+    let used = [("a".to_owned(), false), ("b".to_owned(), false)];
+    for restore in 0..2 {
+        let at = Millis(30 + restore);
+        list.replace_after_restore(at, restored(back.clone(), 6));
+        assert_eq!(draining(&mut list, at.0), used, "restore {restore}");
+    }
+}
+
+/// Guards against the same where the entry lapsed in an outage of the store, and was removed at the end of the grace period.
+#[test]
+fn an_upstream_that_came_back_after_the_grace_period_is_used_after_a_restore() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a", 1, Some(false))]);
+    ids(&mut list, 0);
+    list.keep_missing_until(Millis(10) + GRACE);
+    list.replace_all(Millis(10), vec![]);
+    assert!(ids(&mut list, 10 + GRACE.0).unwrap().is_empty());
+    list.apply_changes(Millis(3_000), vec![item("a", 5, Some(false))]);
+    ids(&mut list, 3_000);
+    list.replace_after_restore(Millis(4_000), restored(vec![item("a", 5, Some(false))], 5));
+    assert_eq!(draining(&mut list, 4_000), [("a".to_owned(), false)]);
+}
+
+/// Guards against an upstream that left for good getting work because another one that lapsed with it has come back.
+#[test]
+fn an_upstream_that_left_stays_out_beside_one_that_came_back() {
+    let mut list = UpstreamList::new(GRACE);
+    let all = || vec![item("a", 1, Some(false)), item("b", 2, Some(false))];
+    list.replace_all(Millis(0), all());
+    list.apply_changes(Millis(10), vec![item("a", 3, None), item("b", 4, None)]);
+    list.apply_changes(Millis(20), vec![item("a", 5, Some(false))]);
+    ids(&mut list, 20);
+    let states = [("a".to_owned(), false), ("b".to_owned(), true)];
+    list.replace_after_restore(Millis(30), restored(all(), 2));
+    assert_eq!(draining(&mut list, 30), states);
+    // It came back, but left after the grace period and before the second restore.
+    list.apply_changes(Millis(3_000), vec![item("a", 6, None)]);
+    ids(&mut list, 3_000);
+    list.replace_after_restore(Millis(3_010), restored(all(), 2));
+    let states = [("a".to_owned(), true), ("b".to_owned(), true)];
+    assert_eq!(draining(&mut list, 3_010), states);
+}
+
+/// Guards against an upstream that left getting work because another writer's entry of it does not say when its process started.
+#[test]
+fn an_upstream_that_left_stays_out_if_the_copy_does_not_say_when_it_started() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a", 2, Some(false))]);
+    list.apply_changes(Millis(10), vec![item("a", 3, None)]);
+    ids(&mut list, 10);
+    let mut rewritten = item("a", 1, Some(false));
+    rewritten.value.as_mut().unwrap().started_at = 0;
+    list.replace_after_restore(Millis(20), restored(vec![rewritten.clone()], 2));
+    assert_eq!(draining(&mut list, 20), [("a".to_owned(), true)]);
+    // Long after a departure would be forgotten, a second copy holds the entry.
+    list.take_changed(Millis(200_000));
+    list.replace_after_restore(Millis(200_000), restored(vec![rewritten], 2));
+    assert_eq!(draining(&mut list, 200_000), [("a".to_owned(), true)]);
+}
+
 #[test]
 fn an_upstream_missing_after_a_restore_is_kept_for_the_grace_period() {
     let mut list = UpstreamList::new(GRACE);
