Gateway: an upstream whose entry may be outdated is asked whether it is there

Cause: a doubted entry was believed again only if it was written with a higher revision, which a sound worker cannot bring about: a PUT that changes nothing raises none. Nobody asked the worker.

Change: once the entry has been listed for longer than one of a departed upstream could be (three report intervals and a margin, with the list known to be complete), its upstream is asked at the health path of its service: 200, its own identifier and no word of leaving end the doubt. At most 8 at a time, each after 1, 2, 4 ... 32 s again, evacuated zones and draining entries not at all. Both conditions are asked for, as a worker whose entry was removed may go on serving for some seconds.

Ruled out: time alone (an entry of a departed upstream may stay if nobody removes it), the health path alone (a worker that leaves may answer), traffic as a test (it would be the request that must not reach a departed worker).

--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -1,4 +1,5 @@
-//! Asks whether the process of an upstream has outlived an answer of its.
+//! Asks an upstream at its health path: whether its process has outlived an answer of its, and whether it is there although its entry
+//! may be outdated.
 
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -11,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use sardinepin_common::Millis;
 use sardinepin_decisions::ProcessState;
+use sardinepin_decisions::direct::UpstreamSpec;
 use sardinepin_runtime::Connecting;
 use tokio::net::TcpStream;
 
@@ -18,8 +20,12 @@
 use crate::constants::CONNECT_TIMEOUT;
 use crate::dispatch::UpstreamPermit;
 use crate::gateway::Gateway;
+use crate::withdrawals::is_leaving;
 
-/// How long an upstream may take to respond. One that keeps the connection for so long lives, but is busy.
+/// How long an upstream may take to say that it is there; the question may wait for a slot there.
+const PRESENCE_TIMEOUT: Millis = Millis(1_000);
+
+/// How long an upstream may take to respond after an answer. One that keeps the connection for so long lives, but is busy.
 const RESPONSE_TIMEOUT: Millis = Millis(100);
 
 /// What became of the question.
@@ -61,15 +67,52 @@
             Connecting::Refused => return ProcessState::Gone,
             Connecting::Failed => return ProcessState::Unknown,
         };
-        match self.ask(stream, permit, &path).await {
+        match self
+            .ask(stream, &permit.spec, &path, RESPONSE_TIMEOUT)
+            .await
+        {
             Asked::Answered(response) => self.judge_response(permit, &response),
             Asked::Silent => ProcessState::Alive,
             Asked::Broken => listens_later(address).await,
         }
     }
 
-    async fn ask(&self, stream: TcpStream, permit: &UpstreamPermit, path: &str) -> Asked {
-        let Ok(request) = self.health_request(permit, path) else {
+    /// Returns whether an upstream says itself that it is there, healthy and not leaving.
+    ///
+    /// One whose service has no health path cannot say so.
+    pub(crate) async fn is_there(&self, spec: &UpstreamSpec) -> bool {
+        // An evacuated zone gets no connections.
+        if !self.wait_to_send(&spec.zone).await {
+            return false;
+        }
+        let path = self
+            .table()
+            .and_then(|table| table.health_path(&spec.service));
+        let Some(path) = path else { return false };
+        let Connecting::Open(stream) = Connecting::to(spec.address, CONNECT_TIMEOUT).await else {
+            return false;
+        };
+        match self.ask(stream, spec, &path, PRESENCE_TIMEOUT).await {
+            Asked::Answered(response) => self.says_it_is_there(spec, &response),
+            Asked::Silent | Asked::Broken => false,
+        }
+    }
+
+    fn says_it_is_there(&self, spec: &UpstreamSpec, response: &Response<Incoming>) -> bool {
+        let headers = response.headers();
+        let named = headers.get(&self.names.upstream);
+        let is_named = named.is_some_and(|name| name.as_bytes() == spec.id.as_bytes());
+        response.status() == StatusCode::OK && is_named && !is_leaving(headers, &self.names.leaving)
+    }
+
+    async fn ask(
+        &self,
+        stream: TcpStream,
+        spec: &UpstreamSpec,
+        path: &str,
+        timeout: Millis,
+    ) -> Asked {
+        let Ok(request) = self.health_request(spec, path) else {
             return Asked::Broken;
         };
         let exchange = async {
@@ -82,7 +125,7 @@
                 _ = connection => response.await,
             }
         };
-        match tokio::time::timeout(RESPONSE_TIMEOUT.duration(), exchange).await {
+        match tokio::time::timeout(timeout.duration(), exchange).await {
             Ok(Ok(response)) => Asked::Answered(response),
             Ok(Err(_)) => Asked::Broken,
             Err(_) => Asked::Silent,
@@ -91,10 +134,9 @@
 
     fn health_request(
         &self,
-        permit: &UpstreamPermit,
+        spec: &UpstreamSpec,
         path: &str,
     ) -> Result<Request<Empty<Bytes>>, http::Error> {
-        let spec = &permit.spec;
         Request::get(path)
             .header(header::HOST, spec.address.to_string())
             .header(header::CONNECTION, HeaderValue::from_static("close"))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -52,6 +52,8 @@
     pub evacuations: Option<EvacuationSettings>,
     /// How long after an outage of the store an upstream missing from its list is still used.
     pub recovery: RecoveryBound,
+    /// How long after its last report the entry of an upstream is removed from the store.
+    pub entry_lapse: Millis,
 }
 
 impl SyncSettings {
@@ -87,6 +89,7 @@
                 bound: Millis(3_000),
                 grace: Millis(2_200),
             },
+            entry_lapse: Millis(3_600),
         }
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -4,6 +4,7 @@
 mod cold_entry;
 mod crashes;
 mod departures;
+mod doubt;
 mod evacuations;
 mod follow_upstreams;
 mod position;
--- a/crates/gateway/src/sync/follow_upstreams.rs
+++ b/crates/gateway/src/sync/follow_upstreams.rs
@@ -5,6 +5,7 @@
 
 use sardinepin_common::Millis;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::bounds::{WAIT_MIN, time_before};
 use crate::gateway::Gateway;
@@ -16,6 +17,12 @@
 use crate::sync::upstreams::UpstreamList;
 use sardinepin_decisions::direct::UpstreamSpec;
 
+/// The time that the store and the watch of the list may add before a lapsed entry is known to be gone.
+const LAPSE_MARGIN: Millis = Millis(1_200);
+
+/// The most upstreams that are asked at the same time whether they are there.
+const QUESTIONS_MAX: usize = 8;
+
 /// Watches the list of upstreams until the process ends.
 pub(crate) async fn follow_upstreams(
     gateway: Arc<Gateway>,
@@ -30,6 +37,8 @@
         tables,
         list: UpstreamList::new(settings.recovery.grace),
         position: Position::default(),
+        lapse: settings.entry_lapse + LAPSE_MARGIN,
+        questions: JoinSet::new(),
     };
     let mut backoff =
         Backoff::new(&settings, "upstreams").with_retry_max(settings.recovery.retry_max());
@@ -72,6 +81,10 @@
     tables: watch::Receiver<Option<Arc<RouteTable>>>,
     list: UpstreamList,
     position: Position,
+    /// How long the entry of an upstream that has left may still be listed.
+    lapse: Millis,
+    /// The upstreams that are being asked whether they are there: each entry, and whether its upstream is.
+    questions: JoinSet<(UpstreamSpec, bool)>,
 }
 
 impl Follower {
@@ -113,28 +126,59 @@
         has_items
     }
 
-    /// Waits for `work`, while upstreams whose grace period ends are removed in time, and services that the configuration names are taken
-    /// into account.
+    /// Waits for `work`, while upstreams whose grace period ends are removed in time, services that the configuration names are taken
+    /// into account, and upstreams whose entries may be outdated are asked whether they are there.
     async fn until_done<T>(&mut self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         loop {
-            let expiry = self.list.next_expiry();
-            let now = self.gateway.clock.now();
-            let expired = async {
-                match expiry {
-                    Some(expiry) => tokio::time::sleep(expiry.since(now).duration()).await,
-                    None => std::future::pending().await,
-                }
-            };
+            let expired = self.sleep_until(self.list.next_expiry());
+            let question_due = self.sleep_until(self.list.next_question(self.lapse));
             tokio::select! {
                 biased;
                 () = expired => self.apply(Millis::ZERO),
                 Ok(()) = self.tables.changed() => self.apply_services(),
+                Some(Ok((asked, is_there))) = self.questions.join_next() => self.handle_reply(&asked, is_there),
+                () = question_due, if self.questions.len() < QUESTIONS_MAX => self.ask_doubted(),
                 done = &mut work => return done,
             }
         }
     }
 
+    /// Sleeps until a time, or for ever if there is none.
+    fn sleep_until(&self, at: Option<Millis>) -> impl Future<Output = ()> + use<> {
+        let now = self.gateway.clock.now();
+        async move {
+            match at {
+                Some(at) => tokio::time::sleep(at.since(now).duration()).await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    /// Asks the upstreams whose entries may be outdated whether they are there.
+    fn ask_doubted(&mut self) {
+        let now = self.gateway.clock.now();
+        let complete_at = self.position.complete_at().unwrap_or_default();
+        let count = QUESTIONS_MAX - self.questions.len();
+        let asked = self
+            .list
+            .take_questions(now, self.lapse, complete_at, count);
+        for spec in asked {
+            let gateway = Arc::clone(&self.gateway);
+            self.questions.spawn(async move {
+                let is_there = gateway.is_there(&spec).await;
+                (spec, is_there)
+            });
+        }
+    }
+
+    fn handle_reply(&mut self, asked: &UpstreamSpec, is_there: bool) {
+        if is_there {
+            self.list.confirm(asked);
+            self.apply(Millis::ZERO);
+        }
+    }
+
     /// Takes the services of the current routing table into account.
     fn apply_services(&mut self) {
         let Some(table) = self.tables.borrow_and_update().clone() else {
--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -8,6 +8,7 @@
 use crate::store::{ObjectBatch, StoredObject};
 use crate::sync::cold_entry::ColdEntry;
 use crate::sync::departures::Departures;
+use crate::sync::doubt::Doubt;
 use sardinepin_decisions::direct::UpstreamSpec;
 
 /// One entry of the list.
@@ -19,12 +20,17 @@
     revision: u64,
     /// When the entry is removed unless the store lists it again; `None` while it is listed.
     expires_at: Option<Millis>,
-    /// Whether the entry was read from an older copy of the store after the upstream had left, and
-    /// has not been written since.
-    outdated: bool,
+    /// Set while the entry may be outdated: it was read from an older copy of the store after the upstream had left,
+    /// and neither has it been written since nor has the upstream said that it is there.
+    doubt: Option<Doubt>,
 }
 
 impl Entry {
+    /// Returns whether the entry is used once its upstream says that it is there.
+    fn may_confirm(&self) -> bool {
+        self.expires_at.is_none() && !self.spec.draining
+    }
+
     fn spec_at(&self, now: Millis) -> UpstreamSpec {
         UpstreamSpec {
             cold_remaining: self.cold.remaining(now),
@@ -103,10 +109,10 @@
 
     /// Replaces the list by the first full read since the store came back from an older copy.
     ///
-    /// Revisions start again. Entries may be missing until their upstreams write them again, and
-    /// entries of upstreams that have left may be back: these get no requests unless they are
-    /// written after the restore. An upstream whose entry had lapsed and was listed again before the
-    /// restore has not left: it writes what the copy holds, which changes no revision.
+    /// Revisions start again. Entries may be missing until their upstreams write them again, and entries of upstreams that have left may
+    /// be back: these get no requests unless they are written after the restore, or their upstreams say that they are there. An upstream
+    /// whose entry had lapsed and was listed again before the restore has not left: it writes what the copy holds, which changes no
+    /// revision.
     pub fn replace_after_restore(&mut self, now: Millis, batch: ObjectBatch<UpstreamSpec>) {
         log::info!(event = "store_restored", era = batch.era, revision = batch.revision; "the store came back from an older copy");
         self.keep_missing_until(now + self.grace);
@@ -122,7 +128,7 @@
         self.replace_all(now, batch.items);
         for name in outdated {
             if let Some(entry) = self.entries.get_mut(&name) {
-                entry.outdated = true;
+                entry.doubt = Some(Doubt::new(now));
             }
         }
     }
@@ -133,7 +139,7 @@
             return false;
         };
         match self.entries.get(&item.name) {
-            Some(entry) => entry.outdated && is_same_lifetime(&entry.spec, spec),
+            Some(entry) => entry.doubt.is_some() && is_same_lifetime(&entry.spec, spec),
             None => self.departures.contains(&item.name, spec),
         }
     }
@@ -161,7 +167,7 @@
             }
             // An entry that is only read again says nothing new: neither that its upstream is back, nor for how long it is cold.
             let is_rewritten = revision > entry.revision;
-            if is_rewritten && std::mem::take(&mut entry.outdated) {
+            if is_rewritten && entry.doubt.take().is_some() {
                 self.changed = true;
             }
             entry.revision = revision;
@@ -192,7 +198,7 @@
             cold: ColdEntry::new(now, cold_remaining),
             revision,
             expires_at: None,
-            outdated: false,
+            doubt: None,
         };
         self.entries.insert(name, entry);
     }
@@ -229,6 +235,51 @@
         }
     }
 
+    /// Returns when the next upstream has to be asked whether it is there.
+    #[must_use]
+    pub fn next_question(&self, lapse: Millis) -> Option<Millis> {
+        let doubted = self.entries.values().filter(|entry| entry.may_confirm());
+        let doubts = doubted.filter_map(|entry| entry.doubt);
+        doubts.map(|doubt| doubt.next_question(lapse)).min()
+    }
+
+    /// Returns the upstreams that have to be asked now whether they are there, as their entries may be outdated; at most `count`.
+    ///
+    /// `lapse` is how long the entry of an upstream that has left stays listed, and `complete_at` is when the list was last
+    /// known to be complete. An upstream that is still listed then, and says that it is there, has not left.
+    pub fn take_questions(
+        &mut self,
+        now: Millis,
+        lapse: Millis,
+        complete_at: Millis,
+        count: usize,
+    ) -> Vec<UpstreamSpec> {
+        let doubted = self.entries.values_mut();
+        let doubted = doubted.filter(|entry| entry.may_confirm());
+        let asked = doubted.filter_map(|entry| {
+            let doubt = entry.doubt.as_mut()?;
+            doubt
+                .take_question(now, lapse, complete_at)
+                .then(|| entry.spec.clone())
+        });
+        asked.take(count).collect()
+    }
+
+    /// Uses an upstream again that has said that it is there; `asked` is the entry for which it was asked.
+    pub fn confirm(&mut self, asked: &UpstreamSpec) {
+        let Some(entry) = self.entries.get_mut(&asked.id) else {
+            return;
+        };
+        if entry.may_confirm()
+            && is_same_process(&entry.spec, asked)
+            && entry.doubt.take().is_some()
+        {
+            self.changed = true;
+            metrics::counter!("sardinepin_upstreams_confirmed_total").increment(1);
+            log::info!(event = "upstream_confirmed", upstream = &*asked.id; "an upstream whose entry may be outdated is there; it is used");
+        }
+    }
+
     /// Returns when the first upstream that is kept has to be removed.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Millis> {
@@ -301,7 +352,7 @@
         let specs = used().map(|entry| {
             let mut spec = entry.spec_at(now);
             let is_newest = newest.get(&spec.address) == Some(&entry.revision);
-            spec.draining |= !is_newest || entry.outdated;
+            spec.draining |= !is_newest || entry.doubt.is_some();
             spec
         });
         specs.collect()
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -234,6 +234,66 @@
     assert_eq!(draining(&mut list, 200_000), [("a".to_owned(), true)]);
 }
 
+/// How long the entry of an upstream that has left may be listed.
+const LAPSE: Millis = Millis(3_600);
+
+/// Returns a list with an upstream that left, whose entry an older copy of the store has brought back at time 0.
+fn list_with_doubted_entry(draining: bool) -> UpstreamList {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a", 1, Some(draining))]);
+    list.apply_changes(Millis(0), vec![item("a", 3, None)]);
+    ids(&mut list, 0);
+    list.replace_after_restore(Millis(0), restored(vec![item("a", 1, Some(draining))], 2));
+    ids(&mut list, 0);
+    list
+}
+
+fn asked(list: &mut UpstreamList, now: u64, complete_at: u64) -> Vec<UpstreamSpec> {
+    list.take_questions(Millis(now), LAPSE, Millis(complete_at), 8)
+}
+
+/// Guards against an upstream without requests for good: its entry lapsed before the store came back from a copy that holds it, so that no
+/// report of it changes the entry.
+#[test]
+fn an_upstream_whose_entry_may_be_outdated_is_used_once_it_says_that_it_is_there() {
+    let mut list = list_with_doubted_entry(false);
+    assert_eq!(list.next_question(LAPSE), Some(LAPSE));
+    assert!(
+        asked(&mut list, 3_599, 3_599).is_empty(),
+        "an upstream that has left may still respond"
+    );
+    assert!(
+        asked(&mut list, 3_600, 3_500).is_empty(),
+        "the entry may have lapsed since the list was read"
+    );
+    let questions = asked(&mut list, 5_000, 4_900);
+    assert_eq!(questions.len(), 1);
+    let mut earlier = questions[0].clone();
+    earlier.started_at = 7;
+    list.confirm(&earlier);
+    assert_eq!(ids(&mut list, 5_010), None, "it spoke of another process");
+    list.confirm(&questions[0]);
+    assert_eq!(draining(&mut list, 5_020), [("a".to_owned(), false)]);
+    assert_eq!(list.next_question(LAPSE), None);
+}
+
+/// Guards against questions without end or bound to an upstream that never says that it is there.
+#[test]
+fn an_upstream_that_does_not_say_that_it_is_there_is_asked_less_and_less_often() {
+    let mut list = list_with_doubted_entry(false);
+    let mut times = Vec::new();
+    for now in (0..60_000).step_by(100) {
+        if !asked(&mut list, now, now).is_empty() {
+            times.push(now);
+        }
+    }
+    assert_eq!(times, [3_600, 4_600, 6_600, 10_600, 18_600, 34_600]);
+    assert_eq!(ids(&mut list, 60_000), None, "it is still not used");
+    let mut draining = list_with_doubted_entry(true);
+    assert_eq!(draining.next_question(LAPSE), None);
+    assert!(asked(&mut draining, 60_000, 60_000).is_empty());
+}
+
 #[test]
 fn an_upstream_missing_after_a_restore_is_kept_for_the_grace_period() {
     let mut list = UpstreamList::new(GRACE);
