Gateway: an entry that may be outdated displaces no upstream at its address

An upstream takes over the address of one that left, and the store comes back from a copy that knows only the earlier one: the living upstream gets no requests until it writes its entry again.

Cause: of several entries with one address the one with the highest revision is used, also if it is doubted; the living upstream's entry is missing then and has revision 0.

Change: a doubted entry does not count there.

--- a/crates/gateway/src/sync/upstreams.rs
+++ b/crates/gateway/src/sync/upstreams.rs
@@ -345,7 +345,8 @@
     fn specs(&self, now: Millis) -> Vec<UpstreamSpec> {
         let mut newest: Map<SocketAddr, u64> = Map::default();
         let used = || self.entries.values().filter(|entry| self.is_named(entry));
-        for entry in used() {
+        // An upstream that may have left has no claim to its address.
+        for entry in used().filter(|entry| entry.doubt.is_none()) {
             let revision = newest.entry(entry.spec.address).or_default();
             *revision = entry.revision.max(*revision);
         }
--- a/crates/gateway/tests/upstream_list.rs
+++ b/crates/gateway/tests/upstream_list.rs
@@ -234,6 +234,21 @@
     assert_eq!(draining(&mut list, 200_000), [("a".to_owned(), true)]);
 }
 
+/// Guards against a living upstream without requests because the copy holds an entry of the one that had its address before.
+#[test]
+fn an_entry_that_may_be_outdated_displaces_nobody_at_its_address() {
+    let mut list = UpstreamList::new(GRACE);
+    list.replace_all(Millis(0), vec![item("a-old", 1, Some(false))]);
+    list.apply_changes(Millis(10), vec![item("a-old", 3, None)]);
+    list.apply_changes(Millis(20), vec![item("a-new", 4, Some(false))]);
+    ids(&mut list, 20);
+    // The copy lacks the new upstream, which is kept until it is written again.
+    let copy = restored(vec![item("a-old", 1, Some(false))], 2);
+    list.replace_after_restore(Millis(30), copy);
+    let states = [("a-new".to_owned(), false), ("a-old".to_owned(), true)];
+    assert_eq!(draining(&mut list, 30), states);
+}
+
 /// How long the entry of an upstream that has left may be listed.
 const LAPSE: Millis = Millis(3_600);
 
