--- a/crates/gateway/src/sync/backoff.rs
+++ b/crates/gateway/src/sync/backoff.rs
@@ -53,10 +53,15 @@
 
     /// Handles a failed call that began at `began`, and waits before the next one.
     pub(super) async fn handle_failure(&mut self, began: Millis, error: &GatewayStoreError) {
-        if self.failures == 0 {
-            log::warn!(event = "store_lost", reading = self.object_kind, error:% = error; "the store cannot be read");
-        }
         self.failures += 1;
+        // Again and again, but less and less often, as long as it lasts.
+        if self.failures.is_power_of_two() {
+            log::warn!(event = "store_lost", reading = self.object_kind, failures = self.failures, error:% = error; "the store cannot be read");
+        }
+        if matches!(error, GatewayStoreError::Malformed(_)) {
+            metrics::counter!("sardinepin_store_undecodable_total", "reading" => self.object_kind)
+                .increment(1);
+        }
         self.failed_at = began;
         self.outage |= match error {
             GatewayStoreError::TimedOut => true,
