A process waits for an address that is not free yet

Cause: an address was bound once.

Change: listen (sardinepin-runtime) binds again every 100 ms while the address is in use or not there yet, and says so in the log (address_in_use, address_free). After a minute, or for any other error, the start fails as before. Gateways, rank agents, entries, agents, the administration API, the cluster's sockets and the metrics use it. A process that waits can be stopped. The loop that looked for a port free for TCP and UDP is part of it now.

Ruled out: SO_REUSEPORT (two gateways could share an address unnoticed), waiting without end (two processes configured for one address are a mistake that somebody has to hear of).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,8 +7,7 @@
 use anyhow::Context;
 use sardinepin_common::Millis;
 use sardinepin_decisions::StopPlan;
-use sardinepin_runtime::PauseWatch;
-use tokio::net::TcpListener;
+use sardinepin_runtime::{PauseWatch, listen};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
@@ -97,9 +96,12 @@
 ) -> anyhow::Result<RunningGateway> {
     settings.sync.check()?;
     let (gateway, crash_events) = Gateway::new(&settings);
-    let callers = listen(settings.listen).await?;
+    let callers = listen(settings.listen).await;
+    let callers = callers.with_context(|| format!("cannot listen on {}", settings.listen))?;
     let (address, path) = settings.readiness.clone();
-    let readiness_listener = listen(address).await?;
+    let readiness_listener = listen(address).await;
+    let readiness_listener =
+        readiness_listener.with_context(|| format!("cannot listen on {address}"))?;
     let (closing, closed) = watch::channel(false);
     let running = RunningGateway {
         gateway: Arc::clone(&gateway),
@@ -151,12 +153,6 @@
     Ok(running)
 }
 
-async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("cannot listen on {address}"))
-}
-
 /// Runs a gateway until the process receives `SIGTERM`; `SIGHUP` is only logged.
 ///
 /// # Errors
@@ -169,7 +165,11 @@
 ) -> anyhow::Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let running = start_with_agents(settings, store, agents).await?;
+    // A start may wait for its addresses.
+    let running = tokio::select! {
+        running = start_with_agents(settings, store, agents) => running?,
+        _ = terminate.recv() => return Ok(ExitCode::SUCCESS),
+    };
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/ranks/src/run.rs
+++ b/crates/ranks/src/run.rs
@@ -6,8 +6,8 @@
 
 use anyhow::Context;
 use sardinepin_common::Clock;
+use sardinepin_runtime::listen;
 use sardinepin_store::BoxFuture;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::agent::Agent;
@@ -46,9 +46,11 @@
     let mut terminate = signal(SignalKind::terminate())?;
     // Settings are read only at start, but SIGHUP must not terminate the process.
     let mut reload = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(settings.listen)
-        .await
-        .with_context(|| format!("cannot listen on {}", settings.listen))?;
+    let listener = tokio::select! {
+        listener = listen(settings.listen) => listener,
+        _ = terminate.recv() => return Ok(ExitCode::SUCCESS),
+    };
+    let listener = listener.with_context(|| format!("cannot listen on {}", settings.listen))?;
     let agent = Arc::new(Agent::new(
         Clock::start(),
         Arc::clone(&engines),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,7 +15,7 @@
 pub use caller_stream::CallerStream;
 pub use guarded_body::GuardedBody;
 pub use http_connection::{HttpConnection, HttpPool, SendError};
-pub use listening::Connecting;
+pub use listening::{Connecting, bind_when_free, listen};
 pub use pause_detector::{PAUSE_MIN, PauseDetector};
 pub use pauses::PauseWatch;
 pub use sockets::{reset_on_close, set_user_timeout};
--- a/crates/sardinepin/src/agent.rs
+++ b/crates/sardinepin/src/agent.rs
@@ -18,7 +18,7 @@
 use anyhow::Context;
 use sardinepin_common::Millis;
 use sardinepin_protocol::Role;
-use tokio::net::TcpListener;
+use sardinepin_runtime::listen;
 use tokio::sync::mpsc;
 
 use crate::node::Node;
@@ -36,8 +36,11 @@
 /// Returns an error if the agent cannot bind its address or start the node.
 pub async fn run(settings: Settings) -> anyhow::Result<ExitCode> {
     let mut signals = Signals::new()?;
-    let listener = TcpListener::bind(settings.agent.listen)
-        .await
+    let listener = tokio::select! {
+        listener = listen(settings.agent.listen) => listener,
+        () = signals.recv() => return Ok(ExitCode::SUCCESS),
+    };
+    let listener = listener
         .with_context(|| format!("agent.listen: cannot listen on {}", settings.agent.listen))?;
     let address = listener.local_addr()?;
     let node = Node::start(&settings, Role::Agent).await?;
--- a/crates/sardinepin/src/control.rs
+++ b/crates/sardinepin/src/control.rs
@@ -15,6 +15,7 @@
 use sardinepin_common::{Clock, Incarnation, Millis, Revision};
 use sardinepin_config::Snapshot;
 use sardinepin_membership::{Input, MemberView};
+use sardinepin_runtime::bind_when_free;
 use sardinepin_store::Store;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -26,9 +27,6 @@
 pub use operations::{AcceptedChange, ChangeError, UpstreamEdit};
 pub use settings::ControlSettings;
 
-/// The maximum number of tries to find a port that is free for both UDP and TCP.
-const BIND_TRIES_MAX: usize = 16;
-
 /// The interval at which [`Control::wait_in_force`] checks the other nodes.
 const POLL_INTERVAL: Millis = Millis(250);
 
@@ -187,31 +185,15 @@
     }
 }
 
-/// Binds UDP and TCP to the same port; retries only if the port is chosen by the system.
+/// Binds UDP and TCP to the same port, as soon as both are free.
 async fn bind(settings: &ControlSettings) -> anyhow::Result<(UdpSocket, TcpListener)> {
     let address = settings.cluster.listen;
-    let mut tries = if address.port() == 0 {
-        BIND_TRIES_MAX
-    } else {
-        1
-    };
-    loop {
-        tries -= 1;
-        let tcp = TcpListener::bind(address).await;
-        let sockets = match tcp {
-            Ok(tcp) => match UdpSocket::bind(tcp.local_addr()?).await {
-                Ok(udp) => Ok((udp, tcp)),
-                Err(error) => Err(error),
-            },
-            Err(error) => Err(error),
-        };
-        match sockets {
-            Ok(sockets) => return Ok(sockets),
-            Err(_) if tries > 0 => {}
-            Err(error) => {
-                return Err(error)
-                    .with_context(|| format!("cluster.listen: cannot listen on {address}"));
-            }
-        }
-    }
+    let bound = bind_when_free(address, || async move {
+        let tcp = TcpListener::bind(address).await?;
+        let udp = UdpSocket::bind(tcp.local_addr()?).await?;
+        Ok((udp, tcp))
+    });
+    bound
+        .await
+        .with_context(|| format!("cluster.listen: cannot listen on {address}"))
 }
--- a/crates/sardinepin/src/entry.rs
+++ b/crates/sardinepin/src/entry.rs
@@ -22,7 +22,7 @@
 use anyhow::Context;
 use sardinepin_common::Millis;
 use sardinepin_protocol::Role;
-use tokio::net::TcpListener;
+use sardinepin_runtime::listen;
 
 use crate::admin::ControlBackend;
 use crate::entry::balancer::BalancerHandle;
@@ -44,8 +44,11 @@
 /// Returns an error if an address cannot be bound or the node cannot start.
 pub async fn run(settings: Settings) -> anyhow::Result<ExitCode> {
     let mut signals = Signals::new()?;
-    let listener = TcpListener::bind(settings.entry.listen)
-        .await
+    let listener = tokio::select! {
+        listener = listen(settings.entry.listen) => listener,
+        () = signals.recv() => return Ok(ExitCode::SUCCESS),
+    };
+    let listener = listener
         .with_context(|| format!("entry.listen: cannot listen on {}", settings.entry.listen))?;
     let address = listener.local_addr()?;
     let node = Node::start(&settings, Role::Entry).await?;
--- a/crates/sardinepin/src/node.rs
+++ b/crates/sardinepin/src/node.rs
@@ -8,9 +8,8 @@
 use sardinepin_common::{Clock, Millis};
 use sardinepin_membership::MemberView;
 use sardinepin_protocol::Role;
-use sardinepin_runtime::PauseWatch;
+use sardinepin_runtime::{PauseWatch, listen};
 use sardinepin_store::{HttpSettings, HttpStore, Store};
-use tokio::net::TcpListener;
 
 use crate::admin::{self, AdminServer, Backend, Health};
 use crate::control::{Control, ControlSettings};
@@ -61,7 +60,7 @@
         health: Arc<dyn Health>,
         backend: Option<Arc<dyn Backend>>,
     ) -> anyhow::Result<SocketAddr> {
-        let listener = TcpListener::bind(self.admin_listen)
+        let listener = listen(self.admin_listen)
             .await
             .with_context(|| format!("admin_listen: cannot listen on {}", self.admin_listen))?;
         let address = listener.local_addr()?;
--- a/crates/sardinepin/src/telemetry/serve.rs
+++ b/crates/sardinepin/src/telemetry/serve.rs
@@ -11,7 +11,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sardinepin_common::Millis;
-use tokio::net::{TcpListener, TcpStream};
+use sardinepin_runtime::listen;
+use tokio::net::TcpStream;
 
 use super::Telemetry;
 
@@ -24,12 +25,12 @@
 /// The delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Millis = Millis(100);
 
-/// Serves metrics at `port` on all IPv4 addresses; returns only if the port cannot be bound.
+/// Serves metrics at `port` on all IPv4 addresses, as soon as it is free; returns only if the port cannot be bound.
 ///
 /// A process works without its metrics endpoint, so a failure is only logged.
 pub async fn serve(telemetry: Telemetry, port: u16) {
     let address = SocketAddr::from((Ipv4Addr::UNSPECIFIED, port));
-    let listener = match TcpListener::bind(address).await {
+    let listener = match listen(address).await {
         Ok(listener) => listener,
         Err(error) => {
             log::warn!(event = "metrics_unserved", address:% = address, error:% = error; "metrics cannot be served");
