A reload signal does not end a process that has only just started

Seen: on SIGHUP right after the start of a gateway or rank agent ends it by the signal: 10 of 10 after 0 ms, 10 of 10 after 1 ms, 7 of 10 after 2 ms, 2 of 10 after 3 ms, 0 of 10 after 5 and 10 ms, 1 of 10 after 20 ms (five tries of each role). The platform may send it at any time (PROTOCOL.md).

Cause: the signal was taken only once the role ran, after the command line, the log and the runtime; now also after the wait for the settings file.

Change: main takes SIGHUP first of all, if it starts a role of the platform; tools keep the default.

What remains is the time until main begins, which no program controls.

--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -1,5 +1,7 @@
 //! The `sardinepin` binary: parses the command line and runs a role or a tool.
 
+mod early_reload;
+
 use std::process::ExitCode;
 
 use anyhow::Context;
@@ -13,10 +15,14 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// The roles that the platform starts. It may tell them that their settings have changed as soon as they run.
+const PLATFORM_ROLES: [&str; 2] = ["gateway", "rank"];
+
 /// The exit code for an invalid configuration file, the same as for an invalid command line.
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
+    early_reload::ignore_for(&PLATFORM_ROLES);
     let invocation = match options::parse_arguments(std::env::args_os()) {
         Ok(invocation) => invocation,
         Err(error) => error.exit(),
