Platform roles drain their histograms whether or not anybody fetches the metrics

Cause: the recorder keeps each sample of a histogram until its upkeep runs. The roles gateway and rank ran it only when their metrics were fetched; entry and agent did so every 5 s.

Change: Telemetry::maintain does the upkeep every 5 s; all roles run it.

--- a/crates/sardinepin/src/admin/server.rs
+++ b/crates/sardinepin/src/admin/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -36,9 +37,6 @@
 /// The delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Millis = Millis(100);
 
-/// The interval at which the metrics recorder does its upkeep.
-const UPKEEP_INTERVAL: Millis = Millis(5_000);
-
 /// The dependencies of the administration API.
 #[derive(Debug)]
 pub struct AdminServer {
@@ -56,10 +54,10 @@
 pub async fn serve(listener: TcpListener, admin: AdminServer) {
     let admin = Arc::new(admin);
     let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    let mut upkeep = tokio::time::interval(UPKEEP_INTERVAL.duration());
+    let mut maintenance = pin!(admin.telemetry.clone().maintain());
     loop {
         tokio::select! {
-            _ = upkeep.tick() => admin.telemetry.upkeep(),
+            () = &mut maintenance => {}
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => spawn_connection(&admin, &permits, stream),
                 Err(error) => {
--- a/crates/sardinepin/src/main.rs
+++ b/crates/sardinepin/src/main.rs
@@ -116,6 +116,7 @@
         .build()
         .context("cannot start the async runtime")?;
     runtime.block_on(async {
+        tokio::spawn(telemetry.clone().maintain());
         tokio::spawn(serve_metrics(telemetry, arguments.metrics_port));
         role.await
     })
--- a/crates/sardinepin/src/telemetry.rs
+++ b/crates/sardinepin/src/telemetry.rs
@@ -3,7 +3,9 @@
 use std::sync::OnceLock;
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use sardinepin_common::Millis;
 use sardinepin_protocol::ErrorKind;
+use tokio::time::MissedTickBehavior;
 
 mod serve;
 
@@ -21,6 +23,9 @@
 /// The name of the label with the reason.
 const REASON_LABEL: &str = "reason";
 
+/// The interval at which the recorder's samples are drained.
+const UPKEEP_INTERVAL: Millis = Millis(5_000);
+
 /// The suffix of the names of all histograms of durations.
 const MILLISECONDS_SUFFIX: &str = "_milliseconds";
 
@@ -69,10 +74,21 @@
         self.handle.render()
     }
 
-    /// Drains buffered histogram samples and frees their memory; call it every few seconds.
+    /// Drains buffered histogram samples and frees their memory.
     pub fn upkeep(&self) {
         self.handle.run_upkeep();
     }
+
+    /// Drains buffered histogram samples every few seconds, until the future is dropped. Each process has to run it, whether or not
+    /// anybody fetches its metrics, as the recorder keeps every sample until then.
+    pub async fn maintain(self) {
+        let mut interval = tokio::time::interval(UPKEEP_INTERVAL.duration());
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.upkeep();
+        }
+    }
 }
 
 /// Counts a response other than a complete one, by its reason.
