Gateway: a later lifetime of an upstream does not vouch for an answer

Cause: the process that wrote the answer is asked at its health path whether it lives, and only its identifier was compared.

Change: the question is answered only by a process that started when the one that wrote the answer did, by the head of that answer, or else by the list. The same holds for an upstream that is asked whether it is there after a restore. A process that does not say when it started counts as before.

--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -19,6 +19,8 @@
     pub target_upstream: HeaderName,
     /// The identifier of the upstream that responds about its health.
     pub upstream: HeaderName,
+    /// When the process of the upstream that responds started, in milliseconds since the Unix epoch.
+    pub started_at: HeaderName,
     /// An upstream's load: the numbers of running and waiting requests, then its slots.
     pub load: HeaderName,
     /// The number of requests a second that an upstream takes from all gateways together, while it is in need.
@@ -52,6 +54,7 @@
             organisation: HeaderName::from_static("x-organisation"),
             target_upstream: HeaderName::from_static("x-upstream"),
             upstream: HeaderName::from_static("x-upstream-id"),
+            started_at: HeaderName::from_static("x-started-at"),
             load: HeaderName::from_static("x-load"),
             limit: HeaderName::from_static("x-limit"),
             leaving: HeaderName::from_static("x-leaving"),
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -5,7 +5,7 @@
 use std::pin::pin;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -40,8 +40,15 @@
 impl Gateway {
     /// Returns whether the process that answered a request still runs. It is asked at its health path, or only for a
     /// connection if its service has none.
-    pub(crate) async fn process_state(&self, call: &Call, permit: &UpstreamPermit) -> ProcessState {
-        let state = self.ask_process(call, permit).await;
+    ///
+    /// `answer` is the head of that answer. A process that started at another time than the one that wrote it is another one.
+    pub(crate) async fn process_state(
+        &self,
+        call: &Call,
+        permit: &UpstreamPermit,
+        answer: &HeaderMap,
+    ) -> ProcessState {
+        let state = self.ask_process(call, permit, answer).await;
         log::info!(
             event = "process_asked", request = call.id_text(), upstream = &*permit.spec.id,
             rule = "whole_answer", process:? = state;
@@ -50,7 +57,12 @@
         state
     }
 
-    async fn ask_process(&self, call: &Call, permit: &UpstreamPermit) -> ProcessState {
+    async fn ask_process(
+        &self,
+        call: &Call,
+        permit: &UpstreamPermit,
+        answer: &HeaderMap,
+    ) -> ProcessState {
         // An evacuated zone gets no connections either.
         if !self.wait_to_send(&permit.spec.zone).await {
             return ProcessState::Unknown;
@@ -71,7 +83,7 @@
             .ask(stream, &permit.spec, &path, RESPONSE_TIMEOUT)
             .await
         {
-            Asked::Answered(response) => self.judge_response(permit, &response),
+            Asked::Answered(response) => self.judge_response(permit, answer, &response),
             Asked::Silent => ProcessState::Alive,
             Asked::Broken => listens_later(address).await,
         }
@@ -98,11 +110,22 @@
         }
     }
 
+    /// Returns when the process of an upstream started, as a response of its says.
+    fn started_at(&self, headers: &HeaderMap) -> Option<u64> {
+        let value = headers.get(&self.names.started_at)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
     fn says_it_is_there(&self, spec: &UpstreamSpec, response: &Response<Incoming>) -> bool {
         let headers = response.headers();
         let named = headers.get(&self.names.upstream);
         let is_named = named.is_some_and(|name| name.as_bytes() == spec.id.as_bytes());
-        response.status() == StatusCode::OK && is_named && !is_leaving(headers, &self.names.leaving)
+        let started_at = self.started_at(headers);
+        let is_listed = spec.started_at == 0 || started_at.is_none_or(|at| at == spec.started_at);
+        let is_itself = is_named && is_listed;
+        response.status() == StatusCode::OK
+            && is_itself
+            && !is_leaving(headers, &self.names.leaving)
     }
 
     async fn ask(
@@ -144,15 +167,21 @@
             .body(Empty::new())
     }
 
-    /// Returns whether a response was given by the upstream itself, and not by another process at its address.
+    /// Returns whether a response was given by the process that wrote `answer`, and not by another one at its address: one of another
+    /// upstream, or a later one of the same.
     fn judge_response(
         &self,
         permit: &UpstreamPermit,
+        answer: &HeaderMap,
         response: &Response<Incoming>,
     ) -> ProcessState {
         let named = response.headers().get(&self.names.upstream);
         let is_other = named.is_some_and(|name| name.as_bytes() != permit.spec.id.as_bytes());
-        match is_other || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        let listed = Some(permit.spec.started_at).filter(|at| *at > 0);
+        let wrote = self.started_at(answer).or(listed);
+        let responds = self.started_at(response.headers());
+        let is_later = wrote.zip(responds).is_some_and(|(one, other)| one != other);
+        match is_other || is_later || response.status() == StatusCode::MISDIRECTED_REQUEST {
             true => ProcessState::Gone,
             false => ProcessState::Alive,
         }
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -113,7 +113,10 @@
             has_body,
         };
         let process = match ended.judge() {
-            AnswerEnd::NeedsProcess => gateway.process_state(call, &self.permit).await,
+            AnswerEnd::NeedsProcess => {
+                let headers = &self.parts.headers;
+                gateway.process_state(call, &self.permit, headers).await
+            }
             AnswerEnd::Whole | AnswerEnd::Doubtful => ProcessState::Unknown,
         };
         let is_whole = ended.is_whole(process);
--- a/crates/gateway/tests/path/restores.rs
+++ b/crates/gateway/tests/path/restores.rs
@@ -116,6 +116,7 @@
         "HTTP/1.1 200 OK\r\nx-upstream-id: b\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nx-upstream-id: a\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-upstream-id: a\r\nx-started-at: 2\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 503 Leaving\r\nx-upstream-id: a\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 421 Other\r\nx-upstream-id: a\r\ncontent-length: 0\r\n\r\n",
     ] {
--- a/crates/gateway/tests/path/whole_answers.rs
+++ b/crates/gateway/tests/path/whole_answers.rs
@@ -158,7 +158,8 @@
     (send_raw(running.caller_address(), &text).await, upstream)
 }
 
-/// Guards against another process at the address of one that crashed vouching for its answer, and against one that is busy or in trouble
+/// Guards against another process at the address of one that crashed, or a later one of the same upstream, vouching for its answer, and
+/// against one that is busy or in trouble
 /// being taken for gone.
 #[tokio::test]
 async fn process_that_answers_its_health_path_vouches_only_for_itself() {
@@ -169,6 +170,12 @@
     let nameless = vec![Step::Write(
         "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_owned(),
     )];
+    // The list says that the upstream started at 1.
+    let started = |at: &str| {
+        let fields = format!("x-upstream-id: one\r\nx-started-at: {at}");
+        let text = format!("HTTP/1.1 200 OK\r\n{fields}\r\ncontent-length: 0\r\n\r\n");
+        vec![Step::Write(text)]
+    };
     let cases = [
         (head("200 OK", "one"), true),
         (head("503 Failing", "one"), true),
@@ -178,6 +185,10 @@
         (vec![Step::Reset], true),
         (head("200 OK", "two"), false),
         (head("421 Misdirected", "one"), false),
+        (started("1"), true),
+        (started("unknown"), true),
+        // It started after the one that wrote the answer.
+        (started("2"), false),
         (vec![Step::Crash], false),
     ];
     for (at, (health, is_whole)) in cases.into_iter().enumerate() {
