Gateway: a transfer coding other than chunks marks no end of an answer

Cause: any transfer coding counted as a mark of the end. Only chunks are one (RFC 9112, 6.3).

Change: an answer whose last coding is not chunked ends with its connection, like one with neither length nor chunks, and its process is asked.

--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -169,9 +169,15 @@
     /// Returns how the response tells where it ends.
     fn framing(&self) -> Framing {
         let headers = &self.parts.headers;
-        let is_marked = self.has_no_body
-            || headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
+        // Only chunks mark the end of a body with a transfer coding.
+        let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let last_coding = codings.filter_map(|value| value.to_str().ok()).next_back();
+        let last_coding = last_coding.and_then(|codings| codings.rsplit(',').next());
+        let is_chunked =
+            last_coding.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+        let has_coding = headers.contains_key(header::TRANSFER_ENCODING);
+        let has_length = !has_coding && headers.contains_key(header::CONTENT_LENGTH);
+        let is_marked = self.has_no_body || is_chunked || has_length;
         match is_marked {
             true => Framing::Marked,
             false => Framing::Connection,
--- a/crates/gateway/tests/path/whole_answers.rs
+++ b/crates/gateway/tests/path/whole_answers.rs
@@ -124,6 +124,15 @@
     assert_eq!(upstream.count(), 1);
 }
 
+/// Guards against half an answer being passed on as a whole one, since a transfer coding that marks no end was taken for one that does.
+#[tokio::test]
+async fn answer_with_a_coding_that_marks_no_end_is_no_whole_one_after_a_crash() {
+    let head = UNMARKED.replace("\r\n\r\n", "\r\ntransfer-encoding: identity\r\n\r\n");
+    let script = vec![Step::Write(format!("{head}line 1\n")), Step::Crash];
+    let (response, _) = answer("/once/a", script).await;
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+}
+
 /// Guards against an answer that may have run being sent again, and one that may be repeated being lost.
 #[tokio::test]
 async fn cut_answer_without_length_is_retried_if_its_request_may_be_repeated() {
@@ -159,8 +168,7 @@
 }
 
 /// Guards against another process at the address of one that crashed, or a later one of the same upstream, vouching for its answer, and
-/// against one that is busy or in trouble
-/// being taken for gone.
+/// against one that is busy or in trouble being taken for gone.
 #[tokio::test]
 async fn process_that_answers_its_health_path_vouches_only_for_itself() {
     let head = |status: &str, id: &str| {
